--- /dev/null
+++ b/packages/wire/camphornotch.thrift
@@ -0,0 +1,397 @@
+/**
+ * Messages between camphornotch processes, and the records of the log.
+ *
+ * Every struct may gain optional fields; readers skip the fields they do not
+ * know, so neighbouring versions of the processes work together.
+ * Field names are CamelCase so that the generated members follow the code.
+ */
+namespace cpp camphornotch.wire
+
+/* ---- Shared parts ---------------------------------------------------- */
+
+/** A run of tokens produced by one weight version. */
+struct LabelSegment {
+  1: i64 FirstToken,
+  2: i64 Version,
+}
+
+/** What an agent says of its endpoint, attached to every reply. */
+struct LoadFigure {
+  1: i32 Slots,            // places for work running at once
+  2: i32 Running,          // work running
+  3: i32 Queued,           // work waiting in the agent
+  4: i64 QueuedTokens,     // tokens still to generate, waiting and running
+  5: i64 TokenMicros,      // recent microseconds per generated token
+  6: i64 ExpectedWaitMs,   // time until new long work would start
+  7: i64 Version,          // confirmed weight version; -1: unknown
+  8: bool Leaving,         // takes no new work
+  9: bool Swapping,        // a weight swap is under way
+  10: i32 ShortReserve,    // free places kept for short work
+  11: i64 ShortWaitMs,     // time until new short work would start
+}
+
+/** Why work was refused; Reason is a row of the refusal table. */
+struct RefusalMessage {
+  1: i32 Reason,
+  2: i32 RunState,
+  3: i64 RetryAfterMs,
+  4: string Detail,
+}
+
+/* ---- Links ------------------------------------------------------------ */
+
+/** First message in both directions of a new connection. */
+struct Hello {
+  1: string Host,
+  2: i64 Boot,
+  3: string Role,          // "entry" or "agent"
+  4: string DataCentre,
+  5: string Region,
+  6: i64 ConfigOffset,
+  7: string Endpoint,      // agents only
+  8: string EndpointKind,  // "engine" or "service"; agents only
+  9: string Serves,        // model or service name; agents only
+  10: i64 FencingNumber,   // offset of the boot record; 0: none yet
+}
+
+/** Sent each heartbeat interval in both directions. */
+struct Heartbeat {
+  1: i64 Sequence,
+  2: i64 ConfigOffset,
+  3: i64 ConfigHash,
+  4: optional LoadFigure Load,
+  5: i64 EchoSequence,     // the last sequence received, for round trips
+  6: optional i64 NewestVersion,
+}
+
+/** Answered by ConfigPush when the sender is behind. */
+struct ConfigPull {
+  1: i64 HaveOffset,
+}
+
+/** An accepted rule file, whole (Text) or as a change to Base (Delta). */
+struct ConfigPush {
+  1: i64 Offset,
+  2: i64 Hash,
+  3: optional string Text,
+  4: optional i64 BaseOffset,
+  5: optional string Delta,
+}
+
+/* ---- Work -------------------------------------------------------------- */
+
+enum WorkKind {
+  Completion = 1,          // an engine's completion, may be repeated
+  ServiceCall = 2,         // a plain service's call, may be repeated
+  IntentCall = 3,          // runs at most once, under a recorded intent
+}
+
+enum WorkClass {
+  Short = 1,               // desks and portals
+  Rollout = 2,             // samples for trainers
+  Urgent = 3,              // late samples of a group
+}
+
+/** Entry to agent: run this, or (IntentCall) join the run. */
+struct StartWork {
+  1: i64 Work,
+  2: WorkKind Kind,
+  3: WorkClass Class,
+  4: string Method,
+  5: string Path,          // path and query at the endpoint
+  6: binary Body,
+  7: bool Stream,          // send WorkChunk as output arrives
+  8: i64 DeadlineMs,       // time left for the whole work; 0: none
+  9: i64 ExpectedTokens,
+  10: string Caller,       // whom fairness is counted for
+  11: string RequestId,    // runs through the logs
+  12: i64 Digest,          // hash of the request, for crash attribution
+  13: string Affinity,     // prefix or group key; may be empty
+  14: i64 MinVersion,      // refuse if the endpoint would use an older one
+  15: string KeptText,     // output already kept, to resume after
+  16: i64 KeptTokens,
+  17: list<LabelSegment> KeptSegments,
+  18: string IdempotencyKey,   // IntentCall only
+  19: i64 IntentOffset,        // IntentCall only
+  20: i64 AgentBoot,           // IntentCall only: the boot it was meant for
+  21: i64 Attempt,             // 0 for the first, counts retries and hedges
+  22: string ContentType,
+}
+
+/** Agent to entry: a part of the output. Offsets let a new link resume. */
+struct WorkChunk {
+  1: i64 Work,
+  2: i64 Offset,           // bytes of output before this part
+  3: binary Data,
+}
+
+/** Agent to entry: the end of the work, with the whole answer if not
+ *  streamed. */
+struct WorkFinished {
+  1: i64 Work,
+  2: i32 Status,           // the endpoint's HTTP status
+  3: string ContentType,
+  4: binary Body,          // empty when streamed
+  5: i64 TotalBytes,       // length of the whole output
+  6: i64 Tokens,
+  7: list<LabelSegment> Segments,
+  8: bool LabelKnown,      // false: the output must not be used as a sample
+  9: LoadFigure Load,
+  10: i64 QueueMs,
+  11: i64 RunMs,
+  12: i64 FirstTokenMs,
+}
+
+/** Agent to entry: the work was refused or failed. */
+struct WorkRefused {
+  1: i64 Work,
+  2: RefusalMessage Refusal,
+  3: LoadFigure Load,
+  4: optional string KeptText,       // output kept by a preempted run
+  5: optional i64 KeptTokens,
+  6: optional list<LabelSegment> KeptSegments,
+}
+
+/** Entry to agent: stop; the answer is WorkRefused or WorkFinished. */
+struct CancelWork {
+  1: i64 Work,
+  2: bool KeepTokens,
+}
+
+/** Entry to agent on a new link: what became of these? */
+struct QueryWork {
+  1: list<i64> Works,
+  2: list<i64> HaveBytes,  // streamed bytes already received, per work
+}
+
+/** Entry to agent: the answer arrived and may be forgotten. */
+struct AckWork {
+  1: list<i64> Works,
+}
+
+/* ---- Between entries ---------------------------------------------------- */
+
+/** A caller's request, handed to the owner of its shard. */
+struct ForwardRequest {
+  1: i64 Id,
+  2: string Method,
+  3: string Path,
+  4: binary Body,
+  5: string Caller,
+  6: string RequestId,
+  7: string IdempotencyKey,
+  8: string ContentType,
+  9: i32 Hops,
+}
+
+/** The owner's answer. */
+struct ForwardReply {
+  1: i64 Id,
+  2: i32 Status,
+  3: string ContentType,
+  4: binary Body,
+  5: i64 RetryAfterMs,
+}
+
+/** Summary of one data centre's free capacity for one model or service. */
+struct CapacitySummary {
+  1: string DataCentre,
+  2: string Serves,
+  3: i32 Endpoints,
+  4: i64 FreeSlots,
+  5: i64 QueuedTokens,
+  6: i64 NewestVersion,
+}
+
+struct SummaryPush {
+  1: list<CapacitySummary> Summaries,
+}
+
+/** Any process to an entry: append these records for me. */
+struct AppendRequest {
+  1: i64 Id,
+  2: list<binary> Records,     // encoded LogRecord each
+}
+
+/** The records' fate: their offsets once read back, or an error. */
+struct AppendReply {
+  1: i64 Id,
+  2: bool Committed,
+  3: list<i64> Offsets,
+}
+
+/** Entry to agent: a new newest version of a model. */
+struct WeightsAnnounce {
+  1: string Model,
+  2: i64 Version,
+  3: string Location,
+  4: i64 Offset,
+}
+
+/** Entry to agent: digests that must not run, by record offset. */
+struct QuarantinePush {
+  1: list<i64> Digests,
+  2: i64 Offset,
+}
+
+/** Agent to entry: this digest was present at a crash of the endpoint. */
+struct CrashReport {
+  1: string Endpoint,
+  2: list<i64> Digests,
+  3: i64 CrashId,
+}
+
+/** One message of a link: exactly one of the optional fields is set. */
+struct PeerMessage {
+  1: optional Hello HelloMsg,
+  2: optional Heartbeat HeartbeatMsg,
+  3: optional ConfigPull ConfigPullMsg,
+  4: optional ConfigPush ConfigPushMsg,
+  5: optional StartWork StartWorkMsg,
+  6: optional WorkChunk WorkChunkMsg,
+  7: optional WorkFinished WorkFinishedMsg,
+  8: optional WorkRefused WorkRefusedMsg,
+  9: optional CancelWork CancelWorkMsg,
+  10: optional QueryWork QueryWorkMsg,
+  11: optional AckWork AckWorkMsg,
+  12: optional ForwardRequest ForwardRequestMsg,
+  13: optional ForwardReply ForwardReplyMsg,
+  14: optional SummaryPush SummaryPushMsg,
+  15: optional AppendRequest AppendRequestMsg,
+  16: optional AppendReply AppendReplyMsg,
+  17: optional WeightsAnnounce WeightsAnnounceMsg,
+  18: optional QuarantinePush QuarantinePushMsg,
+  19: optional CrashReport CrashReportMsg,
+}
+
+/* ---- Records of the log -------------------------------------------------- */
+
+/** A published rule file; accepted only if BaseOffset is the offset of the
+ *  accepted one. */
+struct ConfigRecord {
+  1: i64 BaseOffset,
+  2: string PublishId,
+  3: string Author,
+  4: optional string Text,
+  5: optional string Delta,
+}
+
+/** Claims a shard; valid only if PreviousEpoch is the shard's epoch. */
+struct ClaimRecord {
+  1: string Shard,
+  2: string Owner,
+  3: i64 OwnerBoot,
+  4: i64 PreviousEpoch,    // -1: the shard was never claimed
+}
+
+/** The owner gives the shard up in favour of a successor. */
+struct ReleaseRecord {
+  1: string Shard,
+  2: i64 Epoch,
+  3: string Successor,
+}
+
+/** A new boot of an agent; its offset is the fencing number of the boot. */
+struct BootRecord {
+  1: string Host,
+  2: i64 Boot,
+  3: string Endpoint,
+}
+
+/** One group of samples of a step. */
+struct GroupSpec {
+  1: string Group,
+  2: i32 Samples,
+  3: string Prompt,
+  4: i64 MaxTokens,
+  5: string Scorer,        // service that scores the samples; may be empty
+  6: string Parameters,    // JSON object passed on to the engine
+}
+
+/** A part of a submitted step. */
+struct StepRecord {
+  1: string Trainer,
+  2: i64 Epoch,
+  3: i64 Step,
+  4: string Model,
+  5: list<GroupSpec> Groups,
+}
+
+/** What the trainer holds for sure, written by the owner. */
+struct CheckpointRecord {
+  1: string Trainer,
+  2: i64 Epoch,
+  3: i64 Step,
+  4: i64 Batch,            // batches up to this one are acknowledged
+  5: list<i64> Delivered,  // slot numbers acknowledged since the last one
+  6: bool StepDone,
+}
+
+/** A call that may run at most once; the first record of a key stands. */
+struct IntentRecord {
+  1: string Key,
+  2: i64 Digest,
+  3: string Endpoint,
+  4: string AgentHost,
+  5: i64 AgentBoot,
+  6: string Caller,
+}
+
+/** The outcome of an intent. */
+struct OutcomeRecord {
+  1: string Key,
+  2: i64 IntentOffset,
+  3: i32 Status,
+  4: string ContentType,
+  5: binary Body,
+  6: bool BodyOmitted,
+  7: bool NotRun,          // the agent says for its boot that it never ran
+}
+
+/** A digest that must not run until released. */
+struct QuarantineRecord {
+  1: i64 Digest,
+  2: i64 UntilWallMs,
+  3: string Evidence,
+  4: bool Released,
+}
+
+/** A new weight version of a model. */
+struct VersionRecord {
+  1: string Model,
+  2: i64 Version,
+  3: string Location,
+}
+
+/** The folded state up to and with CoversOffset, carried forward. */
+struct SnapshotRecord {
+  1: i64 CoversOffset,
+  2: string Scope,         // "config", or a shard
+  3: i64 Epoch,
+  4: binary State,
+}
+
+/** An operator's order that a host leaves. */
+struct DrainRecord {
+  1: string Host,
+  2: bool Leave,
+  3: string Author,
+}
+
+/** One record of the log: exactly one of the optional fields is set. */
+struct LogRecord {
+  1: i64 WriterBoot,
+  2: i64 Sequence,         // with WriterBoot: duplicates are dropped
+  3: optional ConfigRecord Config,
+  4: optional ClaimRecord Claim,
+  5: optional ReleaseRecord Release,
+  6: optional BootRecord Boot,
+  7: optional StepRecord Step,
+  8: optional CheckpointRecord Checkpoint,
+  9: optional IntentRecord Intent,
+  10: optional OutcomeRecord Outcome,
+  11: optional QuarantineRecord Quarantine,
+  12: optional VersionRecord Version,
+  13: optional SnapshotRecord Snapshot,
+  14: optional DrainRecord Drain,
+}
