--- a/packages/base/id_type.h
+++ b/packages/base/id_type.h
@@ -25,7 +25,6 @@
   /// @param State the running hash.
   /// @param Id the identifier to add.
   /// @return the running hash with the identifier in it.
-  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by absl.
   template <typename HashT>
   friend HashT AbslHashValue(HashT State, const StrongId &Id) {
     return HashT::combine(std::move(State), Id.Value);
