--- a/packages/base/refusal_type.h
+++ b/packages/base/refusal_type.h
@@ -41,6 +41,7 @@
   PeerLost,
   Cancelled,
   Internal,
+  Preempted,
 };
 
 /// One refusal, on its way to the caller.
--- a/packages/base/table/refusal_reasons.h
+++ b/packages/base/table/refusal_reasons.h
@@ -73,6 +73,8 @@
                 "nothing: the caller went away"},
     RefusalSpec{RefusalReason::Internal, "internal", 500,
                 "report the request id to the operators"},
+    RefusalSpec{RefusalReason::Preempted, "preempted", 503,
+                "retry; the output kept so far is resumed"},
 };
 
 } // namespace camphornotch
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -118,15 +118,18 @@
   22: string ContentType,
 }
 
-/** Agent to entry: a part of the output. Offsets let a new link resume. */
+/** Agent to entry: a part of the output. Offsets let a new link resume.
+ *  A completion's output is its plain text, without the events or the JSON of
+ *  the engine; a service's output is the body of its answer. KeptText of
+ *  StartWork is not part of the output. */
 struct WorkChunk {
   1: i64 Work,
   2: i64 Offset,           // bytes of output before this part
   3: binary Data,
 }
 
-/** Agent to entry: the end of the work, with the whole answer if not
- *  streamed. */
+/** Agent to entry: the end of the work, with the whole output if not
+ *  streamed. A completion's Tokens and Segments count KeptTokens too. */
 struct WorkFinished {
   1: i64 Work,
   2: i32 Status,           // the endpoint's HTTP status
