--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -87,8 +87,12 @@
     int64_t Expected = 0;
     /// Tokens produced so far.
     int64_t Produced = 0;
+    /// When it started.
+    Millis Started;
     /// When it last produced any, or started.
     Millis LastProgress;
+    /// How often the entry tried the work before.
+    int64_t Attempt = 0;
     /// Until when it must be done; Never without a deadline.
     Millis Deadline;
     /// Whether it runs alone.
@@ -102,12 +106,14 @@
     [[nodiscard]] int64_t remaining() const;
   };
 
-  /// One queue a class.
+  /// One queue a class, and one for work that must run alone. Under first
+  /// come first served all else waits in RolloutQueue.
   enum QueueIndex : uint8_t {
     ShortQueue,
     UrgentQueue,
     RolloutQueue,
-    QueueCount
+    AloneQueue,
+    QueueCount,
   };
 
   /// Actions under construction.
@@ -164,12 +170,40 @@
   [[nodiscard]] int64_t tokenMicros(Millis Now) const;
   /// @return the policy of classes, or nothing under first come first served.
   [[nodiscard]] const ClassedAdmission *classes() const;
-  /// @param Long whether for long work.
-  /// @return tokens until new work of that kind would start.
-  [[nodiscard]] int64_t tokensAhead(bool Long) const;
-  /// @param Long whether to count long runs, else short ones.
-  /// @return runs of that kind.
-  [[nodiscard]] int countRuns(bool Long) const;
+  /// @param Index the queue that new work would join.
+  /// @return tokens that one place generates until it would start.
+  [[nodiscard]] int64_t tokensAhead(QueueIndex Index) const;
+  /// @param Index a queue.
+  /// @return tokens left at each place that its class may use.
+  [[nodiscard]] std::vector<int64_t> placesFor(QueueIndex Index) const;
+  /// @param Index a queue.
+  /// @return tokens of waiting work that goes before new work of it.
+  [[nodiscard]] int64_t queuedBefore(QueueIndex Index) const;
+  /// @return long runs at the endpoint.
+  [[nodiscard]] int longRuns() const;
+  /// @return whether long work waits.
+  [[nodiscard]] bool longWaits() const;
+  /// @return places not used by any run.
+  [[nodiscard]] int freePlaces() const;
+  /// @return places that only short work may take, as far as there are any.
+  [[nodiscard]] int reserve() const;
+  /// @return places that long work may always have.
+  [[nodiscard]] int longFloor() const;
+  /// @param Index a queue.
+  /// @return whether waiting work of it is short.
+  [[nodiscard]] bool isShort(QueueIndex Index) const;
+  /// @param Now the present.
+  /// @return whether starts are held for work that must run alone.
+  [[nodiscard]] bool drainsForAlone(Millis Now) const;
+  /// @return when waiting work that must run alone holds other starts.
+  [[nodiscard]] Millis aloneHoldsAt() const;
+  /// Takes a run's speed into the average.
+  void learnSpeed(Millis Took, int64_t Tokens);
+  /// Forgets a run.
+  void removeRun(RunId Id);
+  /// Answers for a run that did not finish.
+  void refuseRun(RunId Id, const Run &Ended, const RunEnded &Event,
+                 Actions &Out);
 
   /// The settings in force.
   AdmissionSettings Settings;
@@ -191,6 +225,10 @@
   int64_t LastRun = 0;
   /// Urgent starts in a row.
   int UrgentStreak = 0;
+  /// Short starts in a row while long work waited and none ran.
+  int ShortStreak = 0;
+  /// When work that must run alone last ended.
+  Millis LastAloneEnd{-Never.Count};
   /// Whether starts are held.
   bool Held = false;
   /// Why new work is refused, if it is.
--- a/packages/core/agent/admission_type.h
+++ b/packages/core/agent/admission_type.h
@@ -27,6 +27,11 @@
   bool Preempt = true;
   /// Rollouts with fewer tokens left than this are not preempted.
   int64_t MinPreemptTokens = 16;
+  /// Rollouts tried this often are not preempted again.
+  int64_t MaxPreemptAttempt = 4;
+  /// Short starts in a row after which waiting long work goes first, if none
+  /// runs.
+  int ShortBurst = 16;
   /// Urgent starts in a row after which a waiting rollout goes first.
   int UrgentBurst = 3;
 };
@@ -86,6 +91,8 @@
   RunId Run;
   /// How.
   RunOutcome Outcome = RunOutcome::Finished;
+  /// Whether the endpoint surely never saw it.
+  bool NeverSent = false;
 };
 
 /// Starts are held (endpoint down, swapping) or allowed again.
