Add: [Samples] Interfaces of claims, samples and calls

GroupSpec gains an optional ordinal, set by the owner, so that slot numbers in checkpoints stay the same for every reader.

--- /dev/null
+++ b/packages/core/samples/step_table_base.h
@@ -0,0 +1,126 @@
+/// @file
+/// One trainer's open steps as folded from the log: groups and what the
+/// trainer holds for sure.
+
+#ifndef CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
+#define CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
+
+#include "core/samples/sample_type.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace camphornotch {
+
+/// Bits of a slot number that hold the index in the group.
+inline constexpr int SlotIndexBits = 16;
+/// Largest number of samples in one group.
+inline constexpr int32_t MaxGroupSamples = (1 << SlotIndexBits) - 1;
+/// Finished steps whose repeated submissions are recognised.
+inline constexpr size_t DoneStepsKept = 64;
+
+/// @param Key a slot.
+/// @return its number in checkpoint records, unique in its step.
+int64_t slotNumber(const SlotKey &Key);
+
+/// @param Step the step.
+/// @param Number a slot's number in a checkpoint record.
+/// @return the slot.
+SlotKey slotOfNumber(int64_t Step, int64_t Number);
+
+/// One open step.
+struct StepState {
+  /// The model to sample from.
+  std::string Model;
+  /// Its groups by ordinal.
+  std::map<int32_t, wire::GroupSpec> Groups;
+  /// Ordinals by group name.
+  std::map<std::string, int32_t> Ordinals;
+  /// Slots of all groups.
+  int64_t Slots = 0;
+  /// Slots that the trainer has shown to hold.
+  std::set<SlotKey> Acknowledged;
+  /// Slots of Acknowledged that a checkpoint in the log lists.
+  std::set<SlotKey> Durable;
+
+  /// @return whether the trainer holds every slot.
+  bool complete() const {
+    return static_cast<int64_t>(this->Acknowledged.size()) == this->Slots;
+  }
+};
+
+/// Whether a submitted group is known.
+enum class GroupStanding : uint8_t {
+  New,       ///< Not known: it may be added.
+  Known,     ///< Already part of the step.
+  StepEnded, ///< The step ended without it, or was forgotten.
+};
+
+/// The folded steps of one trainer. Every entry keeps one, so that any can
+/// take over without reading the log again.
+class StepTable {
+public:
+  /// Folds one step record of the present epoch.
+  /// @param Record the record.
+  /// @return the slots that it adds.
+  std::vector<SlotKey> add(const wire::StepRecord &Record);
+
+  /// Folds one checkpoint record of the present epoch.
+  /// @param Record the record.
+  /// @return the slots that it shows for the first time as held.
+  std::vector<SlotKey> checkpoint(const wire::CheckpointRecord &Record);
+
+  /// Notes that the trainer showed that it holds a slot.
+  /// @param Key the slot.
+  /// @return whether that is news about an open step.
+  bool acknowledge(const SlotKey &Key);
+
+  /// @param Step the step.
+  /// @param Group the group's name.
+  /// @return whether the group is known.
+  GroupStanding standing(int64_t Step, const std::string &Group) const;
+
+  /// @param Key a slot.
+  /// @return its group, or nullptr if there is no such open slot.
+  const wire::GroupSpec *group(const SlotKey &Key) const;
+
+  /// @return the slots held by the trainer that no checkpoint lists yet.
+  std::set<SlotKey> undurable() const;
+
+  /// @return slots not yet held by the trainer.
+  int64_t openSlots() const;
+
+  /// @return the open steps by number.
+  const std::map<int64_t, StepState> &steps() const { return this->Steps; }
+
+  /// @param Step a step.
+  /// @return whether nothing more can come: the trainer holds all of it and
+  ///         has submitted a later one.
+  bool finished(int64_t Step) const;
+
+  /// @return the largest batch that a checkpoint shows as acknowledged.
+  int64_t durableBatch() const { return this->DurableBatch; }
+
+  /// @param Step a step.
+  /// @return the ordinal for its next group.
+  int32_t nextOrdinal(int64_t Step) const;
+
+private:
+  /// Forgets an ended step but for the hashes of its groups.
+  /// @param Step the step.
+  void close(int64_t Step);
+
+  /// The open steps.
+  std::map<int64_t, StepState> Steps;
+  /// Hashes of the group names of ended steps.
+  std::map<int64_t, std::set<uint64_t>> Done;
+  /// No step up to this one may be submitted any more.
+  int64_t Floor = INT64_MIN;
+  /// The largest batch that a checkpoint shows as acknowledged.
+  int64_t DurableBatch = 0;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -309,6 +309,7 @@
   4: i64 MaxTokens,
   5: string Scorer,        // service that scores the samples; may be empty
   6: string Parameters,    // JSON object passed on to the engine
+  7: optional i32 Ordinal, // set by the owner: place in the step
 }
 
 /** A part of a submitted step. */
