--- /dev/null
+++ b/packages/base/address_func.h
@@ -0,0 +1,24 @@
+/// @file
+/// Text form of socket addresses.
+
+#ifndef CAMPHORNOTCH_BASE_ADDRESS_FUNC_H
+#define CAMPHORNOTCH_BASE_ADDRESS_FUNC_H
+
+#include "base/address_type.h"
+#include "base/error_type.h"
+
+#include <string_view>
+
+namespace camphornotch {
+
+/// @param Text "IP:PORT", for example "10.1.0.4:7100".
+/// @return the address, or what is wrong with the text.
+Result<Address> parseAddress(std::string_view Text);
+
+/// @param Where an address.
+/// @return its "IP:PORT" form; empty for no address.
+std::string formatAddress(const Address &Where);
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_BASE_ADDRESS_FUNC_H
--- /dev/null
+++ b/packages/base/table/settings.h
@@ -0,0 +1,164 @@
+/// @file
+/// The table of settings: one row each, for both roles.
+
+#ifndef CAMPHORNOTCH_BASE_TABLE_SETTINGS_H
+#define CAMPHORNOTCH_BASE_TABLE_SETTINGS_H
+
+#include "base/settings_type.h"
+
+#include <array>
+#include <string_view>
+#include <variant>
+
+namespace camphornotch {
+
+/// The member that a setting fills; the alternative gives the type, too.
+using SettingTarget =
+    std::variant<std::string CommonSettings::*, Address CommonSettings::*,
+                 Millis CommonSettings::*, int64_t CommonSettings::*,
+                 Millis EntrySettings::*, int64_t EntrySettings::*,
+                 std::string AgentSettings::*, Address AgentSettings::*,
+                 bool AgentSettings::*, Millis AgentSettings::*,
+                 int64_t AgentSettings::*>;
+
+/// Default of a setting that must be given.
+inline constexpr std::string_view NoDefault = "<required>";
+
+/// One setting.
+struct SettingSpec {
+  std::string_view Section;
+  std::string_view Name;
+  SettingTarget Target;
+  /// The value when the file gives none; NoDefault: it must give one.
+  std::string_view Default;
+  /// The smallest number; unused for text and addresses.
+  int64_t Min;
+  /// The largest number; unused for text and addresses.
+  int64_t Max;
+  /// The allowed words, separated by "|"; empty: any text.
+  std::string_view Words;
+  std::string_view Help;
+};
+
+// The rows keep one line a field group, so that the table reads as a table.
+// clang-format off
+
+/// All settings, by section.
+inline constexpr std::array SettingsTable{
+    SettingSpec{"process", "role", &CommonSettings::Role, NoDefault, 0, 0,
+                "entry|agent", "What the process does."},
+    SettingSpec{"process", "host", &CommonSettings::Host, NoDefault, 0, 0,
+                "", "The host's name, as in the host list."},
+    SettingSpec{"process", "data_centre", &CommonSettings::DataCentre,
+                NoDefault, 0, 0, "", "The data centre it stands in."},
+    SettingSpec{"process", "region", &CommonSettings::Region, NoDefault, 0, 0,
+                "", "The region it stands in."},
+    SettingSpec{"process", "stop_grace_ms", &CommonSettings::StopGrace,
+                "30000", 0, 3600000, "",
+                "Time for open requests to end after SIGTERM."},
+
+    SettingSpec{"listen", "links", &CommonSettings::ListenLinks, NoDefault,
+                0, 0, "", "Where peers connect to."},
+    SettingSpec{"listen", "http", &CommonSettings::ListenHttp, NoDefault,
+                0, 0, "", "Where callers, probes and metrics connect to."},
+
+    SettingSpec{"platform", "log", &CommonSettings::LogService, "", 0, 0,
+                "", "The log service; entries need it."},
+    SettingSpec{"platform", "host_list", &CommonSettings::HostList, "", 0, 0,
+                "", "The host list; entries need it."},
+    SettingSpec{"platform", "weight_store", &CommonSettings::WeightStore, "",
+                0, 0, "", "The weight store; empty: versions come from the log."},
+    SettingSpec{"platform", "log_retention_ms", &CommonSettings::LogRetention,
+                "86400000", 1000, 31536000000, "",
+                "How long the log keeps records; state is carried forward at half of it."},
+
+    SettingSpec{"intervals", "heartbeat_ms", &CommonSettings::Heartbeat,
+                "1000", 20, 60000, "", "Time between heartbeats of a link."},
+    SettingSpec{"intervals", "link_silence_ms", &CommonSettings::LinkSilence,
+                "3000", 50, 600000, "",
+                "Silence after which a fresh connection is opened."},
+    SettingSpec{"intervals", "connect_timeout_ms",
+                &CommonSettings::ConnectTimeout, "1000", 10, 60000, "",
+                "Longest wait for a connection."},
+    SettingSpec{"intervals", "reconnect_delay_ms",
+                &CommonSettings::ReconnectDelay, "200", 10, 60000, "",
+                "First wait before connecting again; it doubles up to 16 times this."},
+    SettingSpec{"intervals", "host_list_poll_ms",
+                &CommonSettings::HostListPoll, "1000", 50, 600000, "",
+                "Time between reads of the host list."},
+    SettingSpec{"intervals", "log_poll_wait_ms", &CommonSettings::LogPollWait,
+                "1000", 10, 60000, "",
+                "Longest time that a read of the log waits for a record."},
+    SettingSpec{"intervals", "append_flush_ms", &CommonSettings::AppendFlush,
+                "5", 0, 10000, "",
+                "Longest time that a record waits for others to be appended with."},
+    SettingSpec{"intervals", "weight_poll_ms", &CommonSettings::WeightPoll,
+                "1000", 50, 600000, "",
+                "Time between questions for the newest version of a model."},
+
+    SettingSpec{"limits", "append_max_bytes", &CommonSettings::AppendMaxBytes,
+                "262144", 1024, 4194304, "",
+                "Size at which collected records are appended at once."},
+    SettingSpec{"limits", "appends_per_second",
+                &CommonSettings::AppendsPerSecond, "50", 1, 10000, "",
+                "Appends that this process may send a second."},
+    SettingSpec{"limits", "max_body_bytes", &CommonSettings::MaxBodyBytes,
+                "8388608", 1024, 16777216, "", "Longest request body."},
+    SettingSpec{"limits", "max_header_bytes", &CommonSettings::MaxHeaderBytes,
+                "65536", 1024, 1048576, "", "Longest request header block."},
+    SettingSpec{"limits", "max_open_requests",
+                &CommonSettings::MaxOpenRequests, "4096", 1, 1000000, "",
+                "Requests open at once; more are refused."},
+    SettingSpec{"limits", "max_answer_bytes_held",
+                &CommonSettings::MaxAnswerBytesHeld, "33554432", 65536,
+                1073741824, "",
+                "Answers held for peers that have not acknowledged them."},
+
+    SettingSpec{"entry", "key_shards", &EntrySettings::KeyShards, "16", 1,
+                4096, "",
+                "Ranges of idempotency keys; equal on all entries."},
+    SettingSpec{"entry", "remote_links", &EntrySettings::RemoteLinks, "2", 1,
+                64, "", "Links to entries of each other data centre."},
+    SettingSpec{"entry", "max_sample_bytes_held",
+                &EntrySettings::MaxSampleBytesHeld, "67108864", 65536,
+                1073741824, "",
+                "Finished samples held for trainers; more waits in agents."},
+    SettingSpec{"entry", "default_deadline_ms",
+                &EntrySettings::DefaultDeadline, "60000", 100, 3600000, "",
+                "Deadline of a request that names none."},
+
+    SettingSpec{"endpoint", "name", &AgentSettings::EndpointName, NoDefault,
+                0, 0, "", "The endpoint's name."},
+    SettingSpec{"endpoint", "kind", &AgentSettings::EndpointKind, NoDefault,
+                0, 0, "engine|service", "What the endpoint is."},
+    SettingSpec{"endpoint", "serves", &AgentSettings::Serves, NoDefault, 0, 0,
+                "", "The engine's model or the service's name."},
+    SettingSpec{"endpoint", "address", &AgentSettings::EndpointAddress,
+                NoDefault, 0, 0, "", "Where the endpoint listens."},
+    SettingSpec{"endpoint", "honours_fencing", &AgentSettings::HonoursFencing,
+                "no", 0, 0, "yes|no",
+                "Whether it refuses orders with an old fencing number."},
+    SettingSpec{"endpoint", "slots", &AgentSettings::Slots, "8", 1, 4096, "",
+                "Work running at once."},
+    SettingSpec{"endpoint", "short_reserve", &AgentSettings::ShortReserve,
+                "1", 0, 4096, "", "Slots kept free for short work."},
+    SettingSpec{"endpoint", "max_queued", &AgentSettings::MaxQueued, "256", 0,
+                100000, "", "Work waiting at once; more is refused."},
+    SettingSpec{"endpoint", "guard_port", &AgentSettings::GuardPort, "0", 0,
+                65535, "",
+                "Loopback port whose bind keeps a second agent away; 0: none."},
+    SettingSpec{"endpoint", "intent_memory", &AgentSettings::IntentMemory,
+                "10000", 16, 10000000, "",
+                "Calls that may run at most once, remembered with their answers."},
+    SettingSpec{"endpoint", "load_poll_ms", &AgentSettings::LoadPoll, "500",
+                20, 60000, "", "Time between reads of the endpoint's load."},
+    SettingSpec{"endpoint", "swap_timeout_ms", &AgentSettings::SwapTimeout,
+                "30000", 100, 3600000, "",
+                "Time after which a weight swap counts as unanswered."},
+};
+
+// clang-format on
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_BASE_TABLE_SETTINGS_H
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -366,9 +366,11 @@
 /** The folded state up to and with CoversOffset, carried forward. */
 struct SnapshotRecord {
   1: i64 CoversOffset,
-  2: string Scope,         // "config", or a shard
-  3: i64 Epoch,
-  4: binary State,
+  2: string Scope,         // "fold": the whole state
+  3: i64 Epoch,            // unused
+  4: binary State,         // an encoded SnapshotState
+  5: bool Reset,           // starts anew after every older record expired
+  6: i64 OldestOffset,     // Reset: the oldest record the writer could read
 }
 
 /** An operator's order that a host leaves. */
@@ -395,3 +397,23 @@
   13: optional SnapshotRecord Snapshot,
   14: optional DrainRecord Drain,
 }
+
+/** A record that still stands, carried forward with its own offset. */
+struct CarriedRecord {
+  1: i64 Offset,
+  2: LogRecord Record,
+}
+
+/** Which sequences of one writer have been seen. */
+struct WriterWindow {
+  1: i64 Boot,
+  2: i64 Highest,
+  3: i64 Recent,           // bit N: Highest - N was seen
+  4: i64 LastOffset,
+}
+
+/** The State of a SnapshotRecord. */
+struct SnapshotState {
+  1: list<CarriedRecord> Records,
+  2: list<WriterWindow> Writers,
+}
