--- a/packages/base/hash_func.h
+++ b/packages/base/hash_func.h
@@ -1,5 +1,5 @@
 /// @file
-/// Stable hashes: equal in every process and version.
+/// Stable hashes (xxHash) and rendezvous ranking, equal on every process.
 
 #ifndef CAMPHORNOTCH_BASE_HASH_FUNC_H
 #define CAMPHORNOTCH_BASE_HASH_FUNC_H
@@ -11,15 +11,14 @@
 
 /// @param Bytes what to hash.
 /// @param Seed separates uses of the same bytes.
-/// @return a well-mixed 64-bit hash.
+/// @return a 64-bit hash that is the same on every host and version.
 uint64_t hashBytes(std::string_view Bytes, uint64_t Seed = 0);
 
-/// The weight of a node for a key in rendezvous hashing: the node with the
-/// largest weight is the key's first choice.
+/// The score of one candidate for one key; the highest score owns the key.
 /// @param Key what is to be placed.
-/// @param Node a candidate.
-/// @return the weight of the candidate for the key.
-uint64_t rendezvousWeight(std::string_view Key, std::string_view Node);
+/// @param Candidate one place for it.
+/// @return the score.
+uint64_t rendezvousScore(std::string_view Key, std::string_view Candidate);
 
 } // namespace camphornotch
 
