Add: [Base] Settings table, INI reading, command line and JSON logs

Both roles need checked settings before they start. One table names section, member, default, range and help; the parser fills aggregates from it and reports every faulty line with its place and the remedy. docs/settings.md is the rendered table, and a test compares the two. inih passes no line numbers, drops comments and cuts long lines, so each line is checked before inih sees it.

--- /dev/null
+++ b/packages/base/command_line_func.cpp
@@ -0,0 +1,113 @@
+/// @file
+/// The daemon's command line, through gflags.
+
+#include "base/command_line_func.h"
+
+#include "base/settings_func.h"
+#include "base/text_func.h"
+
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+DEFINE_string(config, "", "settings file (INI)");
+DEFINE_string(set, "",
+              "overrides of settings: section.name=value, comma-separated");
+DEFINE_bool(check_settings, false,
+            "check the settings, print every fault, and end");
+DEFINE_bool(help_settings, false, "print the page of all settings, and end");
+
+namespace camphornotch {
+
+namespace {
+
+/// The version that --version prints.
+constexpr const char *VersionText = "0.1.0";
+
+/// The flags of ours, as --help lists them.
+constexpr const char *FlagNames[] = {"config", "set", "check_settings",
+                                     "help_settings"};
+
+/// @param Path a file.
+/// @return its text; nothing if it cannot be read.
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream Stream(Path, std::ios::binary);
+  if (!Stream)
+    return {};
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return std::move(Text).str();
+}
+
+/// Prints the flags and what each does.
+void printHelp() {
+  std::cout << "camphornotchd --config FILE [--set section.name=value,...]\n"
+               "Runs an entry or an agent, as [process] role says.\n\n";
+  for (const char *Name : FlagNames)
+    std::cout << gflags::DescribeOneFlag(
+        gflags::GetCommandLineFlagInfoOrDie(Name));
+  std::cout << "    --version (print the version, and end)\n"
+               "Exit codes: 0 stopped as asked, 1 bad flag or failure, "
+               "2 bad settings.\n";
+}
+
+/// @param Name a flag of gflags itself.
+/// @return whether it was given.
+bool flagGiven(const char *Name) {
+  return gflags::GetCommandLineFlagInfoOrDie(Name).current_value == "true";
+}
+
+/// @param Message what is wrong with the command line.
+/// @param Remedy what to write instead.
+/// @return the exit code.
+ExitNow refuse(std::string_view Message, std::string_view Remedy) {
+  std::cerr << Message << "; " << Remedy << "\n";
+  return ExitNow{BadSettingsExitCode};
+}
+
+/// Reads and checks the settings that the flags name.
+/// @return the settings, or the exit code.
+CommandLineResult loadSettings() {
+  if (FLAGS_config.empty())
+    return refuse("no settings file given", "add --config FILE");
+  const std::optional<std::string> Text = readFile(FLAGS_config);
+  if (!Text.has_value())
+    return refuse(concat(FLAGS_config, ": cannot be read"),
+                  "give a readable file to --config");
+  const SettingsResult Parsed = parseSettings(FLAGS_config, *Text, FLAGS_set);
+  if (!Parsed.has_value()) {
+    std::cerr << renderFaults(Parsed.error());
+    return ExitNow{BadSettingsExitCode};
+  }
+  if (!FLAGS_check_settings)
+    return Parsed.value();
+  std::cout << FLAGS_config << ": ok\n";
+  return ExitNow{0};
+}
+
+} // namespace
+
+CommandLineResult parseDaemonCommandLine(int Count, char **Arguments) {
+  gflags::SetVersionString(VersionText);
+  gflags::ParseCommandLineNonHelpFlags(&Count, &Arguments, true);
+  if (flagGiven("help")) {
+    printHelp();
+    return ExitNow{0};
+  }
+  if (flagGiven("version")) {
+    std::cout << "camphornotchd " << VersionText << "\n";
+    return ExitNow{0};
+  }
+  if (FLAGS_help_settings) {
+    std::cout << renderSettingsPage();
+    return ExitNow{0};
+  }
+  if (Count > 1)
+    return refuse(concat("unknown argument \"", Arguments[1], "\""),
+                  "see --help");
+  return loadSettings();
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/base/ini_func.cpp
@@ -0,0 +1,210 @@
+/// @file
+/// Reading of INI text, through inih. inih passes neither line numbers nor
+/// comments and cuts what is too long, so each line is looked at before inih
+/// gets it.
+
+#include "base/ini_func.h"
+
+#include "base/text_func.h"
+
+#include <cstring>
+#include <ini.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// One line, split.
+struct SplitLine {
+  /// What stands before the comment.
+  std::string_view Content;
+  /// What stands after the comment mark.
+  std::string_view Comment;
+  /// Whether there is a comment.
+  bool HasComment = false;
+};
+
+/// What the callbacks of inih share.
+struct IniCursor {
+  /// The text that was not read yet.
+  std::string_view Rest;
+  /// The name of the file.
+  std::string_view FileName;
+  /// Where entries and errors go.
+  IniFile Out;
+  /// The number of the line read last.
+  int Line = 0;
+  /// That line as written.
+  std::string_view Text;
+  /// The comment of that line or of the line before.
+  std::string_view Comment;
+  /// The comment of the line before, if that was a comment line.
+  std::string_view CommentBefore;
+};
+
+/// @param Line a trimmed line.
+/// @return its parts: a comment starts at ";" or "#" in front of the line, or
+///         at ";" after a white-space character.
+SplitLine splitLine(std::string_view Line) {
+  for (size_t Index = 0; Index < Line.size(); ++Index) {
+    const bool Starts = Index == 0 && (Line[0] == ';' || Line[0] == '#');
+    const bool Trails = Index > 0 && Line[Index] == ';' &&
+                        (Line[Index - 1] == ' ' || Line[Index - 1] == '\t');
+    if (Starts || Trails)
+      return SplitLine{trimSpace(Line.substr(0, Index)),
+                       trimSpace(Line.substr(Index + 1)), true};
+  }
+  return SplitLine{Line, {}, false};
+}
+
+/// Notes an error of the present line.
+/// @param Cursor the state of reading.
+/// @param Message what is wrong.
+/// @param Remedy what to write instead.
+void fault(IniCursor &Cursor, std::string_view Message,
+           std::string_view Remedy) {
+  Cursor.Out.Errors.push_back(
+      Error{ErrorKind::BadInput,
+            concat(iniPlace(Cursor.FileName, Cursor.Line), Message),
+            std::string(Remedy)});
+}
+
+/// @param Content the content of a line.
+/// @return whether it has a character that INI text cannot hold.
+bool hasControlCharacter(std::string_view Content) {
+  for (const char Character : Content)
+    if (static_cast<unsigned char>(Character) < ' ' && Character != '\t')
+      return true;
+  return false;
+}
+
+/// @param Cursor the state of reading; takes the errors.
+/// @param Content a line that starts with "[".
+/// @return whether it is a section.
+bool checkSection(IniCursor &Cursor, std::string_view Content) {
+  if (Content.back() != ']') {
+    fault(Cursor, "section without \"]\"", "write [section]");
+    return false;
+  }
+  if (Content.size() > MaxIniNameBytes) {
+    fault(Cursor, "section name over 47 characters", "use a shorter name");
+    return false;
+  }
+  return true;
+}
+
+/// @param Cursor the state of reading; takes the errors.
+/// @param Content a line that is neither a section nor empty.
+/// @return whether it is an entry.
+bool checkEntry(IniCursor &Cursor, std::string_view Content) {
+  const size_t Mark = Content.find_first_of("=:");
+  if (Mark == std::string_view::npos || Content[Mark] == ':') {
+    fault(Cursor, "no \"=\" after the name", "write name = value");
+    return false;
+  }
+  const std::string_view Name = trimSpace(Content.substr(0, Mark));
+  if (Name.empty()) {
+    fault(Cursor, "no name in front of \"=\"", "write name = value");
+    return false;
+  }
+  if (Name.size() > MaxIniNameBytes) {
+    fault(Cursor, "name over 49 characters", "use a shorter name");
+    return false;
+  }
+  return true;
+}
+
+/// @param Cursor the state of reading; takes the errors.
+/// @param Content the content of a line, not empty.
+/// @param Capacity the size of inih's line buffer.
+/// @return whether inih may see it.
+bool checkContent(IniCursor &Cursor, std::string_view Content,
+                  size_t Capacity) {
+  if (Content.size() + 2 > Capacity) {
+    fault(Cursor, concat("line over ", Capacity - 2, " characters"),
+          "shorten it, for example with \"*\" patterns; comments don't count");
+    return false;
+  }
+  if (hasControlCharacter(Content)) {
+    fault(Cursor, "control character in the line", "remove it");
+    return false;
+  }
+  if (Content.front() == '[')
+    return checkSection(Cursor, Content);
+  return checkEntry(Cursor, Content);
+}
+
+/// Moves on to the next line of the text.
+/// @param Cursor the state of reading.
+/// @return the line's parts.
+SplitLine nextLine(IniCursor &Cursor) {
+  const size_t End = Cursor.Rest.find('\n');
+  Cursor.Text = trimSpace(Cursor.Rest.substr(0, End));
+  Cursor.Rest = End == std::string_view::npos ? std::string_view{}
+                                              : Cursor.Rest.substr(End + 1);
+  ++Cursor.Line;
+  return splitLine(Cursor.Text);
+}
+
+/// Reader callback of inih: hands out the next line without its comment.
+/// @param Buffer takes the line.
+/// @param Capacity the size of the buffer.
+/// @param Stream the IniCursor.
+/// @return the buffer; null at the end.
+char *readLine(char *Buffer, int Capacity, void *Stream) {
+  auto &Cursor = *static_cast<IniCursor *>(Stream);
+  if (Cursor.Rest.empty())
+    return nullptr;
+  const SplitLine Parts = nextLine(Cursor);
+  Cursor.Comment = Parts.HasComment ? Parts.Comment : Cursor.CommentBefore;
+  const bool CommentOnly = Parts.HasComment && Parts.Content.empty();
+  Cursor.CommentBefore = CommentOnly ? Parts.Comment : std::string_view{};
+  size_t Length = 0;
+  if (!Parts.Content.empty() &&
+      checkContent(Cursor, Parts.Content, static_cast<size_t>(Capacity))) {
+    Length = Parts.Content.size();
+    std::memcpy(Buffer, Parts.Content.data(), Length);
+  }
+  Buffer[Length] = '\n';
+  Buffer[Length + 1] = '\0';
+  return Buffer;
+}
+
+/// Entry callback of inih.
+/// @param User the IniCursor.
+/// @param Section the entry's section.
+/// @param Name its name.
+/// @param Value its value.
+/// @return 1: go on.
+int takeEntry(void *User, const char *Section, const char *Name,
+              const char *Value) {
+  auto &Cursor = *static_cast<IniCursor *>(User);
+  Cursor.Out.Entries.push_back(IniEntry{
+      std::string(trimSpace(Section)), std::string(Name), std::string(Value),
+      std::string(Cursor.Comment), std::string(Cursor.Text), Cursor.Line});
+  return 1;
+}
+
+} // namespace
+
+std::string_view trimSpace(std::string_view Text) {
+  constexpr std::string_view Spaces = " \t\r\v\f";
+  const size_t First = Text.find_first_not_of(Spaces);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Spaces) - First + 1);
+}
+
+std::string iniPlace(std::string_view FileName, int Line) {
+  return concat(FileName, ":", Line, ": ");
+}
+
+IniFile parseIni(std::string_view FileName, std::string_view Text) {
+  IniCursor Cursor;
+  Cursor.Rest = Text;
+  Cursor.FileName = FileName;
+  ini_parse_stream(readLine, &Cursor, takeEntry, &Cursor);
+  return std::move(Cursor.Out);
+}
+
+} // namespace camphornotch
--- a/packages/base/ini_func.h
+++ b/packages/base/ini_func.h
@@ -13,14 +13,15 @@
 /// Longest section or entry name that inih keeps whole.
 inline constexpr size_t MaxIniNameBytes = 49;
 
-/// Longest line, without its comment, that inih keeps whole.
-inline constexpr size_t MaxIniLineBytes = 190;
-
 /// @param FileName the name to put into errors.
 /// @param Text the whole text.
 /// @return its entries and every line that could not be understood.
 IniFile parseIni(std::string_view FileName, std::string_view Text);
 
+/// @param Text any text.
+/// @return it without white space at either end.
+std::string_view trimSpace(std::string_view Text);
+
 /// @param FileName the file.
 /// @param Line the line's number.
 /// @return "file:line: ", as errors start.
--- /dev/null
+++ b/packages/base/log_func.cpp
@@ -0,0 +1,102 @@
+/// @file
+/// JSON log lines, through log4cxx.
+
+#include "base/log_func.h"
+
+#include <array>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// The levels by their names in the settings, in the order of LogLevel.
+constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warn",
+                                                     "error"};
+
+/// What is put on each line of this process.
+struct ProcessFields {
+  std::string Host;
+  std::string Role;
+};
+
+/// @return the one copy, filled by setupLogging.
+ProcessFields &processFields() {
+  static ProcessFields Fields;
+  return Fields;
+}
+
+/// @return the logger of the process.
+log4cxx::LoggerPtr processLogger() {
+  static const log4cxx::LoggerPtr Logger =
+      log4cxx::Logger::getLogger("camphornotch");
+  return Logger;
+}
+
+/// @param Level a level of ours.
+/// @return log4cxx's.
+log4cxx::LevelPtr toLevel(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Debug:
+    return log4cxx::Level::getDebug();
+  case LogLevel::Info:
+    return log4cxx::Level::getInfo();
+  case LogLevel::Warn:
+    return log4cxx::Level::getWarn();
+  case LogLevel::Error:
+    break;
+  }
+  return log4cxx::Level::getError();
+}
+
+/// @param Name a level's name in the settings.
+/// @return the level; Info for unknown names.
+LogLevel levelByName(std::string_view Name) {
+  for (size_t Index = 0; Index < LevelNames.size(); ++Index)
+    if (LevelNames[Index] == Name)
+      return static_cast<LogLevel>(Index);
+  return LogLevel::Info;
+}
+
+/// @param File where lines go; empty: standard error.
+/// @return the appender.
+log4cxx::AppenderPtr makeAppender(const std::string &File) {
+  const auto Layout = std::make_shared<log4cxx::JSONLayout>();
+  Layout->setLocationInfo(false);
+  if (!File.empty())
+    return std::make_shared<log4cxx::FileAppender>(Layout, File, true);
+  return std::make_shared<log4cxx::ConsoleAppender>(
+      Layout, log4cxx::ConsoleAppender::getSystemErr());
+}
+
+} // namespace
+
+void setupLogging(const CommonSettings &Settings) {
+  processFields() = ProcessFields{Settings.Host, Settings.Role};
+  const log4cxx::LoggerPtr Root = log4cxx::Logger::getRootLogger();
+  Root->removeAllAppenders();
+  Root->addAppender(makeAppender(Settings.LogFile));
+  Root->setLevel(toLevel(levelByName(Settings.LogLevel)));
+}
+
+void logLine(LogLevel Level, std::string_view Message,
+             std::initializer_list<LogField> Fields) {
+  const log4cxx::LoggerPtr Logger = processLogger();
+  const log4cxx::LevelPtr Wanted = toLevel(Level);
+  if (!Logger->isEnabledFor(Wanted))
+    return;
+  log4cxx::MDC::put("host", processFields().Host);
+  log4cxx::MDC::put("role", processFields().Role);
+  for (const LogField &Field : Fields)
+    log4cxx::MDC::put(std::string(Field.Name), std::string(Field.Value));
+  Logger->forcedLog(Wanted, std::string(Message));
+  log4cxx::MDC::clear();
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/base/settings_func.cpp
@@ -0,0 +1,383 @@
+/// @file
+/// Reading of settings, by the table of settings.
+
+#include "base/settings_func.h"
+
+#include "base/address_func.h"
+#include "base/ini_func.h"
+#include "base/table/settings.h"
+#include "base/text_func.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <map>
+#include <optional>
+
+namespace camphornotch {
+
+namespace {
+
+/// Where one value came from.
+struct GivenValue {
+  /// The value as written.
+  std::string Value;
+  /// "file:line: " or "--set: ".
+  std::string Place;
+};
+
+/// The values given, by section and name.
+using GivenValues = std::map<std::pair<std::string, std::string>, GivenValue>;
+
+/// The aggregates being filled.
+struct SettingsDraft {
+  CommonSettings Common;
+  EntrySettings Entry;
+  AgentSettings Agent;
+
+  /// @return the aggregate that holds members of the given one's type.
+  CommonSettings &of(const CommonSettings *) { return this->Common; }
+  /// @return the aggregate that holds members of the given one's type.
+  EntrySettings &of(const EntrySettings *) { return this->Entry; }
+  /// @return the aggregate that holds members of the given one's type.
+  AgentSettings &of(const AgentSettings *) { return this->Agent; }
+};
+
+/// @param Spec a row.
+/// @param Role "entry" or "agent".
+/// @return whether the role uses the setting.
+bool usedBy(const SettingSpec &Spec, std::string_view Role) {
+  return std::visit(
+      [Role]<typename OwnerT, typename ValueT>(ValueT OwnerT::*) {
+        if constexpr (std::is_same_v<OwnerT, EntrySettings>)
+          return Role == "entry";
+        else if constexpr (std::is_same_v<OwnerT, AgentSettings>)
+          return Role == "agent";
+        else
+          return true;
+      },
+      Spec.Target);
+}
+
+/// @param Spec a row.
+/// @return "[section] name".
+std::string settingName(const SettingSpec &Spec) {
+  return concat("[", Spec.Section, "] ", Spec.Name);
+}
+
+/// @param Spec the row.
+/// @param Given a value.
+/// @param Problem what is wrong with it.
+/// @param Remedy what to write instead.
+/// @return the error.
+Error badValue(const SettingSpec &Spec, const GivenValue &Given,
+               std::string_view Problem, std::string_view Remedy) {
+  return Error{ErrorKind::BadSetting,
+               concat(Given.Place, settingName(Spec), ": \"", Given.Value,
+                      "\" ", Problem),
+               std::string(Remedy)};
+}
+
+/// The outcome of one conversion: nothing, or the error.
+using Fault = std::optional<Error>;
+
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Out takes the text.
+/// @return the error, if any.
+Fault convert(const SettingSpec &Spec, const GivenValue &Given,
+              std::string &Out) {
+  Out = Given.Value;
+  if (Spec.Words.empty()) {
+    if (Given.Value.empty() && Spec.Default == NoDefault)
+      return badValue(Spec, Given, "is empty", Spec.Help);
+    return {};
+  }
+  const std::vector<std::string> Words =
+      absl::StrSplit(toAbsl(Spec.Words), '|');
+  for (const std::string &Word : Words)
+    if (Word == Given.Value)
+      return {};
+  return badValue(Spec, Given, "is not known",
+                  concat("write one of ", Spec.Words));
+}
+
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Out takes the address.
+/// @return the error, if any.
+Fault convert(const SettingSpec &Spec, const GivenValue &Given, Address &Out) {
+  if (Given.Value.empty() && Spec.Default.empty())
+    return {};
+  const Result<Address> Parsed = parseAddress(Given.Value);
+  if (!Parsed.has_value())
+    return badValue(Spec, Given, "is no address", Parsed.error().Remedy);
+  Out = Parsed.value();
+  return {};
+}
+
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Out takes the number.
+/// @return the error, if any.
+Fault convert(const SettingSpec &Spec, const GivenValue &Given, int64_t &Out) {
+  const std::string Range =
+      concat("write a whole number from ", Spec.Min, " to ", Spec.Max);
+  int64_t Number = 0;
+  if (!absl::SimpleAtoi(toAbsl(Given.Value), &Number))
+    return badValue(Spec, Given, "is no whole number", Range);
+  if (Number < Spec.Min || Number > Spec.Max)
+    return badValue(Spec, Given, "is out of range", Range);
+  Out = Number;
+  return {};
+}
+
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Out takes the span.
+/// @return the error, if any.
+Fault convert(const SettingSpec &Spec, const GivenValue &Given, Millis &Out) {
+  return convert(Spec, Given, Out.Count);
+}
+
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Out takes the truth value.
+/// @return the error, if any.
+Fault convert(const SettingSpec &Spec, const GivenValue &Given, bool &Out) {
+  Out = Given.Value == "yes";
+  if (Out || Given.Value == "no")
+    return {};
+  return badValue(Spec, Given, "is neither yes nor no", "write yes or no");
+}
+
+/// Converts a value into the member that the row names.
+/// @param Spec the row.
+/// @param Given the value.
+/// @param Draft takes the value.
+/// @return the error, if any.
+Fault assign(const SettingSpec &Spec, const GivenValue &Given,
+             SettingsDraft &Draft) {
+  return std::visit(
+      [&]<typename OwnerT, typename ValueT>(ValueT OwnerT::*Member) {
+        const OwnerT *Kind = nullptr;
+        return convert(Spec, Given, Draft.of(Kind).*Member);
+      },
+      Spec.Target);
+}
+
+/// @param Section a section.
+/// @param Name a name.
+/// @return the row; null if there is none.
+const SettingSpec *findSetting(std::string_view Section,
+                               std::string_view Name) {
+  for (const SettingSpec &Spec : SettingsTable)
+    if (Spec.Section == Section && Spec.Name == Name)
+      return &Spec;
+  return nullptr;
+}
+
+/// @param Section a section as given.
+/// @return what to write instead of an unknown name in it.
+std::string knownNames(std::string_view Section) {
+  std::string Names;
+  for (const SettingSpec &Spec : SettingsTable)
+    if (Spec.Section == Section)
+      Names += concat(Names.empty() ? "" : ", ", Spec.Name);
+  if (!Names.empty())
+    return concat("names in [", Section, "]: ", Names);
+  return "sections: process, listen, platform, intervals, limits, logging, "
+         "entry, endpoint";
+}
+
+/// Takes one given value, if there is such a setting.
+/// @param Section its section.
+/// @param Name its name.
+/// @param Given the value and its place.
+/// @param Values takes the value.
+/// @param Faults takes errors.
+void takeValue(std::string_view Section, std::string_view Name,
+               GivenValue Given, GivenValues &Values,
+               std::vector<Error> &Faults) {
+  if (findSetting(Section, Name) == nullptr) {
+    Faults.push_back(
+        Error{ErrorKind::BadSetting,
+              concat(Given.Place, "[", Section, "] ", Name, " is not known"),
+              knownNames(Section)});
+    return;
+  }
+  Values[{std::string(Section), std::string(Name)}] = std::move(Given);
+}
+
+/// Takes the entries of the file.
+/// @param FileName its name.
+/// @param Text its text.
+/// @param Values takes the values.
+/// @param Faults takes errors.
+void takeFile(std::string_view FileName, std::string_view Text,
+              GivenValues &Values, std::vector<Error> &Faults) {
+  IniFile File = parseIni(FileName, Text);
+  for (Error &Problem : File.Errors) {
+    Problem.Kind = ErrorKind::BadSetting;
+    Faults.push_back(std::move(Problem));
+  }
+  for (IniEntry &Entry : File.Entries) {
+    const std::string Place = iniPlace(FileName, Entry.Line);
+    if (Values.contains({Entry.Section, Entry.Name}))
+      Faults.push_back(Error{ErrorKind::BadSetting,
+                             concat(Place, "[", Entry.Section, "] ", Entry.Name,
+                                    " is given twice"),
+                             "keep one of the lines"});
+    takeValue(Entry.Section, Entry.Name, {Entry.Value, Place}, Values, Faults);
+  }
+}
+
+/// Takes the overrides of the command line.
+/// @param Overrides "section.name=value,...".
+/// @param Values takes the values.
+/// @param Faults takes errors.
+void takeOverrides(std::string_view Overrides, GivenValues &Values,
+                   std::vector<Error> &Faults) {
+  const std::vector<std::string> Parts =
+      absl::StrSplit(toAbsl(Overrides), ',', absl::SkipWhitespace());
+  for (const std::string &Part : Parts) {
+    const size_t Equals = Part.find('=');
+    const size_t Dot = Part.find('.');
+    if (Equals == std::string::npos || Dot > Equals) {
+      Faults.push_back(Error{ErrorKind::BadSetting,
+                             concat("--set: \"", Part, "\" is no setting"),
+                             "write section.name=value"});
+      continue;
+    }
+    const std::string_view View = Part;
+    const std::string_view Section = trimSpace(View.substr(0, Dot));
+    const std::string_view Name =
+        trimSpace(View.substr(Dot + 1, Equals - Dot - 1));
+    GivenValue Given{std::string(trimSpace(View.substr(Equals + 1))),
+                     "--set: "};
+    takeValue(Section, Name, std::move(Given), Values, Faults);
+  }
+}
+
+/// @param Values the values given.
+/// @param Spec a row.
+/// @return the value given for it; null if none was.
+const GivenValue *findValue(const GivenValues &Values,
+                            const SettingSpec &Spec) {
+  const auto Found =
+      Values.find({std::string(Spec.Section), std::string(Spec.Name)});
+  return Found == Values.end() ? nullptr : &Found->second;
+}
+
+/// Fills the member of one row from the file, or with its default.
+/// @param FileName the name of the file.
+/// @param Spec the row.
+/// @param Values the values given.
+/// @param Draft takes the value.
+/// @return the error, if any.
+Fault fillSetting(std::string_view FileName, const SettingSpec &Spec,
+                  const GivenValues &Values, SettingsDraft &Draft) {
+  const GivenValue *Given = findValue(Values, Spec);
+  if (Given != nullptr)
+    return assign(Spec, *Given, Draft);
+  if (Spec.Default == NoDefault)
+    return Error{ErrorKind::BadSetting,
+                 concat(FileName, ": ", settingName(Spec), " is missing"),
+                 concat("add \"", Spec.Name, " = ...\" to [", Spec.Section,
+                        "]: ", Spec.Help)};
+  return assign(Spec, GivenValue{std::string(Spec.Default), "default: "},
+                Draft);
+}
+
+/// @param Given a value for a setting of the other role.
+/// @param Spec its row.
+/// @param Role the process's role.
+/// @return the error.
+Error wrongRole(const GivenValue &Given, const SettingSpec &Spec,
+                std::string_view Role) {
+  return badValue(Spec, Given, concat("is not for the role ", Role),
+                  "remove the line, or correct [process] role");
+}
+
+/// Fills every member that the role uses.
+/// @param FileName the name of the file.
+/// @param Values the values given.
+/// @param Draft takes the values.
+/// @param Faults takes errors.
+void fillAll(std::string_view FileName, const GivenValues &Values,
+             SettingsDraft &Draft, std::vector<Error> &Faults) {
+  for (const SettingSpec &Spec : SettingsTable) {
+    const GivenValue *Given = findValue(Values, Spec);
+    if (!usedBy(Spec, Draft.Common.Role)) {
+      if (Given != nullptr && !Draft.Common.Role.empty())
+        Faults.push_back(wrongRole(*Given, Spec, Draft.Common.Role));
+      continue;
+    }
+    if (Fault Problem = fillSetting(FileName, Spec, Values, Draft))
+      Faults.push_back(std::move(*Problem));
+  }
+}
+
+/// Checks settings against each other.
+/// @param FileName the name of the file.
+/// @param Draft the settings.
+/// @param Faults takes errors.
+void crossCheck(std::string_view FileName, const SettingsDraft &Draft,
+                std::vector<Error> &Faults) {
+  const auto Add = [&](std::string_view Message, std::string_view Remedy) {
+    Faults.push_back(Error{ErrorKind::BadSetting,
+                           concat(FileName, ": ", Message),
+                           std::string(Remedy)});
+  };
+  const CommonSettings &Common = Draft.Common;
+  if (Common.LinkSilence < Common.Heartbeat * 2)
+    Add("[intervals] link_silence_ms is below two heartbeats",
+        "raise it to at least twice heartbeat_ms");
+  if (Common.Role == "entry" && Common.LogService.Port == 0)
+    Add("[platform] log is missing", "an entry needs the log's address");
+  if (Common.Role == "entry" && Common.HostList.Port == 0)
+    Add("[platform] host_list is missing",
+        "an entry needs the host list's address");
+  if (Draft.Agent.ShortReserve > Draft.Agent.Slots)
+    Add("[endpoint] short_reserve is above slots",
+        "keep short_reserve below slots");
+}
+
+} // namespace
+
+SettingsResult parseSettings(std::string_view FileName, std::string_view Text,
+                             std::string_view Overrides) {
+  GivenValues Values;
+  std::vector<Error> Faults;
+  takeFile(FileName, Text, Values, Faults);
+  takeOverrides(Overrides, Values, Faults);
+  SettingsDraft Draft;
+  const auto Role = Values.find({"process", "role"});
+  if (Role != Values.end())
+    Draft.Common.Role = Role->second.Value;
+  fillAll(FileName, Values, Draft, Faults);
+  if (Faults.empty())
+    crossCheck(FileName, Draft, Faults);
+  if (!Faults.empty())
+    return Faults;
+  if (Draft.Common.Role == "entry") {
+    Draft.Entry.Common = std::move(Draft.Common);
+    return DaemonSettings(std::move(Draft.Entry));
+  }
+  Draft.Agent.Common = std::move(Draft.Common);
+  return DaemonSettings(std::move(Draft.Agent));
+}
+
+const CommonSettings &commonSettings(const DaemonSettings &Settings) {
+  return std::visit(
+      [](const auto &Role) -> const CommonSettings & { return Role.Common; },
+      Settings);
+}
+
+std::string renderFaults(const std::vector<Error> &Faults) {
+  std::string Lines;
+  for (const Error &Fault : Faults)
+    Lines += concat(Fault.Message, "; ", Fault.Remedy, "\n");
+  return Lines;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/base/settings_page_func.cpp
@@ -0,0 +1,94 @@
+/// @file
+/// Rendering of the table of settings as a Markdown page.
+
+#include "base/settings_func.h"
+#include "base/table/settings.h"
+#include "base/text_func.h"
+
+#include <absl/strings/str_replace.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// @return the type's name on the page.
+std::string_view typeName(const std::string &) { return "text"; }
+/// @return the type's name on the page.
+std::string_view typeName(const Address &) { return "IP:PORT"; }
+/// @return the type's name on the page.
+std::string_view typeName(const Millis &) { return "milliseconds"; }
+/// @return the type's name on the page.
+std::string_view typeName(const int64_t &) { return "number"; }
+/// @return the type's name on the page.
+std::string_view typeName(const bool &) { return "yes, no"; }
+
+/// @param Spec a row.
+/// @return its type, or its allowed words.
+std::string typeCell(const SettingSpec &Spec) {
+  if (!Spec.Words.empty())
+    return absl::StrReplaceAll(toAbsl(Spec.Words), {{"|", ", "}});
+  return std::visit(
+      []<typename OwnerT, typename ValueT>(ValueT OwnerT::*) {
+        return std::string(typeName(ValueT{}));
+      },
+      Spec.Target);
+}
+
+/// @param Spec a row.
+/// @return the roles that use it.
+std::string_view roleCell(const SettingSpec &Spec) {
+  return std::visit(
+      []<typename OwnerT, typename ValueT>(ValueT OwnerT::*) {
+        if constexpr (std::is_same_v<OwnerT, EntrySettings>)
+          return std::string_view("entry");
+        else if constexpr (std::is_same_v<OwnerT, AgentSettings>)
+          return std::string_view("agent");
+        else
+          return std::string_view("both");
+      },
+      Spec.Target);
+}
+
+/// @param Spec a row.
+/// @return its default.
+std::string defaultCell(const SettingSpec &Spec) {
+  if (Spec.Default == NoDefault)
+    return "must be given";
+  if (Spec.Default.empty())
+    return "none";
+  return std::string(Spec.Default);
+}
+
+/// @param Spec a row.
+/// @return its range; empty for other types than numbers.
+std::string rangeCell(const SettingSpec &Spec) {
+  if (Spec.Min == 0 && Spec.Max == 0)
+    return "";
+  return concat(Spec.Min, " to ", Spec.Max);
+}
+
+} // namespace
+
+std::string renderSettingsPage() {
+  std::string Page =
+      "# Settings of `camphornotchd`\n\n"
+      "An INI file, given by `--config FILE`; `--set section.name=value,...`\n"
+      "overrides it. `--check_settings` prints every fault and exits with 2 "
+      "if\n"
+      "there is one. This page is the output of `--help_settings`.\n";
+  std::string_view Section;
+  for (const SettingSpec &Spec : SettingsTable) {
+    if (Spec.Section != Section) {
+      Section = Spec.Section;
+      Page += concat("\n## [", Section,
+                     "]\n\n| name | type | default | range | role | meaning |\n"
+                     "| --- | --- | --- | --- | --- | --- |\n");
+    }
+    Page += concat("| `", Spec.Name, "` | ", typeCell(Spec), " | ",
+                   defaultCell(Spec), " | ", rangeCell(Spec), " | ",
+                   roleCell(Spec), " | ", Spec.Help, " |\n");
+  }
+  return Page;
+}
+
+} // namespace camphornotch
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -114,6 +114,11 @@
                 1073741824, "",
                 "Answers held for peers that have not acknowledged them."},
 
+    SettingSpec{"logging", "level", &CommonSettings::LogLevel, "info", 0, 0,
+                "debug|info|warn|error", "The least level that is written."},
+    SettingSpec{"logging", "file", &CommonSettings::LogFile, "", 0, 0, "",
+                "Where log lines go; empty: standard error."},
+
     SettingSpec{"entry", "key_shards", &EntrySettings::KeyShards, "16", 1,
                 4096, "",
                 "Ranges of idempotency keys; equal on all entries."},
--- /dev/null
+++ b/tests/base/settings_test.cpp
@@ -0,0 +1,130 @@
+/// @file
+/// Tests of the reading of settings.
+
+#include "base/address_func.h"
+#include "base/settings_func.h"
+
+#include <criterion/criterion.h>
+#include <fstream>
+#include <sstream>
+
+using namespace camphornotch;
+
+namespace {
+
+/// The fewest settings that an entry starts with.
+constexpr std::string_view EntryText = "[process]\n"
+                                       "role = entry\n"
+                                       "host = entry-a1\n"
+                                       "data_centre = dc1\n"
+                                       "region = r1\n"
+                                       "[listen]\n"
+                                       "links = 127.0.0.1:7001\n"
+                                       "http = 127.0.0.1:8001\n"
+                                       "[platform]\n"
+                                       "log = 127.0.0.1:9001\n"
+                                       "host_list = 127.0.0.1:9002\n";
+
+/// @param Added lines to add to the smallest entry.
+/// @param Overrides overrides.
+/// @return the outcome.
+SettingsResult parseEntry(std::string_view Added,
+                          std::string_view Overrides = "") {
+  return parseSettings("entry.ini", std::string(EntryText) + std::string(Added),
+                       Overrides);
+}
+
+/// @param Outcome a failed outcome.
+/// @param Part what some fault must say.
+/// @return whether one does.
+bool hasFault(const SettingsResult &Outcome, std::string_view Part) {
+  return renderFaults(Outcome.error()).find(Part) != std::string::npos;
+}
+
+} // namespace
+
+Test(parseSettings, smallest_entry_gets_defaults) {
+  const SettingsResult Outcome = parseEntry("");
+  cr_assert(Outcome.has_value());
+  const auto &Entry = std::get<EntrySettings>(Outcome.value());
+  cr_assert(Entry.Common.Heartbeat == Millis{1000});
+  cr_assert(Entry.Common.ListenLinks == (Address{"127.0.0.1", 7001}));
+  cr_assert(Entry.KeyShards == 16);
+}
+
+Test(parseSettings, agent_fills_endpoint) {
+  const SettingsResult Outcome =
+      parseSettings("agent.ini",
+                    "[process]\nrole=agent\nhost=a\ndata_centre=d\nregion=r\n"
+                    "[listen]\nlinks=127.0.0.1:1\nhttp=127.0.0.1:2\n"
+                    "[endpoint]\nname=engine-1\nkind=engine\nserves=grind\n"
+                    "address=127.0.0.1:3\nhonours_fencing=yes\n",
+                    "");
+  cr_assert(Outcome.has_value());
+  const auto &Agent = std::get<AgentSettings>(Outcome.value());
+  cr_assert(Agent.HonoursFencing);
+  cr_assert(Agent.EndpointName == "engine-1");
+}
+
+Test(parseSettings, every_bad_line_is_reported_with_its_place) {
+  const SettingsResult Outcome =
+      parseEntry("[intervals]\nheartbeat_ms = fast\nlink_silence_ms = 1\n"
+                 "[limits]\nno_such = 1\nnonsense\n");
+  cr_assert(Outcome.has_error());
+  cr_assert(Outcome.error().size() == 4);
+  cr_assert(hasFault(Outcome, "entry.ini:13: [intervals] heartbeat_ms"));
+  cr_assert(hasFault(Outcome, "whole number from 50 to 600000"));
+  cr_assert(hasFault(Outcome, "entry.ini:16: [limits] no_such is not known"));
+  cr_assert(hasFault(Outcome, "entry.ini:17: no \"=\" after the name"));
+}
+
+Test(parseSettings, missing_setting_names_what_to_add) {
+  const SettingsResult Outcome = parseSettings("x.ini", "", "");
+  cr_assert(Outcome.has_error());
+  cr_assert(hasFault(Outcome, "x.ini: [process] role is missing"));
+  cr_assert(hasFault(Outcome, "add \"role = ...\" to [process]"));
+}
+
+Test(parseSettings, setting_twice_is_refused) {
+  cr_assert(hasFault(parseEntry("[process]\nhost = other\n"),
+                     "entry.ini:13: [process] host is given twice"));
+}
+
+Test(parseSettings, setting_of_other_role_is_refused) {
+  cr_assert(hasFault(parseEntry("[endpoint]\nslots = 3\n"),
+                     "is not for the role entry"));
+}
+
+Test(parseSettings, contradiction_is_refused) {
+  cr_assert(hasFault(parseEntry("[intervals]\nlink_silence_ms = 500\n"),
+                     "below two heartbeats"));
+}
+
+Test(parseSettings, override_wins_over_file) {
+  const SettingsResult Outcome =
+      parseEntry("", "process.host=entry-b2, intervals.heartbeat_ms=100");
+  cr_assert(Outcome.has_value());
+  cr_assert(commonSettings(Outcome.value()).Host == "entry-b2");
+  cr_assert(commonSettings(Outcome.value()).Heartbeat == Millis{100});
+}
+
+Test(parseSettings, bad_override_is_refused) {
+  cr_assert(hasFault(parseEntry("", "heartbeat"), "write section.name=value"));
+  cr_assert(hasFault(parseEntry("", "process.role=boss"),
+                     "write one of entry|agent"));
+}
+
+Test(parseAddress, malformed_text_is_refused) {
+  for (const auto *Text : {"", "host:1", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0",
+                           "1.2.3.4:65536", "1.2.3:4"})
+    cr_assert(parseAddress(Text).has_error(), "%s", Text);
+  cr_assert(formatAddress(parseAddress("1.2.3.4:5").value()) == "1.2.3.4:5");
+}
+
+Test(renderSettingsPage, page_in_docs_is_current) {
+  std::ifstream Page(CAMPHORNOTCH_SOURCE_DIR "/docs/settings.md");
+  std::ostringstream Text;
+  Text << Page.rdbuf();
+  cr_assert(Text.str() == renderSettingsPage(),
+            "run: camphornotchd --help_settings > docs/settings.md");
+}
