--- /dev/null
+++ b/packages/core/routing/pending_base.h
@@ -0,0 +1,111 @@
+/// @file
+/// The slots of one model that wait for an endpoint, in the order to send.
+
+#ifndef CAMPHORNOTCH_CORE_ROUTING_PENDING_BASE_H
+#define CAMPHORNOTCH_CORE_ROUTING_PENDING_BASE_H
+
+#include "core/routing/rollout_type.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace camphornotch {
+
+/// Waiting slots: trainers in turn by what they have running, older steps
+/// first, members of a group to the endpoint that has their prompt cached.
+class PendingSlots {
+public:
+  /// Adds a slot that was not sent yet.
+  /// @param Spec the slot.
+  void add(const RolloutSpec &Spec);
+
+  /// Adds a slot that is to be sent again, before all fresh ones.
+  /// @param Spec the slot.
+  /// @param NotBefore when.
+  void addAgain(const RolloutSpec &Spec, Millis NotBefore);
+
+  /// Takes the slot to send next.
+  /// @param Endpoint where a place is free.
+  /// @param Now the time.
+  /// @param Running attempts of each trainer; fewer goes first.
+  /// @return the slot, if one may go now.
+  std::optional<SlotRef> take(EndpointIndex Endpoint, Millis Now,
+                              const std::map<TrainerId, int64_t> &Running);
+
+  /// @return whether no slot waits.
+  bool empty() const { return this->Count == 0; }
+
+  /// @return how many slots wait.
+  size_t size() const { return this->Count; }
+
+  /// @param Now the time.
+  /// @return whether a slot may be sent now.
+  bool hasReady(Millis Now) const;
+
+  /// @return when the next slot that is to be sent again may go; Never if
+  ///         none.
+  Millis nextRetry() const;
+
+private:
+  /// A group's slots that were never sent.
+  struct PendingGroup {
+    /// The slots, last one first.
+    std::vector<SlotRef> Slots;
+  };
+
+  /// The waiting slots of one step.
+  struct PendingStep {
+    /// Groups by name that still have slots.
+    std::map<std::string, PendingGroup> Groups;
+    /// Groups without an endpoint, in the order of arrival.
+    std::deque<std::string> Homeless;
+    /// The group whose prompt an endpoint got last.
+    std::map<EndpointIndex, std::string> Homes;
+  };
+
+  /// The waiting slots of one trainer.
+  using PendingTrainer = std::map<int64_t, PendingStep>;
+
+  /// A slot that waits for its time to be sent again.
+  struct Again {
+    /// When.
+    Millis NotBefore;
+    /// In which order.
+    int64_t Step = 0;
+    /// Which.
+    SlotRef Slot;
+    /// Orders by time, then step.
+    auto operator<=>(const Again &) const = default;
+  };
+
+  /// @param Running attempts of each trainer.
+  /// @return the trainer whose turn it is.
+  PendingTrainer &
+  nextTrainer(const std::map<TrainerId, int64_t> &Running);
+
+  /// Takes one slot of a step.
+  /// @param Step the step.
+  /// @param Endpoint where a place is free.
+  /// @return the slot.
+  static SlotRef takeFromStep(PendingStep &Step, EndpointIndex Endpoint);
+
+  /// Chooses the group to send from.
+  /// @param Step the step.
+  /// @param Endpoint where a place is free.
+  /// @return a group that has slots.
+  static std::string chooseGroup(PendingStep &Step, EndpointIndex Endpoint);
+
+  /// Fresh slots by trainer and step.
+  std::map<TrainerId, PendingTrainer> Fresh;
+  /// Slots that are to be sent again.
+  std::set<Again> Retries;
+  /// How many slots wait.
+  size_t Count = 0;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_ROUTING_PENDING_BASE_H
--- /dev/null
+++ b/packages/core/routing/rollout_tail.cpp
@@ -0,0 +1,75 @@
+/// @file
+/// The end of a step: late attempts move to faster endpoints, and slots whose
+/// attempt is silent get a second one.
+
+#include "core/routing/rollout_scheduler_base.h"
+
+#include <cassert>
+
+namespace camphornotch {
+
+void RolloutScheduler::treatTail(const MoveTail &Policy, Millis Now,
+                                 Actions &Out) {
+  // Copies: hedging adds attempts.
+  std::vector<WorkId> Works;
+  Works.reserve(this->Attempts.size());
+  for (const auto &Row : this->Attempts)
+    Works.push_back(Row.first);
+  std::map<std::string, std::vector<EndpointIndex>> Used;
+  for (const WorkId Work : Works) {
+    const Attempt &Late = this->Attempts.at(Work);
+    const std::string &Model = this->Slots.at(Late.Slot).Spec.Model;
+    if (this->Pending[Model].hasReady(Now))
+      continue;
+    const bool Reachable = this->Table.at(Late.Endpoint).Reachable;
+    const bool StopOverdue =
+        Late.StopAt.Count > 0 && Now - Late.StopAt > Policy.StopTimeout;
+    if (!Reachable || StopOverdue) {
+      this->hedgeAttempt(Work, Now, Out);
+      continue;
+    }
+    const auto Best = this->chooseFor(Model, true, &Used[Model], Now);
+    if (Best && this->moveAttempt(Policy, Work, *Best, Now, Out))
+      Used[Model].push_back(*Best);
+  }
+}
+
+bool RolloutScheduler::moveAttempt(const MoveTail &Policy, WorkId Work,
+                                   EndpointIndex Best, Millis Now,
+                                   Actions &Out) {
+  Attempt &Late = this->Attempts.at(Work);
+  if (Late.StopAt.Count > 0 || Late.Endpoint == Best)
+    return false;
+  if (Now - Late.SentAt < Policy.MinRun)
+    return false;
+  const double Here = this->tokenMicros(Late.Endpoint);
+  const double There = this->tokenMicros(Best);
+  if (Here <= 0 || There <= 0 || Here < There * Policy.SlowerFactor)
+    return false;
+  Late.StopAt = Now;
+  ++this->Counts.Moved;
+  Out.emplace_back(StopAttempt{Work, Late.Endpoint, true});
+  return true;
+}
+
+void RolloutScheduler::hedgeAttempt(WorkId Work, Millis Now, Actions &Out) {
+  Attempt &Silent = this->Attempts.at(Work);
+  if (Silent.Hedged)
+    return;
+  const SlotRef Ref = Silent.Slot;
+  const std::vector<EndpointIndex> Excluded{Silent.Endpoint};
+  const std::string &Model = this->Slots.at(Ref).Spec.Model;
+  const auto Index = this->chooseFor(Model, true, &Excluded, Now);
+  if (!Index || !this->HedgeBudget.take(1, Now))
+    return;
+  Silent.Hedged = true;
+  ++this->Counts.Hedged;
+  Out.emplace_back(CountRetry{RetryReason::Hedge});
+  this->send(Ref, *Index, Now, Out);
+}
+
+double RolloutScheduler::tokenMicros(EndpointIndex Index) const {
+  return static_cast<double>(this->Table.at(Index).Load.TokenMicros);
+}
+
+} // namespace camphornotch
