--- a/packages/core/routing/pending_base.cpp
+++ b/packages/core/routing/pending_base.cpp
@@ -58,11 +58,11 @@
     const auto Found = Running.find(Trainer);
     return Found == Running.end() ? 0 : Found->second;
   };
-  const auto Fewest = std::min_element(
-      this->Fresh.begin(), this->Fresh.end(),
-      [&](const auto &Left, const auto &Right) {
-        return RunningOf(Left.first) < RunningOf(Right.first);
-      });
+  const auto Fewest =
+      std::min_element(this->Fresh.begin(), this->Fresh.end(),
+                       [&](const auto &Left, const auto &Right) {
+                         return RunningOf(Left.first) < RunningOf(Right.first);
+                       });
   return Fewest->second;
 }
 
@@ -84,7 +84,7 @@
   if (Home != Step.Homes.end() && Step.Groups.contains(Home->second))
     return Home->second;
   while (!Step.Homeless.empty()) {
-    const std::string Name = Step.Homeless.front();
+    std::string Name = Step.Homeless.front();
     Step.Homeless.pop_front();
     if (Step.Groups.contains(Name))
       return Name;
--- a/packages/core/routing/pending_base.h
+++ b/packages/core/routing/pending_base.h
@@ -83,8 +83,7 @@
 
   /// @param Running attempts of each trainer.
   /// @return the trainer whose turn it is.
-  PendingTrainer &
-  nextTrainer(const std::map<TrainerId, int64_t> &Running);
+  PendingTrainer &nextTrainer(const std::map<TrainerId, int64_t> &Running);
 
   /// Takes one slot of a step.
   /// @param Step the step.
--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -35,8 +35,7 @@
 /// @return whether the endpoint itself failed.
 bool isFailure(RefusalReason Reason) {
   return Reason == RefusalReason::EndpointFailed ||
-         Reason == RefusalReason::PeerLost ||
-         Reason == RefusalReason::Internal;
+         Reason == RefusalReason::PeerLost || Reason == RefusalReason::Internal;
 }
 
 /// @param Reason why an attempt came back.
@@ -162,8 +161,8 @@
     return;
   const std::set<WorkId> Lost = Found->second;
   for (const WorkId Work : Lost) {
-    const AttemptRefused Refused{
-        Work, RefusalReason::PeerLost, Millis{}, KeptOutput{}};
+    const AttemptRefused Refused{Work, RefusalReason::PeerLost, Millis{},
+                                 KeptOutput{}};
     this->on(Refused, Now, Out);
   }
 }
@@ -258,8 +257,7 @@
   Slot.Attempts.push_back(Work);
 }
 
-std::optional<RolloutScheduler::Attempt>
-RolloutScheduler::settle(WorkId Work) {
+std::optional<RolloutScheduler::Attempt> RolloutScheduler::settle(WorkId Work) {
   const auto Found = this->Attempts.find(Work);
   if (Found == this->Attempts.end())
     return std::nullopt;
@@ -313,8 +311,7 @@
   return std::min(FirstBackoff * (int64_t{1} << Doublings), LongestBackoff);
 }
 
-wire::WorkClass::type
-RolloutScheduler::classOf(const RolloutSpec &Spec) const {
+wire::WorkClass::type RolloutScheduler::classOf(const RolloutSpec &Spec) const {
   const auto Found = this->OpenOf.find({Spec.Trainer, Spec.Step});
   assert(Found != this->OpenOf.end());
   const auto &[Open, Total] = Found->second;
