--- a/packages/core/agent/admission_choice.cpp
+++ b/packages/core/agent/admission_choice.cpp
@@ -172,8 +172,7 @@
     return;
   int LongKept = 0;
   for (const auto &[Id, Each] : this->Runs) {
-    const bool Soon =
-        Each.Stopping || Each.remaining() <= Classes->MinPreemptTokens;
+    const bool Soon = Each.Stopping || Each.remaining() <= Classes->SoonTokens;
     Short -= Soon ? 1 : 0;
     LongKept += Each.Class != wire::WorkClass::Short && !Each.Stopping ? 1 : 0;
   }
--- a/packages/core/agent/admission_type.h
+++ b/packages/core/agent/admission_type.h
@@ -27,6 +27,9 @@
   bool Preempt = true;
   /// Rollouts with fewer tokens left than this are not preempted.
   int64_t MinPreemptTokens = 16;
+  /// Runs with at most this many tokens left free their place soon enough, so
+  /// that nothing is preempted for it.
+  int64_t SoonTokens = 4;
   /// Rollouts tried this often are not preempted again.
   int64_t MaxPreemptAttempt = 4;
   /// Short starts in a row after which waiting long work goes first, if none
--- a/packages/core/agent/crash_base.cpp
+++ b/packages/core/agent/crash_base.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 namespace camphornotch {
 
@@ -17,22 +18,53 @@
                                             int64_t CrashId, Millis Now) {
   wire::CrashReport Report;
   Report.CrashId = CrashId;
-  const absl::flat_hash_set<int64_t> Present(InFlight.begin(), InFlight.end());
+  Report.__set_Alone(InFlight.size() == 1);
+  std::set<int64_t> Present(InFlight.begin(), InFlight.end());
+  Present.erase(0);
+  Report.Digests.assign(Present.begin(), Present.end());
+  this->count(Report.Digests, Now);
+  return Report;
+}
+
+std::vector<int64_t> CrashAttribution::onReport(const wire::CrashReport &Report,
+                                                Millis Now) {
+  std::vector<int64_t> Proven;
+  for (const int64_t Digest : Report.Digests) {
+    const bool Suspect = this->standing(Digest, Now) == DigestStanding::Suspect;
+    if (Suspect && Report.Alone)
+      Proven.push_back(Digest);
+  }
+  this->count(Report.Digests, Now);
+  return Proven;
+}
+
+std::vector<int64_t> CrashAttribution::suspects(Millis Now) const {
+  std::vector<int64_t> Found;
+  for (const auto &[Digest, Against] : this->Digests) {
+    if (this->suffices(Against, Now) && !this->Quarantined.contains(Digest))
+      Found.push_back(Digest);
+  }
+  std::sort(Found.begin(), Found.end());
+  return Found;
+}
+
+void CrashAttribution::count(std::span<const int64_t> Present, Millis Now) {
   for (const int64_t Digest : Present) {
-    if (Digest == 0)
-      continue;
     Evidence &Against = this->Digests[Digest];
     ++Against.Crashes;
     Against.LastCrash = Now;
-    Report.Digests.push_back(Digest);
   }
-  std::sort(Report.Digests.begin(), Report.Digests.end());
   this->trim(Now);
-  return Report;
+}
+
+bool CrashAttribution::suffices(const Evidence &Against, Millis Now) const {
+  return Against.Crashes >= this->Settings.SuspectCrashes &&
+         Now - Against.LastCrash <= this->Settings.Memory;
 }
 
 void CrashAttribution::onFinished(int64_t Digest) {
   this->Digests.erase(Digest);
+  this->ToldSuspects.erase(Digest);
 }
 
 void CrashAttribution::onQuarantine(const wire::QuarantinePush &Push) {
@@ -41,6 +73,10 @@
   this->QuarantineOffset = Push.Offset;
   this->Quarantined.clear();
   this->Quarantined.insert(Push.Digests.begin(), Push.Digests.end());
+  // Entries learn of crashes one by one, so that their lists differ.
+  if (this->ToldSuspects.size() > this->Settings.MaxDigests)
+    this->ToldSuspects.clear();
+  this->ToldSuspects.insert(Push.Suspects.begin(), Push.Suspects.end());
 }
 
 DigestStanding CrashAttribution::standing(int64_t Digest, Millis Now) const {
@@ -48,13 +84,12 @@
     return DigestStanding::Clear;
   if (this->Quarantined.contains(Digest))
     return DigestStanding::Quarantined;
+  if (this->ToldSuspects.contains(Digest))
+    return DigestStanding::Suspect;
   const auto Found = this->Digests.find(Digest);
-  if (Found == this->Digests.end())
-    return DigestStanding::Clear;
-  const Evidence &Against = Found->second;
-  const bool Fresh = Now - Against.LastCrash <= this->Settings.Memory;
-  const bool Enough = Against.Crashes >= this->Settings.SuspectCrashes;
-  return Fresh && Enough ? DigestStanding::Suspect : DigestStanding::Clear;
+  const bool Suspect =
+      Found != this->Digests.end() && this->suffices(Found->second, Now);
+  return Suspect ? DigestStanding::Suspect : DigestStanding::Clear;
 }
 
 void CrashAttribution::trim(Millis Now) {
--- a/packages/core/agent/crash_base.h
+++ b/packages/core/agent/crash_base.h
@@ -48,11 +48,21 @@
   wire::CrashReport onCrash(std::span<const int64_t> InFlight, int64_t CrashId,
                             Millis Now);
 
+  /// Another agent's endpoint crashed; for the entries, which see them all.
+  /// @param Report what its agent says.
+  /// @param Now when it arrived.
+  /// @return digests that are to be quarantined: suspects that were alone.
+  std::vector<int64_t> onReport(const wire::CrashReport &Report, Millis Now);
+
+  /// @param Now the present.
+  /// @return digests that may only run alone.
+  [[nodiscard]] std::vector<int64_t> suspects(Millis Now) const;
+
   /// Work finished without a crash: evidence against its digest is dropped.
   /// @param Digest the digest.
   void onFinished(int64_t Digest);
 
-  /// Takes over the whole list of quarantined digests.
+  /// Takes over the whole lists of quarantined and suspect digests.
   /// @param Push the list; older ones than the last are ignored.
   void onQuarantine(const wire::QuarantinePush &Push);
 
@@ -70,6 +80,12 @@
     Millis LastCrash;
   };
 
+  /// Counts one crash against each digest.
+  void count(std::span<const int64_t> Present, Millis Now);
+  /// @param Against evidence.
+  /// @param Now the present.
+  /// @return whether it makes a suspect.
+  [[nodiscard]] bool suffices(const Evidence &Against, Millis Now) const;
   /// Forgets old evidence, then the oldest beyond the limit.
   void trim(Millis Now);
 
@@ -77,6 +93,8 @@
   CrashSettings Settings;
   /// Evidence by digest.
   absl::flat_hash_map<int64_t, Evidence> Digests;
+  /// Digests that the entries hold for suspects.
+  absl::flat_hash_set<int64_t> ToldSuspects;
   /// Digests that must not run.
   absl::flat_hash_set<int64_t> Quarantined;
   /// Offset of the last list taken over.
--- a/packages/core/agent/weight_base.cpp
+++ b/packages/core/agent/weight_base.cpp
@@ -20,7 +20,7 @@
 /// @param Endpoint the engine.
 /// @param Announced the version.
 /// @return the engine's rank among Announced.Engines.
-int64_t rankOf(const EndpointId &Endpoint, const VersionAnnounced &Announced) {
+int64_t rankOf(const EndpointId &Endpoint, const WeightsAnnounced &Announced) {
   if (Announced.Rank >= 0)
     return Announced.Rank;
   const std::string Key = std::to_string(Announced.Version.Value);
@@ -33,10 +33,12 @@
 /// @param Announced the version.
 /// @return the delay until the engine's turn.
 Millis delayOf(const SwapStaggered &Policy, const EndpointId &Endpoint,
-               const VersionAnnounced &Announced) {
+               const WeightsAnnounced &Announced) {
   const int64_t Engines = Announced.Engines;
-  const int64_t AtOnce =
-      std::max(int64_t{1}, Engines * Policy.MaxSwappingPercent / PerCent);
+  const int64_t Share = Engines * Policy.MaxSwappingPercent / PerCent;
+  const int64_t Bound =
+      Policy.MaxSwapping > 0 ? std::min(Share, Policy.MaxSwapping) : Share;
+  const int64_t AtOnce = std::max(int64_t{1}, Bound);
   const int64_t Waves = (Engines + AtOnce - 1) / AtOnce;
   const int64_t Wave = rankOf(Endpoint, Announced) / AtOnce;
   const Millis Step = Waves <= 1
@@ -49,14 +51,35 @@
 /// @return no delay.
 Millis delayOf(const SwapAllAtOnce & /*Policy*/,
                const EndpointId & /*Endpoint*/,
-               const VersionAnnounced & /*Announced*/) {
+               const WeightsAnnounced & /*Announced*/) {
   return Millis{0};
 }
 
+/// @param Version a version.
+/// @param Endpoint an engine.
+/// @return the engine's score for the version.
+uint64_t swapScore(WeightVersion Version, const EndpointId &Endpoint) {
+  return rendezvousScore(std::to_string(Version.Value), Endpoint.Value);
+}
+
 } // namespace
 
+int swapRank(std::span<const EndpointId> Engines, const EndpointId &Endpoint,
+             WeightVersion Version) {
+  const uint64_t Own = swapScore(Version, Endpoint);
+  int Rank = 0;
+  bool Found = false;
+  for (const EndpointId &Each : Engines) {
+    const uint64_t Score = swapScore(Version, Each);
+    Found = Found || Each == Endpoint;
+    const bool Before = Score > Own || (Score == Own && Each < Endpoint);
+    Rank += Before ? 1 : 0;
+  }
+  return Found ? Rank : -1;
+}
+
 Millis swapDelay(const SwapPolicy &Policy, const EndpointId &Endpoint,
-                 const VersionAnnounced &Announced) {
+                 const WeightsAnnounced &Announced) {
   return std::visit(
       [&](const auto &Each) { return delayOf(Each, Endpoint, Announced); },
       Policy);
@@ -105,7 +128,7 @@
   return this->State == Phase::Swapping;
 }
 
-void WeightController::on(const VersionAnnounced &Event, Millis Now,
+void WeightController::on(const WeightsAnnounced &Event, Millis Now,
                           Actions & /*Out*/) {
   assert(Event.Engines > 0);
   // News can arrive by several links, late ones after newer ones.
@@ -135,6 +158,7 @@
   }
   ++this->Counts.Swapped;
   this->Failures = 0;
+  this->Pending.reset();
   this->settle(Event.Version, Out);
 }
 
@@ -147,7 +171,9 @@
   if (Event.StaleFence)
     this->Fence.reset();
   this->backOff(Now);
-  // A failed swap may have left either version behind.
+  // A failed swap may have left either version behind, but is over.
+  this->Pending.reset();
+  this->doubt(Out);
   this->ask(Now, Out);
 }
 
@@ -172,7 +198,9 @@
 
 void WeightController::on(const EndpointRestarted & /*Event*/, Millis Now,
                           Actions &Out) {
-  Out.emplace_back(LabelInDoubt{});
+  // Whatever was ordered ended with the process that it was ordered from.
+  this->Pending.reset();
+  this->doubt(Out);
   this->ask(Now, Out);
 }
 
@@ -207,8 +235,8 @@
   assert(this->Fence && this->Wanted);
   this->State = Phase::Swapping;
   this->GiveUpAt = Now + this->Settings.OrderTimeout;
-  Out.emplace_back(LabelInDoubt{});
-  Out.emplace_back(SendOrder{++this->LastNumber, this->Wanted->Version,
+  this->Ordered = this->Wanted->Version;
+  Out.emplace_back(SendOrder{++this->LastNumber, this->Ordered,
                              this->Wanted->Location, *this->Fence});
 }
 
@@ -216,11 +244,23 @@
   this->State = Phase::Settled;
   this->Version = Version;
   this->GiveUpAt = Never;
+  if (this->Pending && *this->Pending != Version)
+    return;
+  this->Pending.reset();
+  this->Doubt = false;
   Out.emplace_back(LabelConfirmed{Version});
 }
 
+void WeightController::doubt(Actions &Out) {
+  if (!this->Doubt)
+    Out.emplace_back(LabelInDoubt{});
+  this->Doubt = true;
+}
+
 void WeightController::loseOrder(Millis Now, Actions &Out) {
   ++this->Counts.Unanswered;
+  this->Pending = this->Ordered;
+  this->doubt(Out);
   this->backOff(Now);
   this->ask(Now, Out);
 }
--- a/packages/core/agent/weight_base.h
+++ b/packages/core/agent/weight_base.h
@@ -7,6 +7,7 @@
 #include "core/agent/weight_type.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,8 @@
   /// @return when WeightTick is due.
   [[nodiscard]] Millis nextDeadline() const;
 
-  /// @return the version that the endpoint confirmed, if it is known now.
+  /// @return the version that the endpoint confirmed, if it is known now and
+  ///         no order is out.
   [[nodiscard]] std::optional<WeightVersion> confirmed() const;
 
   /// @return the newest version announced, if any.
@@ -47,6 +49,11 @@
   /// @return whether a swap is under way.
   [[nodiscard]] bool swapping() const;
 
+  /// An order without an answer may still take effect. Until the endpoint has
+  /// the ordered version, or answers a later order, no label can be trusted.
+  /// @return whether what the endpoint reports is in doubt.
+  [[nodiscard]] bool inDoubt() const { return this->Doubt; }
+
   /// @return counts since the boot.
   [[nodiscard]] const WeightCounts &counts() const { return this->Counts; }
 
@@ -64,7 +71,7 @@
 
   /// @name Handlers, one for each event; each adds to the actions.
   /// @{
-  void on(const VersionAnnounced &Event, Millis Now, Actions &Out);
+  void on(const WeightsAnnounced &Event, Millis Now, Actions &Out);
   void on(const OrdersAllowed &Event, Millis Now, Actions &Out);
   void on(const OrdersForbidden &Event, Millis Now, Actions &Out);
   void on(const OrderDone &Event, Millis Now, Actions &Out);
@@ -84,6 +91,8 @@
   void order(Millis Now, Actions &Out);
   /// The endpoint's version became known.
   void settle(WeightVersion Version, Actions &Out);
+  /// Doubts what the endpoint reports from now on.
+  void doubt(Actions &Out);
   /// Gives the outstanding order up without an answer.
   void loseOrder(Millis Now, Actions &Out);
   /// Puts the next try off after a failure.
@@ -96,7 +105,7 @@
   /// The confirmed version, while Settled, else the last one.
   WeightVersion Version{-1};
   /// The version to reach.
-  std::optional<VersionAnnounced> Wanted;
+  std::optional<WeightsAnnounced> Wanted;
   /// When the wanted version's turn comes.
   Millis Turn;
   /// Earliest time of the next try after a failure.
@@ -107,6 +116,12 @@
   int Failures = 0;
   /// The number of the last order or question.
   int64_t LastNumber = 0;
+  /// Whether what the endpoint reports is in doubt.
+  bool Doubt = true;
+  /// The version of the last order.
+  WeightVersion Ordered{-1};
+  /// The version of an order that may still take effect.
+  std::optional<WeightVersion> Pending;
   /// The fencing number, while orders are allowed.
   std::optional<LogOffset> Fence;
   /// Counts since the boot.
@@ -118,7 +133,15 @@
 /// @param Announced the version, with the number of engines and the rank.
 /// @return how long after the announcement the engine's turn comes.
 Millis swapDelay(const SwapPolicy &Policy, const EndpointId &Endpoint,
-                 const VersionAnnounced &Announced);
+                 const WeightsAnnounced &Announced);
+
+/// @param Engines all engines of the model, in any order.
+/// @param Endpoint one of them.
+/// @param Version the version to swap to.
+/// @return the engine's place in the order of swapping, equal on every host;
+///         -1 if it is not among them.
+int swapRank(std::span<const EndpointId> Engines, const EndpointId &Endpoint,
+             WeightVersion Version);
 
 } // namespace camphornotch
 
--- a/packages/core/agent/weight_type.h
+++ b/packages/core/agent/weight_type.h
@@ -21,7 +21,9 @@
 /// rendezvous rank for the version gives it.
 struct SwapStaggered {
   /// Share of a model's engines that swap at once at most, in percent.
-  int MaxSwappingPercent = 25;
+  int64_t MaxSwappingPercent = 25;
+  /// Engines that swap at once at most; 0: no bound but the share.
+  int64_t MaxSwapping = 0;
   /// Time within which all engines must have begun.
   Millis Spread = seconds(10);
   /// How long one swap is expected to take.
@@ -50,7 +52,7 @@
 };
 
 /// A version was announced.
-struct VersionAnnounced {
+struct WeightsAnnounced {
   /// The version.
   WeightVersion Version;
   /// Where its weights are.
@@ -115,7 +117,7 @@
 
 /// What the weight controller reacts to.
 using WeightEvent =
-    std::variant<VersionAnnounced, OrdersAllowed, OrdersForbidden, OrderDone,
+    std::variant<WeightsAnnounced, OrdersAllowed, OrdersForbidden, OrderDone,
                  OrderFailed, OrderLost, VersionAnswered, VersionUnanswered,
                  EndpointRestarted, WeightTick>;
 
@@ -137,10 +139,10 @@
   int64_t Query = 0;
 };
 
-/// The version of new tokens is in doubt from now on.
+/// What the endpoint reports of its version is in doubt from now on.
 struct LabelInDoubt {};
 
-/// The endpoint has confirmed the version of new tokens.
+/// The endpoint has confirmed its version: its reports count again.
 struct LabelConfirmed {
   /// The version.
   WeightVersion Version;
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -229,12 +229,15 @@
   2: i64 Version,
   3: string Location,
   4: i64 Offset,
+  5: optional i32 Engines, // engines that serve the model
+  6: optional i32 Rank,    // of the agent's engine among them, from 0
 }
 
 /** Entry to agent: digests that must not run, by record offset. */
 struct QuarantinePush {
   1: list<i64> Digests,
   2: i64 Offset,
+  3: optional list<i64> Suspects,  // may only run alone
 }
 
 /** Agent to entry: this digest was present at a crash of the endpoint. */
@@ -242,6 +245,29 @@
   1: string Endpoint,
   2: list<i64> Digests,
   3: i64 CrashId,
+  4: optional bool Alone,  // nothing else was running
+}
+
+/** Entry to agent: its host leaves (or no longer does), by the host list or
+ *  an operator's order. */
+struct LeaveOrder {
+  1: bool Leave,
+  2: bool ByHostList,      // else by a DrainRecord
+}
+
+/** Agent to entry: which boot of the endpoint's agent stands? */
+struct StandingQuery {
+  1: i64 Id,
+  2: string Endpoint,
+}
+
+/** Answered only by an entry that knows the folded state. */
+struct StandingReply {
+  1: i64 Id,
+  2: string Host,
+  3: i64 Boot,
+  4: i64 FencingNumber,
+  5: i64 AppliedOffset,    // what the answer covers
 }
 
 /** One message of a link: exactly one of the optional fields is set. */
@@ -265,6 +291,9 @@
   17: optional WeightsAnnounce WeightsAnnounceMsg,
   18: optional QuarantinePush QuarantinePushMsg,
   19: optional CrashReport CrashReportMsg,
+  20: optional LeaveOrder LeaveOrderMsg,
+  21: optional StandingQuery StandingQueryMsg,
+  22: optional StandingReply StandingReplyMsg,
 }
 
 /* ---- Records of the log -------------------------------------------------- */
