--- /dev/null
+++ b/tests/routing/rollout_scheduler_test.cpp
@@ -0,0 +1,190 @@
+/// @file
+/// Tests of the rollout scheduler.
+
+#include "core/routing/rollout_scheduler_base.h"
+#include "routing_fixture.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A scheduler over a small table.
+struct SchedulerFixture : RoutingFixture {
+  /// The scheduler under test.
+  RolloutScheduler Scheduler{RolloutSettings{}, this->Table, this->WorkIds, 1};
+
+  /// @param Slot a slot number.
+  /// @param Group its group.
+  /// @return what the scheduler sends.
+  std::vector<SendAttempt> need(int64_t Slot, const std::string &Group = "g") {
+    RolloutSpec Spec;
+    Spec.Slot.Value = Slot;
+    Spec.Trainer.Value = "t";
+    Spec.Model = "m";
+    Spec.Group = Group;
+    Spec.MaxTokens = 1000;
+    return actionsOf<SendAttempt>(
+        this->Scheduler.handle(SlotNeeded{Spec}, this->Now));
+  }
+
+  /// Advances the time and ticks.
+  /// @param Span how far.
+  /// @return what the scheduler asks for.
+  std::vector<RolloutAction> tickAfter(Millis Span) {
+    this->Now += Span;
+    return this->Scheduler.handle(RolloutTick{}, this->Now);
+  }
+};
+
+} // namespace
+
+Test(rolloutScheduler, full_endpoints_leave_slots_waiting) {
+  SchedulerFixture Fixture;
+  Fixture.addEngine("a", "dc1", 10000, 2);
+  size_t Sent = 0;
+  for (int64_t Slot = 0; Slot < 5; ++Slot)
+    Sent += Fixture.need(Slot).size();
+  cr_assert(Sent == 2);
+  cr_assert(Fixture.Scheduler.pending() == 3);
+}
+
+Test(rolloutScheduler, finished_attempt_makes_room_for_the_next_slot) {
+  SchedulerFixture Fixture;
+  Fixture.addEngine("a", "dc1", 10000, 1);
+  const auto First = Fixture.need(1);
+  cr_assert(Fixture.need(2).empty());
+  Fixture.report(First[0].Endpoint, 10000, 1);
+  const auto Next = actionsOf<SendAttempt>(Fixture.Scheduler.handle(
+      AttemptFinished{First[0].Work, 100}, Fixture.Now));
+  cr_assert(Next.size() == 1);
+  cr_assert(Next[0].Slot.Value == 2);
+}
+
+Test(rolloutScheduler, group_members_follow_their_prompt) {
+  SchedulerFixture Fixture;
+  const EndpointIndex A = Fixture.addEngine("a", "dc1", 10000, 1);
+  const EndpointIndex B = Fixture.addEngine("b", "dc1", 10000, 1);
+  std::map<SlotRef, std::string> GroupOf;
+  std::vector<SendAttempt> Sent;
+  for (int64_t Slot = 0; Slot < 8; ++Slot) {
+    const std::string Group = Slot < 4 ? "g" : "h";
+    GroupOf[SlotRef{Slot}] = Group;
+    for (const SendAttempt &Each : Fixture.need(Slot, Group))
+      Sent.push_back(Each);
+  }
+  // Both places were taken by the first group; the next ones stay together.
+  std::map<EndpointIndex, std::set<std::string>> After;
+  for (size_t Next = 0; Next < Sent.size() && Sent.size() < 8; ++Next) {
+    Fixture.report(Sent[Next].Endpoint, 10000, 1);
+    for (const SendAttempt &Each :
+         actionsOf<SendAttempt>(Fixture.Scheduler.handle(
+             AttemptFinished{Sent[Next].Work, 50}, Fixture.Now))) {
+      Sent.push_back(Each);
+      After[Each.Endpoint].insert(GroupOf[Each.Slot]);
+    }
+  }
+  cr_assert(Sent.size() == 8);
+  cr_assert(After[A].size() + After[B].size() <= 3);
+}
+
+Test(rolloutScheduler, late_attempt_on_slowed_endpoint_moves_with_its_tokens) {
+  SchedulerFixture Fixture;
+  const EndpointIndex Slow = Fixture.addEngine("a", "dc1", 10000, 1);
+  const auto First = Fixture.need(1);
+  cr_assert(First[0].Endpoint == Slow);
+  const EndpointIndex Fast = Fixture.addEngine("b", "dc1", 10000, 1);
+  wire::LoadFigure Busy;
+  Busy.Slots = 1;
+  Busy.Running = 1;
+  Busy.TokenMicros = 50000;
+  Fixture.Table.noteLoad(Slow, Busy, Fixture.Now);
+  const auto Stops = actionsOf<StopAttempt>(Fixture.tickAfter(seconds(1)));
+  cr_assert(Stops.size() == 1);
+  cr_assert(Stops[0].KeepTokens);
+  AttemptRefused Stopped{First[0].Work, RefusalReason::Cancelled, {}, {}};
+  Stopped.Kept.Tokens = 40;
+  Stopped.Kept.Text = "so far";
+  const auto Again =
+      actionsOf<SendAttempt>(Fixture.Scheduler.handle(Stopped, Fixture.Now));
+  cr_assert(Again.size() == 1);
+  cr_assert(Again[0].Endpoint == Fast);
+  cr_assert(Again[0].Kept.Tokens == 40);
+}
+
+Test(rolloutScheduler, unanswered_stop_is_hedged_elsewhere) {
+  SchedulerFixture Fixture;
+  const EndpointIndex Silent = Fixture.addEngine("a", "dc1", 10000, 1);
+  Fixture.need(1);
+  Fixture.addEngine("b", "dc1", 10000, 1);
+  Fixture.Table.setReachable(Silent, false);
+  const auto Actions = Fixture.tickAfter(seconds(1));
+  cr_assert(actionsOf<SendAttempt>(Actions).size() == 1);
+  cr_assert(actionsOf<CountRetry>(Actions)[0].Reason == RetryReason::Hedge);
+}
+
+Test(rolloutScheduler, winner_stops_the_other_attempt) {
+  SchedulerFixture Fixture;
+  const EndpointIndex Silent = Fixture.addEngine("a", "dc1", 10000, 1);
+  const auto First = Fixture.need(1);
+  Fixture.addEngine("b", "dc1", 10000, 1);
+  Fixture.Table.setReachable(Silent, false);
+  const auto Second = actionsOf<SendAttempt>(Fixture.tickAfter(seconds(1)));
+  const auto Stops = actionsOf<StopAttempt>(Fixture.Scheduler.handle(
+      AttemptFinished{Second[0].Work, 10}, Fixture.Now));
+  cr_assert(Stops.size() == 1);
+  cr_assert(Stops[0].Work == First[0].Work);
+  cr_assert(Fixture.Scheduler.outstanding() == 0);
+}
+
+Test(rolloutScheduler, random_events_lose_no_slot) {
+  const bool Held = rc::check("every needed slot is waiting or out", [] {
+    SchedulerFixture Fixture;
+    for (const char *Name : {"a", "b", "c"})
+      Fixture.addEngine(Name);
+    std::map<WorkId, SlotRef> Out;
+    std::set<SlotRef> Open;
+    const auto Take = [&](const std::vector<RolloutAction> &Actions) {
+      for (const auto &Each : actionsOf<SendAttempt>(Actions))
+        Out[Each.Work] = Each.Slot;
+      for (const auto &Each : actionsOf<StopAttempt>(Actions))
+        if (!Each.KeepTokens)
+          Out.erase(Each.Work);
+    };
+    const auto Choices = *rc::gen::container<std::vector<uint8_t>>(
+        rc::gen::arbitrary<uint8_t>());
+    int64_t Next = 0;
+    for (const uint8_t Choice : Choices) {
+      Fixture.Now += Millis{Choice};
+      if (Choice % 4 == 0 || Out.empty()) {
+        RolloutSpec Spec;
+        Spec.Slot.Value = Next++;
+        Spec.Trainer.Value = "t";
+        Spec.Model = "m";
+        Spec.MaxTokens = 100;
+        Open.insert(Spec.Slot);
+        Take(Fixture.Scheduler.handle(SlotNeeded{Spec}, Fixture.Now));
+        continue;
+      }
+      const auto [Work, Slot] = *Out.begin();
+      Out.erase(Out.begin());
+      if (Choice % 4 == 1) {
+        Open.erase(Slot);
+        Take(Fixture.Scheduler.handle(AttemptFinished{Work, 50}, Fixture.Now));
+      } else {
+        Take(Fixture.Scheduler.handle(
+            AttemptRefused{Work, RefusalReason::QueueFull, {}, {}},
+            Fixture.Now));
+      }
+      Take(Fixture.tickAfter(Millis{250}));
+      RC_ASSERT(Fixture.Scheduler.outstanding() == Out.size());
+      std::set<SlotRef> Running;
+      for (const auto &Row : Out)
+        Running.insert(Row.second);
+      RC_ASSERT(Running.size() + Fixture.Scheduler.pending() == Open.size());
+    }
+  });
+  cr_assert(Held);
+}
