--- a/packages/core/agent/weight_base.cpp
+++ b/packages/core/agent/weight_base.cpp
@@ -106,14 +106,14 @@
   case Phase::Settled:
     break;
   }
-  const bool Behind = this->Wanted && this->Wanted->Version != this->Version;
+  const bool Behind = this->Wanted && this->Version < this->Wanted->Version;
   if (!Behind || !this->Fence)
     return Never;
   return std::max(this->Turn, this->RetryAt);
 }
 
 std::optional<WeightVersion> WeightController::confirmed() const {
-  if (this->State != Phase::Settled)
+  if (this->Doubt)
     return std::nullopt;
   return this->Version;
 }
@@ -219,7 +219,8 @@
     this->ask(Now, Out);
   if (this->State != Phase::Settled || !this->Fence || !this->Wanted)
     return;
-  if (this->Wanted->Version == this->Version)
+  // An endpoint that is ahead of the announcement is left alone.
+  if (this->Wanted->Version <= this->Version)
     return;
   if (Now >= this->Turn && Now >= this->RetryAt)
     this->order(Now, Out);
--- a/packages/core/agent/weight_base.h
+++ b/packages/core/agent/weight_base.h
@@ -39,8 +39,8 @@
   /// @return when WeightTick is due.
   [[nodiscard]] Millis nextDeadline() const;
 
-  /// @return the version that the endpoint confirmed, if it is known now and
-  ///         no order is out.
+  /// @return the version that the endpoint confirmed last, unless in doubt.
+  ///         While an order is out the endpoint may have a newer one.
   [[nodiscard]] std::optional<WeightVersion> confirmed() const;
 
   /// @return the newest version announced, if any.
@@ -54,6 +54,9 @@
   /// @return whether what the endpoint reports is in doubt.
   [[nodiscard]] bool inDoubt() const { return this->Doubt; }
 
+  /// @param Policy when to swap, for versions announced from now on.
+  void change(SwapPolicy Policy) { this->Settings.Policy = Policy; }
+
   /// @return counts since the boot.
   [[nodiscard]] const WeightCounts &counts() const { return this->Counts; }
 
--- a/tests/agent/weight_test.cpp
+++ b/tests/agent/weight_test.cpp
@@ -91,7 +91,8 @@
 Test(weights, order_done_confirms_version) {
   WeightFixture Fix;
   Fix.orderSecond();
-  cr_assert(Fix.Weights.swapping() && !Fix.Weights.confirmed());
+  cr_assert(Fix.Weights.swapping());
+  cr_assert(Fix.Weights.confirmed() == WeightVersion{1});
   Fix.handle(OrderDone{Fix.Orders.back().Order, {2}});
   cr_assert(Fix.Weights.confirmed() == WeightVersion{2});
   cr_assert(Fix.Weights.nextDeadline() == Never);
@@ -179,6 +180,15 @@
   cr_assert(Fix.Weights.confirmed() == WeightVersion{2});
 }
 
+Test(weights, endpoint_ahead_of_announcement_is_left_alone) {
+  WeightFixture Fix;
+  Fix.handle(WeightTick{});
+  Fix.answer(5);
+  Fix.handle(OrdersAllowed{LogOffset{42}});
+  Fix.handle(WeightsAnnounced{{2}, "store/2"});
+  cr_assert(Fix.Orders.empty() && Fix.Weights.nextDeadline() == Never);
+}
+
 Test(weights, older_announcement_is_ignored) {
   WeightFixture Fix;
   Fix.orderSecond();
