--- /dev/null
+++ b/packages/net/host_list_base.cpp
@@ -0,0 +1,104 @@
+/// @file
+/// Client of the platform's host list.
+
+#include "net/host_list_base.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace camphornotch {
+
+namespace {
+
+/// Time for one call.
+constexpr Millis CallTimeout = seconds(2);
+
+/// @param Json an object.
+/// @param Name a field.
+/// @return its text; empty if absent or no text.
+std::string textOf(const nlohmann::json &Json, const char *Name) {
+  const auto Found = Json.find(Name);
+  const bool Good = Found != Json.end() && Found->is_string();
+  return Good ? Found->get<std::string>() : std::string();
+}
+
+/// @param Json one host of the list.
+/// @return the host, or nothing if it cannot be understood.
+std::optional<HostEntry> parseHost(const nlohmann::json &Json) {
+  if (!Json.is_object())
+    return std::nullopt;
+  HostEntry Host;
+  Host.Host = HostId{textOf(Json, "host")};
+  const std::string Role = textOf(Json, "role");
+  Host.IsAgent = Role == "agent";
+  Host.DataCentre = DataCentreId{textOf(Json, "data_centre")};
+  Host.Region = RegionId{textOf(Json, "region")};
+  Host.Leaving = textOf(Json, "state") == "leaving";
+  Host.Endpoint = EndpointId{textOf(Json, "endpoint")};
+  Host.EndpointKind = textOf(Json, "endpoint_kind");
+  Host.Serves = textOf(Json, "serves");
+  const auto Address = parseTarget(textOf(Json, "address"));
+  const auto Http = parseTarget(textOf(Json, "http"));
+  const bool Good = !Host.Host.Value.empty() && Address && Http &&
+                    (Host.IsAgent || Role == "entry");
+  if (!Good)
+    return std::nullopt;
+  Host.Address = Address.value();
+  Host.Http = Http.value();
+  return Host;
+}
+
+} // namespace
+
+Result<HostList> parseHostList(std::string_view Json) {
+  const auto Root = nlohmann::json::parse(Json, nullptr, false);
+  const bool Good =
+      Root.is_object() && Root.contains("hosts") && Root["hosts"].is_array();
+  if (!Good)
+    return Error{ErrorKind::BadInput, "the host list's answer has no hosts",
+                 "see whether the address is that of the host list"};
+  HostList List;
+  const auto Generation = Root.find("generation");
+  if (Generation != Root.end() && Generation->is_number_integer())
+    List.Generation = Generation->get<int64_t>();
+  for (const nlohmann::json &Entry : Root["hosts"])
+    if (auto Host = parseHost(Entry))
+      List.Hosts.push_back(std::move(*Host));
+  return List;
+}
+
+HostListPoller::HostListPoller(Loop &Events, HttpClient &Http, HttpTarget Where,
+                               DataCentreId DataCentre, Millis Interval,
+                               Handler Tell)
+    : Events(Events), Http(Http), Where(std::move(Where)),
+      DataCentre(std::move(DataCentre)), Interval(Interval),
+      Tell(std::move(Tell)) {
+  this->poll();
+}
+
+HostListPoller::~HostListPoller() {
+  this->Http.cancel(this->Call);
+  this->Events.cancel(this->Wait);
+}
+
+void HostListPoller::poll() {
+  HttpCall Ask;
+  Ask.Target = this->Where;
+  Ask.Path = "/v1/hosts?from=" + this->DataCentre.Value;
+  Ask.Timeout = CallTimeout;
+  HttpEvents Told;
+  Told.Finished = [this](const HttpResponse &Response) {
+    const auto List = parseHostList(Response.Body);
+    if (Response.Status == 200 && List)
+      this->Tell(List.value());
+    this->again();
+  };
+  Told.Failed = [this](const HttpFailure &) { this->again(); };
+  this->Call = this->Http.start(std::move(Ask), std::move(Told));
+}
+
+void HostListPoller::again() {
+  this->Wait = this->Events.callAfter(this->Interval, [this] { this->poll(); });
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/net/http_responder_base.cpp
@@ -0,0 +1,155 @@
+/// @file
+/// Sends one answer through h2o.
+
+#include "net/http_responder_internal.h"
+
+#include <cassert>
+#include <new>
+#include <sys/socket.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// HTTP/2's version number in h2o's requests.
+constexpr int VersionHttp2 = 0x200;
+/// Status in the logs for a client that went away.
+constexpr int StatusClientGone = 499;
+
+} // namespace
+
+HttpResponder *HttpResponder::make(h2o_req_t *Request,
+                                   HttpOpenRequests *Requests) {
+  void *Memory = h2o_mem_alloc_shared(&Request->pool, sizeof(HttpResponder),
+                                      HttpResponder::onDispose);
+  auto *Self = new (Memory) HttpResponder();
+  Self->Request = Request;
+  Self->Requests = Requests;
+  Self->Source.Super.proceed = HttpResponder::onProceed;
+  Self->Source.Super.stop = nullptr;
+  Self->Source.Self = Self;
+  Requests->Open.insert(Self);
+  return Self;
+}
+
+void HttpResponder::onDispose(void *Memory) {
+  auto *Self = static_cast<HttpResponder *>(Memory);
+  HttpOpenRequests *Requests = Self->Requests;
+  const std::function<void()> Tell = std::move(Self->OnDisposed);
+  Requests->Open.erase(Self);
+  Self->~HttpResponder();
+  if (Tell)
+    Tell();
+  if (Requests->Open.empty() && Requests->OnEmpty)
+    Requests->OnEmpty();
+}
+
+void HttpResponder::setHead(const HttpResponse &Response) {
+  h2o_mem_pool_t *Pool = &this->Request->pool;
+  h2o_res_t &Head = this->Request->res;
+  Head.status = Response.Status;
+  Head.reason = "";
+  if (this->Request->conn->ctx->shutdown_requested != 0)
+    this->Request->http1_is_persistent = 0;
+  if (!Response.ContentType.empty()) {
+    const h2o_iovec_t Type = h2o_strdup(Pool, Response.ContentType.data(),
+                                        Response.ContentType.size());
+    h2o_add_header(Pool, &Head.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                   Type.base, Type.len);
+  }
+  for (const HttpHeader &Header : Response.Headers) {
+    h2o_iovec_t Name = h2o_strdup(Pool, Header.Name.data(), Header.Name.size());
+    for (size_t Index = 0; Index < Name.len; ++Index)
+      Name.base[Index] = static_cast<char>(h2o_tolower(Name.base[Index]));
+    const h2o_iovec_t Value =
+        h2o_strdup(Pool, Header.Value.data(), Header.Value.size());
+    h2o_add_header_by_str(Pool, &Head.headers, Name.base, Name.len, 1, nullptr,
+                          Value.base, Value.len);
+  }
+}
+
+void HttpResponder::answer(const HttpResponse &Response) {
+  assert(!this->Streaming && !this->Ended);
+  this->Ended = true;
+  this->LastSent = true;
+  this->setHead(Response);
+  this->Request->res.content_length = Response.Body.size();
+  h2o_send_inline(this->Request, Response.Body.data(), Response.Body.size());
+}
+
+void HttpResponder::start(HttpResponse Response) {
+  assert(!this->Streaming && !this->Ended);
+  this->Streaming = true;
+  this->setHead(Response);
+  this->Writing = std::move(Response.Body);
+  this->Busy = true;
+  h2o_start_response(this->Request, &this->Source.Super);
+  h2o_iovec_t Part = toVector(this->Writing);
+  h2o_send(this->Request, &Part, this->Writing.empty() ? 0 : 1,
+           H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void HttpResponder::write(std::string_view Chunk) {
+  assert(this->Streaming && !this->Ended);
+  this->Waiting += Chunk;
+  this->pump();
+}
+
+void HttpResponder::end(h2o_send_state_t Last) {
+  if (this->Ended)
+    return;
+  assert(this->Streaming);
+  this->Ended = true;
+  this->Last = Last;
+  this->pump();
+}
+
+void HttpResponder::pump() {
+  if (this->Busy || this->LastSent)
+    return;
+  if (this->Waiting.empty() && !this->Ended)
+    return;
+  this->Writing.swap(this->Waiting);
+  this->Waiting.clear();
+  this->Busy = true;
+  this->LastSent = this->Ended;
+  h2o_iovec_t Part = toVector(this->Writing);
+  // The responder may be gone after the last part.
+  h2o_send(this->Request, &Part, this->Writing.empty() ? 0 : 1, this->Last);
+}
+
+void HttpResponder::onProceed(h2o_generator_t *Plain, h2o_req_t *) {
+  HttpResponder *Self = reinterpret_cast<Generator *>(Plain)->Self;
+  Self->Busy = false;
+  Self->Writing.clear();
+  const bool Drained = Self->Waiting.empty() && !Self->Ended;
+  if (Drained && Self->OnDrained)
+    // Copied: the call may end the exchange.
+    std::function<void()>(Self->OnDrained)();
+  else
+    Self->pump();
+}
+
+bool HttpResponder::clientClosed() const {
+  if (this->Request->version >= VersionHttp2 || this->LastSent)
+    return false; // h2o reads on and disposes of the request itself.
+  h2o_conn_t *Connection = this->Request->conn;
+  h2o_socket_t *Socket = Connection->callbacks->get_socket(Connection);
+  char Byte = 0;
+  const ssize_t Got = recv(h2o_socket_get_fd(Socket), &Byte, sizeof(Byte),
+                           MSG_PEEK | MSG_DONTWAIT);
+  const bool WouldBlock = errno == EAGAIN || errno == EWOULDBLOCK;
+  return Got == 0 || (Got < 0 && !WouldBlock);
+}
+
+void HttpResponder::giveUp() {
+  this->Request->http1_is_persistent = 0;
+  if (this->Streaming) {
+    this->Waiting.clear();
+    this->end(H2O_SEND_STATE_ERROR);
+    return;
+  }
+  this->answer(HttpResponse{StatusClientGone, "", {}, ""});
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/net/http_server_base.cpp
@@ -0,0 +1,329 @@
+/// @file
+/// HTTP server on h2o.
+
+#include "net/http_server_base.h"
+
+#include "net/http_responder_internal.h"
+#include "net/listen_internal.h"
+
+#include <cassert>
+#include <netinet/in.h>
+#include <unistd.h>
+#include <vector>
+
+namespace camphornotch {
+
+namespace {
+
+/// How often waiting clients are looked at.
+constexpr Millis GoneCheckInterval{200};
+/// Time for a client to send its request, in milliseconds.
+constexpr uint64_t RequestTimeoutMs = 30'000;
+/// Connections accepted in one turn.
+constexpr int MaxAcceptsPerTurn = 64;
+/// Requests of one HTTP/2 connection handled at once.
+constexpr size_t MaxStreamsPerConnection = 256;
+
+/// @param Request h2o's request.
+/// @return a copy of what we use of it.
+HttpRequest copyRequest(const h2o_req_t &Request) {
+  HttpRequest Copy;
+  Copy.Method = toView(Request.input.method);
+  const std::string_view Whole = toView(Request.input.path);
+  const size_t QueryAt = Request.input.query_at;
+  Copy.Path = Whole.substr(0, QueryAt);
+  if (QueryAt != SIZE_MAX)
+    Copy.Query = Whole.substr(QueryAt + 1);
+  Copy.Headers.reserve(Request.headers.size);
+  for (size_t Index = 0; Index < Request.headers.size; ++Index) {
+    const h2o_header_t &Header = Request.headers.entries[Index];
+    Copy.Headers.push_back(HttpHeader{std::string(toView(*Header.name)),
+                                      std::string(toView(Header.value))});
+  }
+  if (Request.entity.base != nullptr)
+    Copy.Body = toView(Request.entity);
+  sockaddr_storage Peer = {};
+  auto *Plain = reinterpret_cast<sockaddr *>(&Peer);
+  const socklen_t Length =
+      Request.conn->callbacks->get_peername(Request.conn, Plain);
+  char Text[NI_MAXHOST];
+  const size_t TextLength = h2o_socket_getnumerichost(Plain, Length, Text);
+  if (TextLength != SIZE_MAX)
+    Copy.Peer.assign(Text, TextLength);
+  return Copy;
+}
+
+} // namespace
+
+/// The exchange's state.
+struct HttpExchange::State {
+  /// The request.
+  HttpRequest Request;
+  /// Sends the answer; null once h2o is done with the request.
+  HttpResponder *Responder = nullptr;
+  /// Whether start() or answer() was called.
+  bool Started = false;
+  /// Whether the client went away before the end.
+  bool Gone = false;
+  /// Called when the client goes away.
+  Call OnGone;
+
+  /// Takes note that the client went away.
+  void clientGone() {
+    this->Responder = nullptr;
+    this->Gone = true;
+    const Call Tell = std::move(this->OnGone);
+    this->OnGone = nullptr;
+    if (Tell)
+      Tell();
+  }
+};
+
+/// The server's state.
+struct HttpServer::State {
+  /// h2o's handler, followed by our pointer.
+  struct Handler {
+    /// h2o's part; must be first.
+    h2o_handler_t Super;
+    /// The server's state.
+    State *Self;
+  };
+
+  /// @param Events the loop.
+  explicit State(Loop &Events) : Events(Events) {}
+
+  /// The loop.
+  Loop &Events;
+  /// Takes each request.
+  HttpHandler Handle;
+  /// h2o's configuration.
+  h2o_globalconf_t Config{};
+  /// h2o's context.
+  h2o_context_t Context{};
+  /// What h2o accepts with.
+  h2o_accept_ctx_t Accept{};
+  /// The listening socket; null once stopped.
+  h2o_socket_t *Listener = nullptr;
+  /// The port listened on.
+  uint16_t Port = 0;
+  /// Requests not disposed of.
+  HttpOpenRequests Requests;
+  /// Exchanges by responder, for the look at waiting clients.
+  std::unordered_map<HttpResponder *, HttpExchange::State *> Waiting;
+  /// The next look at waiting clients.
+  TimerId GoneCheck;
+
+  /// Builds h2o's configuration.
+  /// @param MaxBodyBytes the body limit.
+  void configure(size_t MaxBodyBytes) {
+    h2o_config_init(&this->Config);
+    this->Config.server_name = toVector("camphornotch");
+    this->Config.max_request_entity_size = MaxBodyBytes;
+    this->Config.http1.req_timeout = RequestTimeoutMs;
+    this->Config.http2.max_concurrent_requests_per_connection =
+        MaxStreamsPerConnection;
+    h2o_hostconf_t *Host = h2o_config_register_host(
+        &this->Config, toVector("default"), UINT16_MAX);
+    h2o_pathconf_t *Path = h2o_config_register_path(Host, "/", 0);
+    h2o_handler_t *Plain = h2o_create_handler(Path, sizeof(Handler));
+    Plain->on_req = State::onRequest;
+    reinterpret_cast<Handler *>(Plain)->Self = this;
+    h2o_context_init(&this->Context, this->Events.raw(), &this->Config);
+    this->Accept.ctx = &this->Context;
+    this->Accept.hosts = this->Config.hosts;
+  }
+
+  /// h2o hands a request over.
+  /// @param Plain our handler.
+  /// @param Request the request.
+  /// @return 0: it is ours.
+  static int onRequest(h2o_handler_t *Plain, h2o_req_t *Request) {
+    State *Self = reinterpret_cast<Handler *>(Plain)->Self;
+    HttpResponder *Responder = HttpResponder::make(Request, &Self->Requests);
+    auto Inner = std::make_unique<HttpExchange::State>();
+    Inner->Request = copyRequest(*Request);
+    Inner->Responder = Responder;
+    HttpExchange::State *Exchange = Inner.get();
+    const std::shared_ptr<HttpExchange> Handle(
+        new HttpExchange(std::move(Inner)));
+    Responder->OnDisposed = [Self, Responder, Exchange] {
+      Self->Waiting.erase(Responder);
+      if (Responder->ended())
+        Exchange->Responder = nullptr;
+      else
+        Exchange->clientGone();
+    };
+    Self->Waiting.emplace(Responder, Exchange);
+    Self->Handle(Handle);
+    return 0;
+  }
+
+  /// Accepts what waits.
+  /// @param Listener the listening socket.
+  /// @param Failure null if there is something.
+  static void onAccept(h2o_socket_t *Listener, const char *Failure) {
+    auto *Self = static_cast<State *>(Listener->data);
+    if (Failure != nullptr)
+      return;
+    for (int Count = 0; Count < MaxAcceptsPerTurn; ++Count) {
+      h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
+      if (Socket == nullptr)
+        return;
+      h2o_accept(&Self->Accept, Socket);
+    }
+  }
+
+  /// Looks for clients that closed while their request waits.
+  void checkGone() {
+    std::vector<HttpResponder *> Closed;
+    for (const auto &[Responder, Exchange] : this->Waiting)
+      if (Responder->clientClosed())
+        Closed.push_back(Responder);
+    for (HttpResponder *Responder : Closed) {
+      const auto Found = this->Waiting.find(Responder);
+      if (Found == this->Waiting.end())
+        continue;
+      HttpExchange::State *Exchange = Found->second;
+      this->Waiting.erase(Found);
+      Responder->OnDisposed = nullptr;
+      Responder->OnDrained = nullptr;
+      Responder->giveUp();
+      Exchange->clientGone();
+    }
+    this->planGoneCheck();
+  }
+
+  /// Plans the next look.
+  void planGoneCheck() {
+    this->GoneCheck = this->Events.callAfter(GoneCheckInterval,
+                                             [this] { this->checkGone(); });
+  }
+
+  /// Takes in connections that the kernel has accepted, then closes.
+  void closeListener() {
+    if (this->Listener == nullptr)
+      return;
+    while (h2o_socket_t *Socket = h2o_evloop_socket_accept(this->Listener))
+      h2o_accept(&this->Accept, Socket);
+    h2o_socket_close(this->Listener);
+    this->Listener = nullptr;
+  }
+};
+
+HttpExchange::HttpExchange(std::unique_ptr<State> Inner)
+    : Inner(std::move(Inner)) {}
+
+HttpExchange::~HttpExchange() {
+  HttpResponder *Responder = this->Inner->Responder;
+  if (Responder == nullptr)
+    return;
+  Responder->OnDrained = nullptr;
+  if (!this->Inner->Started)
+    this->answer(HttpResponse{500, "text/plain", {}, "not answered\n"});
+  else
+    Responder->end(H2O_SEND_STATE_ERROR);
+  // Ending may have disposed of the responder, which clears the pointer.
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->OnDisposed = nullptr;
+}
+
+const HttpRequest &HttpExchange::request() const {
+  return this->Inner->Request;
+}
+
+void HttpExchange::answer(HttpResponse Response) {
+  assert(!this->Inner->Started);
+  this->Inner->Started = true;
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->answer(Response);
+}
+
+void HttpExchange::start(HttpResponse Response) {
+  assert(!this->Inner->Started);
+  this->Inner->Started = true;
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->start(std::move(Response));
+}
+
+void HttpExchange::write(std::string Chunk) {
+  assert(this->Inner->Started);
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->write(Chunk);
+}
+
+void HttpExchange::finish() {
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->end(H2O_SEND_STATE_FINAL);
+}
+
+void HttpExchange::abort() {
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->end(H2O_SEND_STATE_ERROR);
+}
+
+bool HttpExchange::started() const { return this->Inner->Started; }
+
+bool HttpExchange::gone() const { return this->Inner->Gone; }
+
+size_t HttpExchange::unsentBytes() const {
+  const HttpResponder *Responder = this->Inner->Responder;
+  return Responder == nullptr ? 0 : Responder->unsentBytes();
+}
+
+void HttpExchange::onGone(Call Run) { this->Inner->OnGone = std::move(Run); }
+
+void HttpExchange::onDrained(Call Run) {
+  if (this->Inner->Responder != nullptr)
+    this->Inner->Responder->OnDrained = std::move(Run);
+}
+
+HttpServer::HttpServer(std::unique_ptr<State> Inner)
+    : Inner(std::move(Inner)) {}
+
+HttpServer::~HttpServer() {
+  this->Inner->closeListener();
+  this->Inner->Events.cancel(this->Inner->GoneCheck);
+  // h2o's connections still point at the state: it lives on with them.
+  this->Inner->Handle = [](const std::shared_ptr<HttpExchange> &) {};
+  this->Inner->Requests.OnEmpty = nullptr;
+  (void)this->Inner.release();
+}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::listen(Loop &Events, const HttpServerConfig &Config,
+                   HttpHandler Handler) {
+  auto Socket = listenOn(HttpTarget{Config.Address, Config.Port});
+  if (!Socket)
+    return Socket.error();
+  auto Inner = std::make_unique<State>(Events);
+  Inner->Handle = std::move(Handler);
+  Inner->Port = Socket.value().Port;
+  Inner->configure(Config.MaxBodyBytes);
+  Inner->Listener = h2o_evloop_socket_create(Events.raw(), Socket.value().Fd,
+                                             H2O_SOCKET_FLAG_DONT_READ);
+  Inner->Listener->data = Inner.get();
+  h2o_socket_read_start(Inner->Listener, State::onAccept);
+  Inner->planGoneCheck();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(Inner)));
+}
+
+uint16_t HttpServer::port() const { return this->Inner->Port; }
+
+size_t HttpServer::inFlight() const {
+  return this->Inner->Requests.Open.size();
+}
+
+void HttpServer::beginStop(std::function<void()> Done) {
+  this->Inner->closeListener();
+  h2o_context_request_shutdown(&this->Inner->Context);
+  if (this->Inner->Requests.Open.empty()) {
+    this->Inner->Events.defer(std::move(Done));
+    return;
+  }
+  Loop &Events = this->Inner->Events;
+  this->Inner->Requests.OnEmpty = [&Events, Done = std::move(Done)] {
+    Events.defer(Done);
+  };
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/net/link_hub_base.cpp
@@ -0,0 +1,531 @@
+/// @file
+/// Keeps one logical link to each peer over whatever connections work.
+
+#include "net/link_hub_base.h"
+
+#include "base/clock_func.h"
+#include "net/link_connection_internal.h"
+#include "net/listen_internal.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace camphornotch {
+
+namespace {
+
+/// Silence, in multiples of the setting, after which an accepting side calls
+/// its peer dead: the connecting side has opened a fresh connection by then.
+constexpr int64_t AcceptedSilenceFactor = 3;
+
+/// One connection, with what the hub knows of it.
+struct HubConnection {
+  /// The bytes.
+  std::shared_ptr<LinkConnection> Wire;
+  /// Whom we connected to; empty address: accepted.
+  HttpTarget Target;
+  /// Whose Hello came; empty: none yet.
+  HostId Peer;
+  /// When a message came last.
+  Millis HeardAt;
+  /// When the peer last showed that it heard a newer heartbeat of ours.
+  Millis EchoedAt;
+  /// The last sequence of ours that the peer heard.
+  int64_t Echoed = 0;
+  /// The last sequence of the peer's.
+  int64_t HeardSequence = 0;
+  /// The last sequence sent.
+  int64_t SentSequence = 0;
+  /// Ends a connection that is not made and greeted in time.
+  TimerId GreetTimer;
+
+  /// @return whether the other side connected to us.
+  bool accepted() const { return this->Target.Address.empty(); }
+};
+
+/// What the hub knows of one peer.
+struct PeerState {
+  /// The connection in use; 0: none, it is being replaced.
+  uint64_t Connection = 0;
+  /// The peer's boot.
+  int64_t Boot = 0;
+  /// Calls an accepted peer dead that does not come back.
+  TimerId LostTimer;
+};
+
+/// An address to keep a link to.
+struct TargetState {
+  /// The connection being made; 0: none.
+  uint64_t Attempt = 0;
+  /// Who answered there last.
+  HostId Peer;
+  /// Failures in a row.
+  int Failures = 0;
+  /// The next attempt.
+  TimerId RetryTimer;
+};
+
+} // namespace
+
+/// The hub's state; callbacks hold it weakly.
+struct LinkHub::State : public std::enable_shared_from_this<LinkHub::State> {
+  /// @param Events the loop.
+  explicit State(Loop &Events) : Events(Events) {}
+
+  /// The loop.
+  Loop &Events;
+  /// Times and bounds.
+  LinkSettings Settings;
+  /// What every Hello says.
+  wire::Hello Self;
+  /// Takes all events.
+  LinkHandler Handler;
+  /// Fills heartbeats; may be empty.
+  HeartbeatFill Fill;
+  /// What went over the links.
+  std::shared_ptr<LinkCounters> Counters = std::make_shared<LinkCounters>();
+  /// The listening socket; may be null.
+  h2o_socket_t *Listener = nullptr;
+  /// All connections by number.
+  std::unordered_map<uint64_t, HubConnection> Connections;
+  /// The peers that are up, or whose connection is being replaced.
+  std::unordered_map<HostId, PeerState> Peers;
+  /// Addresses to keep links to.
+  std::map<HttpTarget, TargetState> Targets;
+  /// Sockets not connected yet, with their connection's number.
+  std::unordered_map<h2o_socket_t *, uint64_t> Connecting;
+  /// The last connection's number.
+  uint64_t LastConnection = 0;
+  /// The next heartbeat.
+  TimerId BeatTimer;
+
+  /// Makes a connection's record.
+  /// @param Target whom we connect to; empty if accepted.
+  /// @return its number.
+  uint64_t addConnection(const HttpTarget &Target) {
+    const uint64_t Id = ++this->LastConnection;
+    HubConnection &New = this->Connections[Id];
+    New.Wire = std::make_shared<LinkConnection>(this->Events, this->Counters);
+    New.Target = Target;
+    New.HeardAt = steadyNow();
+    New.EchoedAt = New.HeardAt;
+    const std::weak_ptr<State> Weak = this->weak_from_this();
+    New.Wire->OnMessages = [Weak, Id](std::vector<wire::PeerMessage> Batch) {
+      if (const auto Self = Weak.lock())
+        Self->onMessages(Id, std::move(Batch));
+    };
+    New.Wire->OnClosed = [Weak, Id](const std::string &Cause) {
+      if (const auto Self = Weak.lock())
+        Self->onClosed(Id, Cause);
+    };
+    New.GreetTimer =
+        this->Events.callAfter(this->Settings.ConnectTimeout, [Weak, Id] {
+          if (const auto Self = Weak.lock())
+            Self->onClosed(Id, "no Hello in time");
+        });
+    return Id;
+  }
+
+  /// Sends our Hello.
+  /// @param Connection on which connection.
+  void greet(HubConnection &Connection) const {
+    wire::PeerMessage Message;
+    Message.__set_HelloMsg(this->Self);
+    Connection.Wire->send(Message, this->Settings.MaxQueuedBytes);
+  }
+
+  /// Drops a connection without events.
+  /// @param Id its number.
+  void drop(uint64_t Id) {
+    const auto Found = this->Connections.find(Id);
+    if (Found == this->Connections.end())
+      return;
+    this->Events.cancel(Found->second.GreetTimer);
+    const auto Wire = Found->second.Wire;
+    this->Connections.erase(Found);
+    std::erase_if(this->Connecting, [Id](const auto &Entry) {
+      if (Entry.second != Id)
+        return false;
+      Entry.first->data = nullptr;
+      h2o_socket_close(Entry.first);
+      return true;
+    });
+    Wire->close();
+    // A callback of this connection may be running: keep it for this turn.
+    this->Events.defer([Wire] {});
+  }
+
+  /* ---- Connecting ---- */
+
+  /// Opens a connection to a target, unless one is being opened.
+  /// @param Target the address.
+  void attempt(const HttpTarget &Target) {
+    const auto Found = this->Targets.find(Target);
+    if (Found == this->Targets.end() || Found->second.Attempt != 0)
+      return;
+    this->Events.cancel(Found->second.RetryTimer);
+    const uint64_t Id = this->addConnection(Target);
+    Found->second.Attempt = Id;
+    sockaddr_in Address = socketAddress(Target);
+    h2o_socket_t *Socket = h2o_socket_connect(
+        this->Events.raw(), reinterpret_cast<sockaddr *>(&Address),
+        sizeof(Address), State::onConnected);
+    if (Socket == nullptr) {
+      this->Events.defer([Weak = this->weak_from_this(), Id] {
+        if (const auto Self = Weak.lock())
+          Self->onClosed(Id, "cannot connect");
+      });
+      return;
+    }
+    Socket->data = this;
+    this->Connecting.emplace(Socket, Id);
+  }
+
+  /// A connection is made, or could not be.
+  /// @param Socket its socket.
+  /// @param Failure null if it is made.
+  static void onConnected(h2o_socket_t *Socket, const char *Failure) {
+    auto *Plain = static_cast<State *>(Socket->data);
+    if (Plain == nullptr)
+      return;
+    const auto Self = Plain->shared_from_this();
+    const auto Found = Self->Connecting.find(Socket);
+    assert(Found != Self->Connecting.end());
+    const uint64_t Id = Found->second;
+    Self->Connecting.erase(Found);
+    if (Failure != nullptr) {
+      h2o_socket_close(Socket);
+      Self->onClosed(Id, Failure);
+      return;
+    }
+    HubConnection &Connection = Self->Connections.at(Id);
+    Connection.Wire->attach(Socket);
+    Self->greet(Connection);
+  }
+
+  /// Plans the next attempt after a failure.
+  /// @param Target the address.
+  /// @param Entry its state.
+  void backOff(const HttpTarget &Target, TargetState &Entry) {
+    constexpr int MaxDoublings = 10;
+    const int64_t Factor = int64_t{1} << std::min(Entry.Failures, MaxDoublings);
+    const Millis Wait =
+        std::min(this->Settings.BackoffMin * Factor, this->Settings.BackoffMax);
+    ++Entry.Failures;
+    this->Events.cancel(Entry.RetryTimer);
+    Entry.RetryTimer =
+        this->Events.callAfter(Wait, [Weak = this->weak_from_this(), Target] {
+          if (const auto Self = Weak.lock())
+            Self->attempt(Target);
+        });
+  }
+
+  /// Accepts what waits.
+  /// @param Listener the listening socket.
+  /// @param Failure null if there is something.
+  static void onAccept(h2o_socket_t *Listener, const char *Failure) {
+    auto *Self = static_cast<State *>(Listener->data);
+    if (Failure != nullptr)
+      return;
+    while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
+      const uint64_t Id = Self->addConnection(HttpTarget{});
+      HubConnection &Connection = Self->Connections.at(Id);
+      Connection.Wire->attach(Socket);
+      Self->greet(Connection);
+    }
+  }
+
+  /* ---- Life of a link ---- */
+
+  /// A connection failed, or was never greeted.
+  /// @param Id its number.
+  /// @param Cause why.
+  void onClosed(uint64_t Id, const std::string &Cause) {
+    const auto Found = this->Connections.find(Id);
+    if (Found == this->Connections.end())
+      return;
+    const HttpTarget Target = Found->second.Target;
+    const HostId Peer = Found->second.Peer;
+    this->drop(Id);
+    const auto Entry = this->Targets.find(Target);
+    const bool Wanted = Entry != this->Targets.end();
+    const bool WasAttempt = Wanted && Entry->second.Attempt == Id;
+    if (WasAttempt) {
+      Entry->second.Attempt = 0;
+      this->backOff(Target, Entry->second);
+      // A fresh connection failed too: now the peer is dead.
+      this->declareDown(HostId(Entry->second.Peer), Cause);
+      return;
+    }
+    const auto Known = this->Peers.find(Peer);
+    if (Known == this->Peers.end() || Known->second.Connection != Id)
+      return;
+    Known->second.Connection = 0;
+    if (Wanted)
+      this->attempt(Target);
+    else
+      this->awaitReturn(Peer, Known->second, Cause);
+  }
+
+  /// Gives an accepted peer time to connect afresh.
+  /// @param Peer the peer.
+  /// @param Known its state.
+  /// @param Cause why its connection ended.
+  void awaitReturn(const HostId &Peer, PeerState &Known,
+                   const std::string &Cause) {
+    this->Events.cancel(Known.LostTimer);
+    Known.LostTimer =
+        this->Events.callAfter(this->Settings.SilenceAfter,
+                               [Weak = this->weak_from_this(), Peer, Cause] {
+                                 if (const auto Self = Weak.lock())
+                                   Self->declareDown(Peer, Cause);
+                               });
+  }
+
+  /// Tells the owner that a peer is gone, if it was up.
+  /// @param Peer the peer.
+  /// @param Cause what was seen last.
+  void declareDown(const HostId &Peer, const std::string &Cause) {
+    const auto Known = this->Peers.find(Peer);
+    if (Known == this->Peers.end())
+      return;
+    this->Events.cancel(Known->second.LostTimer);
+    const uint64_t Old = Known->second.Connection;
+    this->Peers.erase(Known);
+    this->drop(Old);
+    this->Handler(LinkDown{Peer, Cause});
+  }
+
+  /// The peer's first message on a connection.
+  /// @param Id the connection's number.
+  /// @param Hello the message.
+  void onHello(uint64_t Id, const wire::Hello &Hello) {
+    HubConnection &Connection = this->Connections.at(Id);
+    const HostId Peer{Hello.Host};
+    Connection.Peer = Peer;
+    this->Events.cancel(Connection.GreetTimer);
+    this->noteTarget(Connection, Id);
+    const auto Known = this->Peers.find(Peer);
+    const bool Again =
+        Known != this->Peers.end() && Known->second.Boot == Hello.Boot;
+    if (Known != this->Peers.end() && !Again)
+      this->declareDown(Peer, "the peer restarted");
+    PeerState &State = this->Peers[Peer];
+    this->Events.cancel(State.LostTimer);
+    this->drop(State.Connection);
+    State.Connection = Id;
+    State.Boot = Hello.Boot;
+    this->Handler(LinkUp{Peer, Hello, Again});
+  }
+
+  /// Takes note of who answers at a target.
+  /// @param Connection a greeted connection.
+  /// @param Id its number.
+  void noteTarget(const HubConnection &Connection, uint64_t Id) {
+    const auto Entry = this->Targets.find(Connection.Target);
+    if (Entry == this->Targets.end())
+      return;
+    Entry->second.Peer = Connection.Peer;
+    Entry->second.Failures = 0;
+    if (Entry->second.Attempt == Id)
+      Entry->second.Attempt = 0;
+  }
+
+  /// Takes messages of a connection.
+  /// @param Id its number.
+  /// @param Batch the messages.
+  void onMessages(uint64_t Id, std::vector<wire::PeerMessage> Batch) {
+    for (wire::PeerMessage &Message : Batch) {
+      const auto Found = this->Connections.find(Id);
+      if (Found == this->Connections.end())
+        return; // Closed by the handler of the last message.
+      this->onMessage(Id, Found->second, std::move(Message));
+    }
+  }
+
+  /// Takes one message.
+  /// @param Id the connection's number.
+  /// @param Connection the connection.
+  /// @param Message the message.
+  void onMessage(uint64_t Id, HubConnection &Connection,
+                 wire::PeerMessage Message) {
+    Connection.HeardAt = steadyNow();
+    const bool Greeted = !Connection.Peer.Value.empty();
+    const bool IsHello =
+        Message.__isset.HelloMsg && !Message.HelloMsg.Host.empty();
+    if (Greeted == IsHello) {
+      ++this->Counters->BadFrames;
+      this->onClosed(Id, "Hello is the first message, once");
+      return;
+    }
+    if (IsHello) {
+      this->onHello(Id, Message.HelloMsg);
+      return;
+    }
+    if (Message.__isset.HeartbeatMsg)
+      State::noteHeartbeat(Connection, Message.HeartbeatMsg);
+    this->Handler(LinkMessage{Connection.Peer, std::move(Message)});
+  }
+
+  /// Takes note of what a heartbeat says of the connection.
+  /// @param Connection the connection.
+  /// @param Beat the heartbeat.
+  static void noteHeartbeat(HubConnection &Connection,
+                            const wire::Heartbeat &Beat) {
+    Connection.HeardSequence = Beat.Sequence;
+    if (Beat.EchoSequence <= Connection.Echoed)
+      return;
+    Connection.Echoed = Beat.EchoSequence;
+    Connection.EchoedAt = steadyNow();
+  }
+
+  /* ---- Heartbeats ---- */
+
+  /// Sends a heartbeat to each peer.
+  void beat() {
+    wire::PeerMessage Message;
+    wire::Heartbeat Beat;
+    if (this->Fill)
+      this->Fill(Beat);
+    Message.__set_HeartbeatMsg(Beat);
+    for (auto &[Id, Connection] : this->Connections) {
+      if (Connection.Peer.Value.empty())
+        continue;
+      Message.HeartbeatMsg.Sequence = ++Connection.SentSequence;
+      Message.HeartbeatMsg.EchoSequence = Connection.HeardSequence;
+      Connection.Wire->send(Message, this->Settings.MaxQueuedBytes);
+    }
+  }
+
+  /// Beats, looks for silence, and plans the next beat.
+  void onBeatTimer() {
+    this->beat();
+    this->checkSilence();
+    this->BeatTimer = this->Events.callAfter(
+        this->Settings.HeartbeatInterval, [Weak = this->weak_from_this()] {
+          if (const auto Self = Weak.lock())
+            Self->onBeatTimer();
+        });
+  }
+
+  /// Opens fresh connections where one is silent.
+  void checkSilence() {
+    const Millis Now = steadyNow();
+    std::vector<uint64_t> Silent;
+    for (const auto &[Id, Connection] : this->Connections) {
+      const Millis Since = std::min(Connection.HeardAt, Connection.EchoedAt);
+      const int64_t Factor = Connection.accepted() ? AcceptedSilenceFactor : 1;
+      const bool Greeted = !Connection.Peer.Value.empty();
+      if (Greeted && Now - Since > this->Settings.SilenceAfter * Factor)
+        Silent.push_back(Id);
+    }
+    for (const uint64_t Id : Silent)
+      this->onSilent(Id);
+  }
+
+  /// @param Id a silent connection.
+  void onSilent(uint64_t Id) {
+    const auto Found = this->Connections.find(Id);
+    if (Found == this->Connections.end())
+      return;
+    const HttpTarget Target = Found->second.Target;
+    const auto Entry = this->Targets.find(Target);
+    if (Entry == this->Targets.end()) {
+      this->declareDown(HostId(Found->second.Peer), "silence");
+      this->drop(Id);
+      return;
+    }
+    if (Entry->second.Attempt != 0)
+      return;
+    ++this->Counters->SilenceProbes;
+    this->attempt(Target);
+  }
+};
+
+LinkHub::LinkHub(Loop &Events, const LinkSettings &Settings, wire::Hello Self,
+                 LinkHandler Handler)
+    : Inner(std::make_shared<State>(Events)) {
+  this->Inner->Settings = Settings;
+  this->Inner->Self = std::move(Self);
+  this->Inner->Handler = std::move(Handler);
+  this->Inner->onBeatTimer();
+}
+
+LinkHub::~LinkHub() {
+  this->Inner->Events.cancel(this->Inner->BeatTimer);
+  if (this->Inner->Listener != nullptr)
+    h2o_socket_close(this->Inner->Listener);
+  this->Inner->Handler = [](const LinkEvent &) {};
+  while (!this->Inner->Connections.empty())
+    this->Inner->drop(this->Inner->Connections.begin()->first);
+}
+
+Result<uint16_t> LinkHub::listen(const HttpTarget &Where) {
+  auto Socket = listenOn(Where);
+  if (!Socket)
+    return Socket.error();
+  this->Inner->Listener = h2o_evloop_socket_create(
+      this->Inner->Events.raw(), Socket.value().Fd, H2O_SOCKET_FLAG_DONT_READ);
+  this->Inner->Listener->data = this->Inner.get();
+  h2o_socket_read_start(this->Inner->Listener, State::onAccept);
+  return Socket.value().Port;
+}
+
+void LinkHub::connect(const HttpTarget &Where) {
+  if (this->Inner->Targets.try_emplace(Where).second)
+    this->Inner->attempt(Where);
+}
+
+void LinkHub::disconnect(const HttpTarget &Where) {
+  const auto Entry = this->Inner->Targets.find(Where);
+  if (Entry == this->Inner->Targets.end())
+    return;
+  const TargetState Old = Entry->second;
+  this->Inner->Targets.erase(Entry);
+  this->Inner->Events.cancel(Old.RetryTimer);
+  this->Inner->drop(Old.Attempt);
+  this->Inner->Events.defer([Self = this->Inner, Old] {
+    Self->declareDown(Old.Peer, "the link is not wanted any more");
+  });
+}
+
+bool LinkHub::send(const HostId &Peer, const wire::PeerMessage &Message) {
+  const auto Known = this->Inner->Peers.find(Peer);
+  if (Known == this->Inner->Peers.end() || Known->second.Connection == 0)
+    return false;
+  const HubConnection &Connection =
+      this->Inner->Connections.at(Known->second.Connection);
+  const bool Queued =
+      Connection.Wire->send(Message, this->Inner->Settings.MaxQueuedBytes);
+  if (!Queued)
+    ++this->Inner->Counters->QueueFull;
+  return Queued;
+}
+
+bool LinkHub::isUp(const HostId &Peer) const {
+  return this->Inner->Peers.contains(Peer);
+}
+
+std::vector<HostId> LinkHub::peers() const {
+  std::vector<HostId> Hosts;
+  for (const auto &[Peer, Known] : this->Inner->Peers)
+    Hosts.push_back(Peer);
+  return Hosts;
+}
+
+void LinkHub::onHeartbeat(HeartbeatFill Fill) {
+  this->Inner->Fill = std::move(Fill);
+}
+
+void LinkHub::setHello(wire::Hello Self) {
+  this->Inner->Self = std::move(Self);
+}
+
+void LinkHub::beatNow() { this->Inner->beat(); }
+
+LinkCounters LinkHub::counters() const { return *this->Inner->Counters; }
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/net/listen_func.cpp
@@ -0,0 +1,59 @@
+/// @file
+/// Makes listening sockets.
+
+#include "net/listen_internal.h"
+
+#include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// Connections that may wait to be accepted.
+constexpr int Backlog = 1024;
+
+} // namespace
+
+sockaddr_in socketAddress(const HttpTarget &Target) {
+  sockaddr_in Address = {};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Target.Port);
+  inet_pton(AF_INET, Target.Address.c_str(), &Address.sin_addr);
+  return Address;
+}
+
+void sendAtOnce(int Fd) {
+  const int On = 1;
+  setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+Result<Listening> listenOn(const HttpTarget &Where) {
+  Listening Socket;
+  Socket.Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int On = 1;
+  // Allows a bind over connections in TIME_WAIT, not over a listening socket.
+  setsockopt(Socket.Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address = socketAddress(Where);
+  socklen_t Length = sizeof(Address);
+  auto *Plain = reinterpret_cast<sockaddr *>(&Address);
+  const bool Good = bind(Socket.Fd, Plain, Length) == 0 &&
+                    ::listen(Socket.Fd, Backlog) == 0 &&
+                    getsockname(Socket.Fd, Plain, &Length) == 0;
+  if (!Good) {
+    const std::string Cause = strerror(errno);
+    close(Socket.Fd);
+    return Error{ErrorKind::Unavailable,
+                 absl::StrCat("cannot listen on ", Where.Address, ":",
+                              Where.Port, ": ", Cause),
+                 "choose a free port, or stop the process that holds it"};
+  }
+  Socket.Port = ntohs(Address.sin_port);
+  return Socket;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/net/log_reader.cpp
@@ -0,0 +1,126 @@
+/// @file
+/// Reads the log by long polls.
+
+#include "net/log_client_base.h"
+#include "wire/codec_func.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphornotch {
+
+namespace {
+
+/// Most records of one answer.
+constexpr int64_t ReadLimit = 1000;
+/// How long the log waits for a first record.
+constexpr Millis PollWait = seconds(2);
+/// Time for a read beyond the wait.
+constexpr Millis ReadTimeout = seconds(2);
+/// First wait after a failed read; doubles each time.
+constexpr Millis RetryMin{50};
+/// Longest wait after a failed read.
+constexpr Millis RetryMax = seconds(1);
+
+/// @param Json a field of the log's answer.
+/// @param Name the field.
+/// @param Fallback what to take if it is absent or no number.
+/// @return the number.
+int64_t numberOf(const nlohmann::json &Json, const char *Name,
+                 int64_t Fallback) {
+  const auto Found = Json.find(Name);
+  const bool Good = Found != Json.end() && Found->is_number_integer();
+  return Good ? Found->get<int64_t>() : Fallback;
+}
+
+/// @param Json one record of the log's answer.
+/// @return the record; one without a body if it cannot be decoded, since
+///         every reader must skip it alike.
+wire::LogRecord recordOf(const nlohmann::json &Json) {
+  const auto Data = Json.find("data");
+  std::string Bytes;
+  if (Data == Json.end() || !Data->is_string() ||
+      !absl::Base64Unescape(Data->get_ref<const std::string &>(), &Bytes))
+    return {};
+  auto Record = decodeRecord(Bytes);
+  return Record ? std::move(Record.value()) : wire::LogRecord{};
+}
+
+} // namespace
+
+LogReader::LogReader(Loop &Events, HttpClient &Http, HttpTarget Log,
+                     LogReaderEvents Tell)
+    : Events(Events), Http(Http), Log(std::move(Log)), Tell(std::move(Tell)) {}
+
+LogReader::~LogReader() {
+  this->Http.cancel(this->Call);
+  this->Events.cancel(this->Wait);
+}
+
+void LogReader::start(LogOffset From) {
+  this->Next = From;
+  this->poll();
+}
+
+void LogReader::poll() {
+  HttpCall Read;
+  Read.Target = this->Log;
+  Read.Path =
+      absl::StrCat("/v1/records?from=", this->Next.Value, "&limit=", ReadLimit,
+                   "&wait_ms=", this->LastReachable ? PollWait.Count : 0);
+  Read.Timeout = PollWait + ReadTimeout;
+  HttpEvents Told;
+  Told.Finished = [this](const HttpResponse &Response) {
+    this->onAnswer(Response);
+  };
+  Told.Failed = [this](const HttpFailure &) { this->onFailure(); };
+  this->Call = this->Http.start(std::move(Read), std::move(Told));
+}
+
+void LogReader::onAnswer(const HttpResponse &Response) {
+  const auto Json = nlohmann::json::parse(Response.Body, nullptr, false);
+  const auto Records = Json.is_object() ? Json.find("records") : Json.end();
+  const bool Good = Response.Status == 200 && Json.is_object() &&
+                    Records != Json.end() && Records->is_array();
+  if (!Good) {
+    this->onFailure();
+    return;
+  }
+  this->Failures = 0;
+  this->setReachable(true);
+  const LogOffset Oldest{numberOf(Json, "oldest", this->Next.Value)};
+  if (Oldest > this->Next && this->Tell.Gap)
+    this->Tell.Gap(Oldest);
+  this->Next = std::max(this->Next, Oldest);
+  for (const nlohmann::json &Record : *Records) {
+    const LogOffset Offset{numberOf(Record, "offset", 0)};
+    if (Offset < this->Next)
+      continue;
+    this->Next = LogOffset{Offset.Value + 1};
+    this->Tell.Record(Offset, recordOf(Record));
+  }
+  if (this->Tell.CaughtUp)
+    this->Tell.CaughtUp(this->Next);
+  this->poll();
+}
+
+void LogReader::onFailure() {
+  constexpr int MaxDoublings = 6;
+  this->setReachable(false);
+  const int64_t Factor = int64_t{1} << std::min(this->Failures, MaxDoublings);
+  ++this->Failures;
+  this->Wait = this->Events.callAfter(std::min(RetryMin * Factor, RetryMax),
+                                      [this] { this->poll(); });
+}
+
+void LogReader::setReachable(bool Reachable) {
+  const bool Changed = !this->Judged || Reachable != this->LastReachable;
+  this->Judged = true;
+  this->LastReachable = Reachable;
+  if (Changed && this->Tell.Reachable)
+    this->Tell.Reachable(Reachable);
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,301 @@
+/// @file
+/// HTTP over the loopback: whole and streamed answers, bad input, stop.
+
+#include "net_fixture.h"
+
+#include <criterion/criterion.h>
+#include <vector>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A stream larger than the kernel's socket buffers.
+constexpr size_t LargeBytes = size_t{32} << 20;
+
+/// Answers with what came in.
+/// @param One the exchange.
+void echo(const std::shared_ptr<HttpExchange> &One) {
+  const HttpRequest &Request = One->request();
+  HttpResponse Answer;
+  Answer.Headers = {{"X-Method", Request.Method}, {"X-Query", Request.Query}};
+  Answer.Body = Request.Path + "|" + Request.Body;
+  One->answer(std::move(Answer));
+}
+
+/// @param Method the method.
+/// @param Path the path.
+/// @param Body the body.
+/// @return the call.
+HttpCall callOf(std::string Method, std::string Path, std::string Body) {
+  HttpCall Call;
+  Call.Method = std::move(Method);
+  Call.Path = std::move(Path);
+  Call.Body = std::move(Body);
+  return Call;
+}
+
+} // namespace
+
+Test(http, request_withBodyAndQuery_isEchoed) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  const HttpResponse Answer =
+      Net.ask(callOf("POST", "/a/b?c=d%20e", "the body"));
+  cr_assert_eq(Answer.Status, 200);
+  cr_assert_eq(Answer.Body, "/a/b|the body");
+  cr_assert(findHeader(Answer.Headers, "x-method") == "POST");
+  cr_assert_eq(queryParameter(findHeader(Answer.Headers, "X-QUERY"), "c"),
+               "d e");
+}
+
+Test(http, manyRequests_overKeptConnections_allAnswered) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  for (int Index = 0; Index < 50; ++Index) {
+    const std::string Body = std::to_string(Index);
+    cr_assert_eq(Net.ask(callOf("POST", "/x", Body)).Body, "/x|" + Body);
+  }
+}
+
+Test(http, body_overTheLimit_gets413) {
+  HttpFixture Net(1000);
+  Net.Handler = echo;
+  cr_assert_eq(Net.ask(callOf("POST", "/", std::string(1001, 'x'))).Status,
+               413);
+  cr_assert_eq(Net.ask(callOf("POST", "/", std::string(1000, 'x'))).Status,
+               200);
+}
+
+Test(http, brokenRequestLine_gets400) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  PlainSocket Client(Net.Server->port());
+  Client.send("NOT \x01 HTTP\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Client.ended(); }));
+  cr_assert_neq(Client.received().find(" 400 "), std::string::npos);
+}
+
+Test(http, endlessHeader_isRefused) {
+  HttpFixture Net;
+  bool Handled = false;
+  Net.Handler = [&](const std::shared_ptr<HttpExchange> &One) {
+    Handled = true;
+    echo(One);
+  };
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\nx: ");
+  cr_assert(turnUntil(Net.Events, [&] {
+    Client.send(std::string(1000, 'y'));
+    return Client.ended() || !Client.received().empty();
+  }));
+  cr_assert_not(Handled);
+}
+
+Test(http, requestInSingleBytes_isUnderstood) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  PlainSocket Client(Net.Server->port());
+  const std::string Request =
+      "POST /p HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+  for (const char Byte : Request) {
+    Client.send(std::string(1, Byte));
+    Net.Events.runOnce(Millis{0});
+  }
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Client.received().find("/p|abc") != std::string::npos;
+  }));
+}
+
+Test(http, http2WithPriorKnowledge_isAnswered) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  PlainSocket Client(Net.Server->port());
+  Client.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+  Client.send(std::string("\0\0\0\4\0\0\0\0\0", 9)); // SETTINGS
+  // HEADERS: GET http / with authority "a"; END_STREAM, END_HEADERS.
+  Client.send(std::string("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1a", 15));
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Client.received().find("/|") != std::string::npos;
+  }));
+}
+
+Test(http, stream_inParts_arrivesInOrder) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    One->start(HttpResponse{200, "text/event-stream", {}, "a"});
+    Held = std::move(One);
+  };
+  std::string Got;
+  bool Finished = false;
+  HttpEvents Told;
+  Told.Chunk = [&](std::string_view Part) { Got += Part; };
+  Told.Finished = [&](const HttpResponse &) { Finished = true; };
+  HttpCall Call;
+  Call.Target = Net.target();
+  Net.Client.start(Call, Told);
+  cr_assert(turnUntil(Net.Events, [&] { return Got == "a"; }));
+  Held->write("b");
+  Held->write("c");
+  cr_assert(turnUntil(Net.Events, [&] { return Got == "abc"; }));
+  cr_assert_not(Finished);
+  Held->write("d");
+  Held->finish();
+  Held.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return Finished; }));
+  cr_assert_eq(Got, "abcd");
+}
+
+Test(http, abortedStream_isSeenAsCut) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    One->start(HttpResponse{200, "text/plain", {}, "part"});
+    Held = std::move(One);
+  };
+  bool Finished = false;
+  bool Failed = false;
+  HttpEvents Told;
+  Told.Chunk = [&](std::string_view) { Held->abort(); };
+  Told.Finished = [&](const HttpResponse &) { Finished = true; };
+  Told.Failed = [&](const HttpFailure &) { Failed = true; };
+  HttpCall Call;
+  Call.Target = Net.target();
+  Net.Client.start(Call, Told);
+  cr_assert(turnUntil(Net.Events, [&] { return Failed || Finished; }));
+  cr_assert(Failed);
+}
+
+Test(http, readerThatStops_holdsTheWriterBack) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  bool Drained = false;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    One->start(HttpResponse{200, "text/plain", {}, ""});
+    One->write(std::string(LargeBytes, 'z'));
+    Held = std::move(One);
+  };
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  turnUntil(Net.Events, [&] { return Held != nullptr; });
+  for (int Turn = 0; Turn < 50; ++Turn)
+    Net.Events.runOnce(Millis{0});
+  cr_assert_gt(Held->unsentBytes(), 0U);
+  Held->onDrained([&] { Drained = true; });
+  cr_assert(turnUntil(Net.Events, [&] {
+    Client.received();
+    return Drained;
+  }));
+  cr_assert_eq(Held->unsentBytes(), 0U);
+}
+
+Test(http, clientThatLeaves_isToldToTheHolder) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  bool Gone = false;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    One->onGone([&] { Gone = true; });
+    Held = std::move(One);
+  };
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Held != nullptr; }));
+  Client.close();
+  cr_assert(turnUntil(Net.Events, [&] { return Gone; }));
+  cr_assert(Held->gone());
+  Held->answer(HttpResponse{});
+  Held.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server->inFlight() == 0; }));
+}
+
+Test(http, exchangeDroppedUnanswered_gets500) {
+  HttpFixture Net;
+  Net.Handler = [](const std::shared_ptr<HttpExchange> &) {};
+  cr_assert_eq(Net.ask(callOf("GET", "/", "")).Status, 500);
+}
+
+Test(http, stopWithRequestInFlight_finishesItFirst) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    Held = std::move(One);
+  };
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Held != nullptr; }));
+  bool Stopped = false;
+  Net.Server->beginStop([&] { Stopped = true; });
+  for (int Turn = 0; Turn < 20; ++Turn)
+    Net.Events.runOnce(Millis{0});
+  cr_assert_not(Stopped);
+  cr_assert_not(PlainSocket(Net.Server->port()).Connected);
+  Held->answer(HttpResponse{200, "text/plain", {}, "whole"});
+  Held.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return Stopped && Client.ended(); }));
+  cr_assert_neq(Client.received().find("whole"), std::string::npos);
+}
+
+Test(http, portInUse_isRefused) {
+  HttpFixture Net;
+  HttpServerConfig Config;
+  Config.Port = Net.Server->port();
+  cr_assert_not(HttpServer::listen(Net.Events, Config, echo).has_value());
+}
+
+Test(httpClient, cancel_midStream_tellsNothingMore) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  bool Gone = false;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    One->start(HttpResponse{200, "text/plain", {}, "x"});
+    One->onGone([&] { Gone = true; });
+    Held = std::move(One);
+  };
+  int Told = 0;
+  HttpCallId Id;
+  HttpEvents Events;
+  Events.Chunk = [&](std::string_view) {
+    ++Told;
+    Net.Client.cancel(Id);
+  };
+  Events.Finished = [&](const HttpResponse &) { ++Told; };
+  Events.Failed = [&](const HttpFailure &) { ++Told; };
+  HttpCall Call;
+  Call.Target = Net.target();
+  Id = Net.Client.start(Call, Events);
+  cr_assert(turnUntil(Net.Events, [&] { return Gone; }));
+  cr_assert_eq(Told, 1);
+}
+
+Test(httpClient, timeout_withoutAnswer_fails) {
+  HttpFixture Net;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    Held.push_back(std::move(One));
+  };
+  HttpCall Call = callOf("GET", "/", "");
+  Call.Timeout = Millis{20};
+  cr_assert_eq(Net.ask(Call).Status, 0);
+}
+
+Test(httpClient, refusedConnection_failsAsNotSent) {
+  Loop Events;
+  HttpClient Client(Events);
+  bool NotSent = false;
+  HttpEvents Told;
+  Told.Failed = [&](const HttpFailure &Failure) { NotSent = Failure.NotSent; };
+  HttpCall Call;
+  Call.Target = HttpTarget{"127.0.0.1", 1};
+  Client.start(Call, Told);
+  cr_assert(turnUntil(Events, [&] { return NotSent; }));
+}
+
+Test(target, badAddresses_areRefused) {
+  cr_assert(parseTarget("127.0.0.1:80").has_value());
+  cr_assert_not(parseTarget("localhost:80").has_value());
+  cr_assert_not(parseTarget("127.0.0.1").has_value());
+  cr_assert_not(parseTarget("127.0.0.1:").has_value());
+  cr_assert_not(parseTarget("127.0.0.1:70000").has_value());
+  cr_assert_not(parseTarget("127.0.0.1:8x").has_value());
+}
--- /dev/null
+++ b/tests/net/link_test.cpp
@@ -0,0 +1,288 @@
+/// @file
+/// Peer links over real sockets: framing, hostile bytes, silence, restart.
+
+#include "net/link_hub_base.h"
+#include "net_fixture.h"
+#include "wire/codec_func.h"
+
+#include <criterion/criterion.h>
+#include <deque>
+#include <fcntl.h>
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace camphornotch;
+
+namespace {
+
+/// Times short enough for a test.
+constexpr LinkSettings QuickSettings{Millis{10}, Millis{60}, Millis{200},
+                                     Millis{5},  Millis{20}, 1 << 20};
+
+/// @param Host the host's name.
+/// @param Boot its boot.
+/// @return its Hello.
+wire::Hello helloOf(const std::string &Host, int64_t Boot) {
+  wire::Hello Hello;
+  Hello.Host = Host;
+  Hello.Boot = Boot;
+  return Hello;
+}
+
+/// @param Hello a Hello.
+/// @return its frame.
+std::string helloFrame(const wire::Hello &Hello) {
+  wire::PeerMessage Message;
+  Message.__set_HelloMsg(Hello);
+  return encodeFrame(Message);
+}
+
+/// @param Work a work's number.
+/// @return a message that names it.
+wire::PeerMessage cancelOf(int64_t Work) {
+  wire::CancelWork Cancel;
+  Cancel.Work = Work;
+  wire::PeerMessage Message;
+  Message.__set_CancelWorkMsg(Cancel);
+  return Message;
+}
+
+/// A hub that keeps its events.
+struct HubFixture {
+  /// The events so far, without heartbeats.
+  std::deque<LinkEvent> Seen;
+  /// The hub.
+  LinkHub Hub;
+
+  /// @param Events the loop.
+  /// @param Hello the hub's Hello.
+  /// @param Settings its settings.
+  HubFixture(Loop &Events, const wire::Hello &Hello,
+             const LinkSettings &Settings = QuickSettings)
+      : Hub(Events, Settings, Hello,
+            [this](LinkEvent Event) { this->take(std::move(Event)); }) {}
+
+  /// @param Event the hub's event.
+  void take(LinkEvent Event) {
+    const auto *Message = std::get_if<LinkMessage>(&Event);
+    if (Message == nullptr || !Message->Message.__isset.HeartbeatMsg)
+      this->Seen.push_back(std::move(Event));
+  }
+
+  /// @return the numbers of works named so far.
+  std::vector<int64_t> works() const {
+    std::vector<int64_t> Numbers;
+    for (const LinkEvent &Event : this->Seen)
+      if (const auto *Message = std::get_if<LinkMessage>(&Event))
+        Numbers.push_back(Message->Message.CancelWorkMsg.Work);
+    return Numbers;
+  }
+
+  /// @tparam EventT a kind of event.
+  /// @return how many were seen.
+  template <typename EventT> size_t count() const {
+    size_t Number = 0;
+    for (const LinkEvent &Event : this->Seen)
+      Number += std::holds_alternative<EventT>(Event) ? 1 : 0;
+    return Number;
+  }
+};
+
+/// A listening socket that the test itself accepts from.
+struct PlainListener {
+  /// The socket.
+  int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  /// Its address.
+  HttpTarget Where{"127.0.0.1", 0};
+
+  /// Listens on a free port.
+  PlainListener() {
+    sockaddr_in Address = {};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *Plain = reinterpret_cast<sockaddr *>(&Address);
+    socklen_t Length = sizeof(Address);
+    cr_assert_eq(bind(this->Fd, Plain, Length), 0);
+    cr_assert_eq(listen(this->Fd, 8), 0);
+    cr_assert_eq(getsockname(this->Fd, Plain, &Length), 0);
+    this->Where.Port = ntohs(Address.sin_port);
+  }
+  /// Closes.
+  ~PlainListener() { close(this->Fd); }
+  PlainListener(const PlainListener &) = delete;
+  PlainListener &operator=(const PlainListener &) = delete;
+
+  /// Waits for a connection.
+  /// @param Events the loop to turn meanwhile.
+  /// @return its socket.
+  int takeOne(Loop &Events) const {
+    int Taken = -1;
+    turnUntil(Events, [&] {
+      Taken = accept4(this->Fd, nullptr, nullptr, SOCK_CLOEXEC);
+      return Taken >= 0;
+    });
+    return Taken;
+  }
+};
+
+/// @param Fd a socket.
+/// @param Bytes what to send.
+void sendAll(int Fd, std::string_view Bytes) {
+  (void)!send(Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+}
+
+} // namespace
+
+Test(link, messagesBothWays_arriveInOrder) {
+  Loop Events;
+  HubFixture Left(Events, helloOf("left", 1));
+  HubFixture Right(Events, helloOf("right", 2));
+  const uint16_t Port = Right.Hub.listen({"127.0.0.1", 0}).value();
+  Left.Hub.connect({"127.0.0.1", Port});
+  cr_assert(turnUntil(Events, [&] {
+    return Left.Hub.isUp(HostId{"right"}) && Right.Hub.isUp(HostId{"left"});
+  }));
+  for (int64_t Work = 1; Work <= 100; ++Work) {
+    cr_assert(Left.Hub.send(HostId{"right"}, cancelOf(Work)));
+    cr_assert(Right.Hub.send(HostId{"left"}, cancelOf(-Work)));
+  }
+  cr_assert(turnUntil(Events, [&] {
+    return Left.works().size() == 100 && Right.works().size() == 100;
+  }));
+  cr_assert_eq(Right.works().front(), 1);
+  cr_assert_eq(Right.works().back(), 100);
+  cr_assert_eq(Left.works().back(), -100);
+}
+
+Test(link, framesSplitAndCoalesced_areTakenWhole) {
+  Loop Events;
+  HubFixture Hub(Events, helloOf("hub", 1));
+  const uint16_t Port = Hub.Hub.listen({"127.0.0.1", 0}).value();
+  PlainSocket Peer(Port);
+  const std::string Bytes = helloFrame(helloOf("peer", 7)) +
+                            encodeFrame(cancelOf(1)) + encodeFrame(cancelOf(2));
+  for (size_t Index = 0; Index + 5 < Bytes.size(); ++Index) {
+    Peer.send(std::string_view(Bytes).substr(Index, 1));
+    Events.runOnce(Millis{0});
+  }
+  Peer.send(std::string_view(Bytes).substr(Bytes.size() - 5));
+  Peer.send(encodeFrame(cancelOf(3)) + encodeFrame(cancelOf(4)));
+  cr_assert(turnUntil(Events, [&] { return Hub.works().size() == 4; }));
+  cr_assert_eq(Hub.works(), (std::vector<int64_t>{1, 2, 3, 4}));
+}
+
+Test(link, hostileBytes_closeOnlyTheirConnection) {
+  Loop Events;
+  HubFixture Hub(Events, helloOf("hub", 1));
+  const uint16_t Port = Hub.Hub.listen({"127.0.0.1", 0}).value();
+  PlainSocket Good(Port);
+  Good.send(helloFrame(helloOf("good", 1)));
+  const std::string Hostile[] = {
+      std::string("\xff\xff\xff\xff", 4), // length over the limit
+      std::string("\0\0\0\4zzzz", 8),     // no Thrift
+      std::string("\0\0\0\0", 4),         // no message
+      encodeFrame(cancelOf(1)),           // before any Hello
+      helloFrame(helloOf("", 1)),         // nameless
+      helloFrame(helloOf("a", 1)) + helloFrame(helloOf("a", 1)),
+  };
+  for (const std::string &Bytes : Hostile) {
+    PlainSocket Bad(Port);
+    Bad.send(Bytes);
+    cr_assert(turnUntil(Events, [&] { return Bad.ended(); }));
+  }
+  cr_assert_eq(Hub.Hub.counters().BadFrames, std::size(Hostile));
+  cr_assert(Hub.Hub.isUp(HostId{"good"}));
+  cr_assert(Hub.works().empty());
+}
+
+Test(link, silentConnection_isReplacedWithoutDown) {
+  Loop Events;
+  HubFixture Hub(Events, helloOf("hub", 1));
+  const PlainListener Listener;
+  Hub.Hub.connect(Listener.Where);
+  const int First = Listener.takeOne(Events);
+  sendAll(First, helloFrame(helloOf("peer", 5)));
+  cr_assert(turnUntil(Events, [&] { return Hub.count<LinkUp>() == 1; }));
+  // The first connection says nothing more; a second one is opened.
+  const int Second = Listener.takeOne(Events);
+  cr_assert_geq(Second, 0);
+  sendAll(Second, helloFrame(helloOf("peer", 5)));
+  cr_assert(turnUntil(Events, [&] { return Hub.count<LinkUp>() == 2; }));
+  cr_assert(std::get<LinkUp>(Hub.Seen.back()).Again);
+  cr_assert_eq(Hub.count<LinkDown>(), 0U);
+  cr_assert_geq(Hub.Hub.counters().SilenceProbes, 1U);
+  // A late answer on the old connection is not taken for a new peer's.
+  sendAll(First, encodeFrame(cancelOf(9)));
+  sendAll(Second, encodeFrame(cancelOf(10)));
+  cr_assert(turnUntil(Events, [&] { return !Hub.works().empty(); }));
+  cr_assert_eq(Hub.works(), std::vector<int64_t>{10});
+  close(First);
+  close(Second);
+}
+
+Test(link, peerThatHearsNothing_isSilentToo) {
+  Loop Events;
+  HubFixture Hub(Events, helloOf("hub", 1));
+  const PlainListener Listener;
+  Hub.Hub.connect(Listener.Where);
+  const int First = Listener.takeOne(Events);
+  sendAll(First, helloFrame(helloOf("peer", 5)));
+  wire::PeerMessage Beat;
+  Beat.__set_HeartbeatMsg(wire::Heartbeat());
+  int Second = -1;
+  // It beats, but never echoes one of ours: its way in is broken.
+  cr_assert(turnUntil(Events, [&] {
+    sendAll(First, encodeFrame(Beat));
+    Second = accept4(Listener.Fd, nullptr, nullptr, SOCK_CLOEXEC);
+    return Second >= 0;
+  }));
+  close(First);
+  close(Second);
+}
+
+Test(link, peerThatStopsListening_isDeclaredDown) {
+  Loop Events;
+  HubFixture Left(Events, helloOf("left", 1));
+  auto Right = std::make_unique<HubFixture>(Events, helloOf("right", 2));
+  const uint16_t Port = Right->Hub.listen({"127.0.0.1", 0}).value();
+  Left.Hub.connect({"127.0.0.1", Port});
+  cr_assert(turnUntil(Events, [&] { return Left.Hub.isUp(HostId{"right"}); }));
+  Right.reset();
+  cr_assert(turnUntil(Events, [&] { return Left.count<LinkDown>() == 1; }));
+  cr_assert_not(Left.Hub.send(HostId{"right"}, cancelOf(1)));
+  Right = std::make_unique<HubFixture>(Events, helloOf("right", 3));
+  cr_assert(Right->Hub.listen({"127.0.0.1", Port}).has_value());
+  cr_assert(turnUntil(Events, [&] { return Left.Hub.isUp(HostId{"right"}); }));
+  cr_assert_not(std::get<LinkUp>(Left.Seen.back()).Again);
+}
+
+Test(link, acceptedPeerOfNewBoot_replacesTheOld) {
+  Loop Events;
+  HubFixture Hub(Events, helloOf("hub", 1));
+  const uint16_t Port = Hub.Hub.listen({"127.0.0.1", 0}).value();
+  PlainSocket Old(Port);
+  Old.send(helloFrame(helloOf("peer", 1)));
+  cr_assert(turnUntil(Events, [&] { return Hub.count<LinkUp>() == 1; }));
+  PlainSocket New(Port);
+  New.send(helloFrame(helloOf("peer", 2)));
+  cr_assert(turnUntil(Events, [&] { return Hub.count<LinkUp>() == 2; }));
+  cr_assert_eq(Hub.count<LinkDown>(), 1U);
+  cr_assert(turnUntil(Events, [&] { return Old.ended(); }));
+}
+
+Test(link, fullQueue_refusesToSend) {
+  Loop Events;
+  LinkSettings Settings = QuickSettings;
+  Settings.MaxQueuedBytes = 1000;
+  HubFixture Hub(Events, helloOf("hub", 1), Settings);
+  const uint16_t Port = Hub.Hub.listen({"127.0.0.1", 0}).value();
+  PlainSocket Peer(Port);
+  Peer.send(helloFrame(helloOf("peer", 1)));
+  cr_assert(turnUntil(Events, [&] { return Hub.Hub.isUp(HostId{"peer"}); }));
+  bool Refused = false;
+  for (int64_t Work = 0; Work < 1000 && !Refused; ++Work)
+    Refused = !Hub.Hub.send(HostId{"peer"}, cancelOf(Work));
+  cr_assert(Refused);
+  cr_assert_eq(Hub.Hub.counters().QueueFull, 1U);
+}
--- /dev/null
+++ b/tests/net/log_client_test.cpp
@@ -0,0 +1,189 @@
+/// @file
+/// Log client and host list against a small log of the test's own.
+
+#include "net/host_list_base.h"
+#include "net/log_client_base.h"
+#include "net_fixture.h"
+
+#include <absl/strings/escaping.h>
+#include <criterion/criterion.h>
+#include <map>
+#include <nlohmann/json.hpp>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A log in memory that can lose answers and refuse.
+struct LogFixture : public HttpFixture {
+  /// The records in base64; offsets start at 1.
+  std::vector<std::string> Records;
+  /// Appends to take without an answer.
+  int LoseAnswers = 0;
+  /// Appends to refuse.
+  int Refuse = 0;
+  /// Requests left without answer.
+  std::vector<std::shared_ptr<HttpExchange>> Lost;
+
+  /// Starts the log.
+  LogFixture() {
+    this->Handler = [this](std::shared_ptr<HttpExchange> One) {
+      if (One->request().Method == "POST")
+        this->append(std::move(One));
+      else
+        this->read(*One);
+    };
+  }
+
+  /// @param One an append.
+  void append(std::shared_ptr<HttpExchange> One) {
+    if (this->Refuse > 0) {
+      --this->Refuse;
+      One->answer(HttpResponse{429, "application/json", {}, "{}"});
+      return;
+    }
+    const auto Json = nlohmann::json::parse(One->request().Body);
+    const size_t First = this->Records.size() + 1;
+    for (const auto &Record : Json["records"])
+      this->Records.push_back(Record.get<std::string>());
+    if (this->LoseAnswers > 0) {
+      --this->LoseAnswers;
+      this->Lost.push_back(std::move(One));
+      return;
+    }
+    One->answer(HttpResponse{
+        200, "application/json", {}, nlohmann::json{{"first", First}}.dump()});
+  }
+
+  /// @param One a read.
+  void read(HttpExchange &One) const {
+    const std::string Query = One.request().Query;
+    const size_t From = std::stoul(queryParameter(Query, "from"));
+    nlohmann::json Answer{{"oldest", 1}, {"next", this->Records.size() + 1}};
+    Answer["records"] = nlohmann::json::array();
+    for (size_t Offset = From; Offset <= this->Records.size(); ++Offset)
+      Answer["records"].push_back(
+          {{"offset", Offset}, {"data", this->Records[Offset - 1]}});
+    One.answer(HttpResponse{200, "application/json", {}, Answer.dump()});
+  }
+};
+
+/// A reader and an appender on one log.
+struct LogClientFixture : public LogFixture {
+  /// Offsets of the sequences told as committed.
+  std::map<int64_t, int64_t> Committed;
+  /// Times that a sequence was told.
+  int CommittedCalls = 0;
+  /// Retries told.
+  std::vector<RetryReason> Retries;
+  /// The appender.
+  LogAppender Appender{
+      this->Events,
+      this->Client,
+      this->target(),
+      BootId{42},
+      LogAppenderSettings{Millis{1}, 1 << 16, Millis{30}, Millis{1}, Millis{5},
+                          1 << 20},
+      LogAppenderEvents{
+          [this](int64_t Sequence, LogOffset Offset) {
+            this->Committed[Sequence] = Offset.Value;
+            ++this->CommittedCalls;
+          },
+          [this](RetryReason Reason) { this->Retries.push_back(Reason); }}};
+  /// The reader.
+  LogReader Reader{
+      this->Events, this->Client, this->target(),
+      LogReaderEvents{[this](LogOffset Offset, const wire::LogRecord &Record) {
+                        this->Appender.observe(Offset, Record);
+                      },
+                      {},
+                      {},
+                      {}}};
+};
+
+} // namespace
+
+Test(logAppender, recordsOfOneTurn_goInOneAppend) {
+  LogClientFixture Log;
+  Log.Reader.start(LogOffset{1});
+  for (int Index = 0; Index < 20; ++Index)
+    cr_assert(Log.Appender.append(wire::LogRecord()).has_value());
+  cr_assert(turnUntil(Log.Events, [&] { return Log.Committed.size() == 20; }));
+  cr_assert_eq(Log.Appender.appendsSent(), 1U);
+  cr_assert_eq(Log.Appender.unresolved(), 0U);
+}
+
+Test(logAppender, lostAnswer_isRepeatedAndToldOnce) {
+  LogClientFixture Log;
+  Log.LoseAnswers = 1;
+  const int64_t Sequence = Log.Appender.append(wire::LogRecord()).value();
+  cr_assert(turnUntil(Log.Events, [&] { return Log.Records.size() == 2; }));
+  Log.Reader.start(LogOffset{1});
+  cr_assert(
+      turnUntil(Log.Events, [&] { return Log.Reader.next().Value == 3; }));
+  cr_assert_eq(Log.Records[0], Log.Records[1]);
+  cr_assert_eq(Log.CommittedCalls, 1);
+  cr_assert_eq(Log.Committed[Sequence], 1);
+  cr_assert_eq(Log.Retries.front(), RetryReason::AppendUnanswered);
+}
+
+Test(logAppender, refusedAppend_isRepeated) {
+  LogClientFixture Log;
+  Log.Refuse = 3;
+  Log.Reader.start(LogOffset{1});
+  Log.Appender.append(wire::LogRecord()).value();
+  cr_assert(turnUntil(Log.Events, [&] { return Log.Committed.size() == 1; }));
+  cr_assert_eq(Log.Records.size(), 1U);
+  cr_assert_eq(Log.Retries.size(), 3U);
+}
+
+Test(logReader, undecodableRecord_isPassedOnEmpty) {
+  LogFixture Log;
+  Log.Records = {"%%%", absl::Base64Escape("junk")};
+  std::vector<int64_t> Offsets;
+  LogReaderEvents Told;
+  Told.Record = [&](LogOffset Offset, const wire::LogRecord &Record) {
+    cr_assert_eq(Record.WriterBoot, 0);
+    Offsets.push_back(Offset.Value);
+  };
+  LogReader Reader(Log.Events, Log.Client, Log.target(), Told);
+  Reader.start(LogOffset{1});
+  cr_assert(turnUntil(Log.Events, [&] { return Offsets.size() == 2; }));
+  cr_assert_eq(Offsets, (std::vector<int64_t>{1, 2}));
+}
+
+Test(logReader, logDown_isToldAndReadAgain) {
+  LogFixture Log;
+  const HttpHandler Good = Log.Handler;
+  Log.Handler = [](const std::shared_ptr<HttpExchange> &One) {
+    One->answer(HttpResponse{503, "text/plain", {}, "outage"});
+  };
+  std::vector<bool> States;
+  LogReaderEvents Told;
+  Told.Record = [](LogOffset, const wire::LogRecord &) {};
+  Told.Reachable = [&](bool Reachable) { States.push_back(Reachable); };
+  LogReader Reader(Log.Events, Log.Client, Log.target(), Told);
+  Reader.start(LogOffset{1});
+  cr_assert(turnUntil(Log.Events, [&] { return !States.empty(); }));
+  Log.Handler = Good;
+  cr_assert(turnUntil(Log.Events, [&] { return States.size() == 2; }));
+  cr_assert_eq(States, (std::vector<bool>{false, true}));
+}
+
+Test(hostList, badHosts_areLeftOut) {
+  const auto List = parseHostList(R"({"generation": 7, "hosts": [
+    {"host": "a1", "role": "agent", "data_centre": "dc1", "region": "r1",
+     "address": "127.0.0.1:7101", "http": "127.0.0.1:7201", "state": "leaving",
+     "endpoint": "engine-1", "endpoint_kind": "engine", "serves": "grind"},
+    {"host": "bad", "role": "agent", "address": "nowhere", "http": "x"},
+    {"host": "odd", "role": "king", "address": "1.2.3.4:5", "http": "1.2.3.4:5"},
+    17, null]})");
+  cr_assert(List.has_value());
+  cr_assert_eq(List.value().Generation, 7);
+  cr_assert_eq(List.value().Hosts.size(), 1U);
+  cr_assert(List.value().Hosts[0].IsAgent);
+  cr_assert(List.value().Hosts[0].Leaving);
+  cr_assert_eq(List.value().Hosts[0].Http.Port, 7201);
+  cr_assert_not(parseHostList("[]").has_value());
+  cr_assert_not(parseHostList("{").has_value());
+}
--- /dev/null
+++ b/tests/net/net_fixture.h
@@ -0,0 +1,147 @@
+/// @file
+/// What the tests of this folder share: a turning loop and plain sockets.
+
+#ifndef CAMPHORNOTCH_TESTS_NET_NET_FIXTURE_H
+#define CAMPHORNOTCH_TESTS_NET_NET_FIXTURE_H
+
+#include "net/http_client_base.h"
+#include "net/http_server_base.h"
+#include "net/loop_base.h"
+
+#include <arpa/inet.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace camphornotch {
+
+/// Turns before a test gives up; far more than any test needs.
+inline constexpr int MaxTurns = 20'000;
+
+/// Turns the loop until something holds.
+/// @param Events the loop.
+/// @param Holds what is waited for.
+/// @return whether it came to hold.
+inline bool turnUntil(Loop &Events, const std::function<bool()> &Holds) {
+  for (int Turn = 0; Turn < MaxTurns; ++Turn) {
+    if (Holds())
+      return true;
+    Events.runOnce(Millis{1});
+  }
+  return false;
+}
+
+/// A blocking TCP socket on the loopback that reads without waiting.
+class PlainSocket {
+public:
+  /// @param Port where to connect.
+  explicit PlainSocket(uint16_t Port)
+      : Fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in Address = {};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Port);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    this->Connected = connect(this->Fd, reinterpret_cast<sockaddr *>(&Address),
+                              sizeof(Address)) == 0;
+  }
+  /// Closes.
+  ~PlainSocket() { this->close(); }
+  PlainSocket(const PlainSocket &) = delete;
+  PlainSocket &operator=(const PlainSocket &) = delete;
+
+  /// @param Bytes what to send.
+  void send(std::string_view Bytes) const {
+    (void)!::send(this->Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+
+  /// @return all that was received so far.
+  const std::string &received() {
+    char Buffer[4096];
+    while (true) {
+      const ssize_t Got = recv(this->Fd, Buffer, sizeof(Buffer), MSG_DONTWAIT);
+      this->AtEnd = this->AtEnd || Got == 0;
+      if (Got <= 0)
+        return this->Input;
+      this->Input.append(Buffer, static_cast<size_t>(Got));
+    }
+  }
+
+  /// @return whether the other side closed.
+  bool ended() {
+    this->received();
+    return this->AtEnd;
+  }
+
+  /// Closes the socket.
+  void close() {
+    if (this->Fd >= 0)
+      ::close(this->Fd);
+    this->Fd = -1;
+  }
+
+  /// Whether the connection was made.
+  bool Connected = false;
+
+private:
+  /// The socket.
+  int Fd = -1;
+  /// What was received.
+  std::string Input;
+  /// Whether the other side closed.
+  bool AtEnd = false;
+};
+
+/// A loop, a server whose handler the test sets, and a client.
+struct HttpFixture {
+  /// The loop.
+  Loop Events;
+  /// Takes each request.
+  HttpHandler Handler;
+  /// The server.
+  std::unique_ptr<HttpServer> Server;
+  /// The client.
+  HttpClient Client{this->Events};
+
+  /// Starts the server.
+  /// @param MaxBodyBytes its body limit.
+  explicit HttpFixture(size_t MaxBodyBytes = 1 << 20) {
+    HttpServerConfig Config;
+    Config.MaxBodyBytes = MaxBodyBytes;
+    auto Made = HttpServer::listen(
+        this->Events, Config, [this](const std::shared_ptr<HttpExchange> &One) {
+          this->Handler(One);
+        });
+    this->Server = std::move(Made.value());
+  }
+
+  /// @return where the server listens.
+  HttpTarget target() const {
+    return HttpTarget{"127.0.0.1", this->Server->port()};
+  }
+
+  /// Sends a call and waits for its end.
+  /// @param Call the call; its target is filled in.
+  /// @return the answer; status 0 if it failed.
+  HttpResponse ask(HttpCall Call) {
+    Call.Target = this->target();
+    HttpResponse Answer;
+    Answer.Status = 0;
+    bool Over = false;
+    HttpEvents Told;
+    Told.Finished = [&](HttpResponse Response) {
+      Answer = std::move(Response);
+      Over = true;
+    };
+    Told.Failed = [&](const HttpFailure &) { Over = true; };
+    this->Client.start(std::move(Call), std::move(Told));
+    turnUntil(this->Events, [&] { return Over; });
+    return Answer;
+  }
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_TESTS_NET_NET_FIXTURE_H
