--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -231,7 +231,7 @@
   return this->Inner->Request;
 }
 
-void HttpExchange::answer(HttpResponse Response) {
+void HttpExchange::answer(const HttpResponse &Response) {
   assert(!this->Inner->Started);
   this->Inner->Started = true;
   if (this->Inner->Responder != nullptr)
@@ -245,7 +245,7 @@
     this->Inner->Responder->start(std::move(Response));
 }
 
-void HttpExchange::write(std::string Chunk) {
+void HttpExchange::write(std::string_view Chunk) {
   assert(this->Inner->Started);
   if (this->Inner->Responder != nullptr)
     this->Inner->Responder->write(Chunk);
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -32,7 +32,7 @@
   /// Answers whole. Does nothing if the client is gone.
   /// @param Response the answer.
   /// @pre neither answer() nor start() was called.
-  void answer(HttpResponse Response);
+  void answer(const HttpResponse &Response);
 
   /// Sends the head (and first part) of a streamed answer.
   /// @param Response the head.
@@ -41,7 +41,7 @@
 
   /// Sends a further part of a streamed answer.
   /// @param Chunk the part.
-  void write(std::string Chunk);
+  void write(std::string_view Chunk);
 
   /// Ends a streamed answer.
   void finish();
