--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -20,7 +20,7 @@
   HttpResponse Answer;
   Answer.Headers = {{"X-Method", Request.Method}, {"X-Query", Request.Query}};
   Answer.Body = Request.Path + "|" + Request.Body;
-  One->answer(std::move(Answer));
+  One->answer(Answer);
 }
 
 /// @param Method the method.
