--- a/packages/core/fold/fold_state_type.h
+++ b/packages/core/fold/fold_state_type.h
@@ -110,7 +110,9 @@
   /// Writers whose sequences are remembered.
   size_t Writers = 16384;
   /// Keys of calls that may run at most once.
-  size_t Intents = 200000;
+  size_t Intents = 100000;
+  /// Bodies of recorded answers; older ones are left out beyond this.
+  size_t OutcomeBytes = size_t{32} << 20;
   /// Digests.
   size_t Quarantined = 10000;
   /// Hosts with a drain order.
--- a/packages/core/fold/log_fold_base.h
+++ b/packages/core/fold/log_fold_base.h
@@ -23,7 +23,9 @@
 /// A fold that starts behind the first record of the log does not know the
 /// state yet: it keeps records until a snapshot that covers all it missed,
 /// restores that and applies the kept records that the snapshot does not
-/// cover. Until then known() is false and no query is to be trusted.
+/// cover. Until then known() is false and no query is to be trusted. Only
+/// intents and outcomes are applied at once: the log itself, and no snapshot,
+/// remembers them, for as long as it keeps their records.
 class LogFold {
 public:
   /// @param Limits bounds of memory; equal in all processes.
@@ -134,8 +136,11 @@
   /// The list that the changes of one record are put into.
   using Changes = std::vector<FoldChange>;
 
+  // Each apply function takes the record's offset, the record, and the list
+  // that takes the changes.
   void applyKnown(LogOffset Offset, const wire::LogRecord &Record,
                   Changes &Out);
+  void applyCall(LogOffset Offset, const wire::LogRecord &Record, Changes &Out);
   void applyBody(LogOffset Offset, const wire::LogRecord &Record, Changes &Out);
   void applyConfig(LogOffset Offset, const wire::ConfigRecord &Record,
                    Changes &Out);
@@ -151,8 +156,7 @@
                        Changes &Out);
   void applyIntent(LogOffset Offset, const wire::IntentRecord &Record,
                    Changes &Out);
-  void applyOutcome(LogOffset Offset, const wire::OutcomeRecord &Record,
-                    Changes &Out);
+  void applyOutcome(const wire::OutcomeRecord &Record, Changes &Out);
   void applyQuarantine(LogOffset Offset, const wire::QuarantineRecord &Record,
                        Changes &Out);
   void applyVersion(LogOffset Offset, const wire::VersionRecord &Record,
@@ -161,32 +165,104 @@
                   Changes &Out);
   void applySnapshot(LogOffset Offset, const wire::SnapshotRecord &Record,
                      Changes &Out);
+
+  // The same without the checks, for records that are known to stand.
+  void standConfig(LogOffset Offset, std::string_view PublishId,
+                   std::string Text, RuleSet Rules);
+  void standBoot(LogOffset Offset, const wire::BootRecord &Record);
+  std::vector<std::string> standStep(LogOffset Offset,
+                                     const wire::StepRecord &Record);
+  bool standCheckpoint(const wire::CheckpointRecord &Record);
+  void standCarried(LogOffset Offset, const wire::LogRecord &Record);
+
+  /// @param Record a configuration based on the accepted one.
+  /// @return its whole text.
+  Result<std::string> wholeText(const wire::ConfigRecord &Record) const;
+
+  /// @param Offset a record's offset.
+  /// @param Shard its shard.
+  /// @param Written the epoch it was written under.
+  /// @param Out takes RecordVoid if it is void.
+  /// @return whether the epoch is the shard's.
   bool underCurrentEpoch(LogOffset Offset, const ShardId &Shard,
                          int64_t Written, Changes &Out) const;
+
+  /// @param Offset the offset of a reset snapshot.
+  /// @param Record the snapshot.
+  /// @return whether every reader that judges by the log takes it.
+  bool resetStands(LogOffset Offset, const wire::SnapshotRecord &Record) const;
+
+  /// Forgets the oldest intent.
+  void forgetIntent();
+  /// Leaves out bodies of old answers while they are over their bound.
+  void boundOutcomes();
+  /// Keeps a record until the state is known.
   void keepPending(LogOffset Offset, const wire::LogRecord &Record);
+  /// Replaces the state by a snapshot's.
   void restore(const wire::SnapshotState &State);
+  /// Applies the kept records.
+  /// @param Covers what the snapshot covers.
+  /// @param Out takes the changes.
   void replayPending(LogOffset Covers, Changes &Out);
+  /// Forgets everything but the calls.
   void clearState();
 
+  /// Appends a trainer's steps to a snapshot.
+  /// @param Trainer the trainer.
+  /// @param State its steps.
+  /// @param Out the snapshot.
+  static void exportTrainer(const TrainerId &Trainer, const TrainerState &State,
+                            wire::SnapshotState &Out);
+  /// Appends claims and boots to a snapshot.
+  /// @param Out the snapshot.
+  void exportOwners(wire::SnapshotState &Out) const;
+  /// Appends configuration, quarantine, versions and drains to a snapshot.
+  /// @param Out the snapshot.
+  void exportTables(wire::SnapshotState &Out) const;
+
+  /// Bounds of memory.
   FoldLimits Limits;
+  /// The offset of the last record applied.
   LogOffset Applied{0};
+  /// Where this fold started.
   LogOffset Oldest{1};
+  /// A snapshot that restores the state covers at least this.
   LogOffset MustCover{0};
+  /// Whether the state is whole.
   bool Known = true;
+  /// The configuration in force.
   AcceptedConfig Config;
+  /// Its publisher's id.
   std::string ConfigPublishId;
+  /// The owner of each shard.
   std::map<ShardId, ShardClaim> Claims;
+  /// The standing boot of each endpoint.
   std::map<EndpointId, BootStanding> Boots;
+  /// The steps of each trainer.
   std::map<TrainerId, TrainerState> Trainers;
+  /// Calls that may run at most once, by key.
   std::unordered_map<std::string, IntentState> Intents;
+  /// Their keys, the oldest first.
   std::deque<std::pair<LogOffset, std::string>> IntentOrder;
+  /// The highest offset of a forgotten intent.
   LogOffset IntentFloor{0};
+  /// Keys whose recorded answer has a body, the oldest first.
+  std::deque<std::string> OutcomeOrder;
+  /// The size of those bodies.
+  size_t OutcomeBytes = 0;
+  /// Digests that must not run.
   std::map<int64_t, QuarantineState> Quarantined;
+  /// The newest version of each model.
   std::map<std::string, VersionState, std::less<>> Versions;
+  /// Drain orders, by host.
   std::map<HostId, DrainState> Drains;
+  /// Sequences seen.
   WriterTable Writers;
+  /// The newest snapshot record.
   LogOffset LastSnapshot = NoOffset;
+  /// Records kept until the state is known.
   std::deque<PendingRecord> Pending;
+  /// Their size.
   size_t PendingBytes = 0;
 };
 
--- a/packages/core/fold/writer_table_base.h
+++ b/packages/core/fold/writer_table_base.h
@@ -35,8 +35,8 @@
   std::vector<wire::WriterWindow> exportWindows() const;
 
   /// Replaces the whole table.
-  /// @param Windows windows as exported.
-  void restoreWindows(const std::vector<wire::WriterWindow> &Windows);
+  /// @param Exported windows as exported.
+  void restoreWindows(const std::vector<wire::WriterWindow> &Exported);
 
 private:
   /// What is known of one writer.
--- /dev/null
+++ b/packages/rules/delta_func.cpp
@@ -0,0 +1,237 @@
+/// @file
+/// Changes between two texts, by lines.
+
+#include "rules/delta_func.h"
+
+#include "base/text_func.h"
+#include "rules/parse_func.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <span>
+#include <vector>
+
+namespace camphornotch {
+
+namespace {
+
+/// The lines of a text, without their ends.
+using Lines = std::vector<std::string_view>;
+
+/// Largest table of the line comparison; above, the differing part is
+/// replaced whole.
+constexpr size_t MaxTableCells = size_t{1} << 22;
+
+/// @param Text a text.
+/// @return its lines; the part after the last line end counts as one.
+Lines splitLines(std::string_view Text) {
+  Lines Out;
+  size_t Start = 0;
+  for (size_t End = Text.find('\n'); End != std::string_view::npos;
+       End = Text.find('\n', Start)) {
+    Out.push_back(Text.substr(Start, End - Start));
+    Start = End + 1;
+  }
+  Out.push_back(Text.substr(Start));
+  return Out;
+}
+
+/// Collects the steps of a change.
+class DeltaWriter {
+public:
+  /// Keeps lines of the text before.
+  /// @param Count how many.
+  void keep(size_t Count) {
+    this->flushDropped();
+    this->Kept += Count;
+  }
+
+  /// Drops one line of the text before.
+  void drop() {
+    this->flushKept();
+    ++this->Dropped;
+  }
+
+  /// Adds a line.
+  /// @param Line the line.
+  void add(std::string_view Line) {
+    this->flushKept();
+    this->flushDropped();
+    this->Text += concat("+", Line, "\n");
+  }
+
+  /// @return the whole change.
+  std::string take() {
+    this->flushKept();
+    this->flushDropped();
+    return std::move(this->Text);
+  }
+
+private:
+  /// Writes the pending kept lines.
+  void flushKept() {
+    if (this->Kept > 0)
+      this->Text += concat("=", this->Kept, "\n");
+    this->Kept = 0;
+  }
+
+  /// Writes the pending dropped lines.
+  void flushDropped() {
+    if (this->Dropped > 0)
+      this->Text += concat("-", this->Dropped, "\n");
+    this->Dropped = 0;
+  }
+
+  std::string Text;
+  size_t Kept = 0;
+  size_t Dropped = 0;
+};
+
+/// Table of the longest common subsequences of all suffixes.
+class CommonTable {
+public:
+  /// @param Before lines.
+  /// @param After lines.
+  CommonTable(std::span<const std::string_view> Before,
+              std::span<const std::string_view> After)
+      : Width(After.size() + 1), Cells((Before.size() + 1) * this->Width, 0) {
+    for (size_t Row = Before.size(); Row-- > 0;)
+      for (size_t Column = After.size(); Column-- > 0;)
+        this->at(Row, Column) = Before[Row] == After[Column]
+                                    ? this->at(Row + 1, Column + 1) + 1
+                                    : std::max(this->at(Row + 1, Column),
+                                               this->at(Row, Column + 1));
+  }
+
+  /// @param Row a line before.
+  /// @param Column a line after.
+  /// @return the length of the longest common subsequence from there on.
+  uint32_t &at(size_t Row, size_t Column) {
+    return this->Cells[Row * this->Width + Column];
+  }
+
+private:
+  size_t Width;
+  std::vector<uint32_t> Cells;
+};
+
+/// Writes the change of the part that differs.
+/// @param Before its lines before.
+/// @param After its lines after.
+/// @param Out takes the steps.
+void writeMiddle(std::span<const std::string_view> Before,
+                 std::span<const std::string_view> After, DeltaWriter &Out) {
+  size_t Row = 0;
+  size_t Column = 0;
+  if ((Before.size() + 1) * (After.size() + 1) <= MaxTableCells) {
+    CommonTable Common(Before, After);
+    while (Row < Before.size() && Column < After.size()) {
+      if (Before[Row] == After[Column]) {
+        Out.keep(1);
+        ++Row;
+        ++Column;
+      } else if (Common.at(Row + 1, Column) >= Common.at(Row, Column + 1)) {
+        Out.drop();
+        ++Row;
+      } else {
+        Out.add(After[Column++]);
+      }
+    }
+  }
+  for (; Row < Before.size(); ++Row)
+    Out.drop();
+  for (; Column < After.size(); ++Column)
+    Out.add(After[Column]);
+}
+
+/// @return the error of a change that does not fit.
+Error misfit() {
+  return Error{ErrorKind::BadInput, "the change does not fit its base text",
+               "send the whole text"};
+}
+
+/// The lines of the text after a change, as they are put together.
+struct DeltaReader {
+  Lines Before;
+  size_t Next = 0;
+  Lines After;
+  size_t Bytes = 0;
+
+  /// Carries out one step.
+  /// @param Step one line of the change.
+  /// @return whether it fits.
+  bool step(std::string_view Step) {
+    if (Step.starts_with('+')) {
+      this->push(Step.substr(1));
+      return this->Bytes <= MaxRuleFileBytes;
+    }
+    uint64_t Count = 0;
+    if (Step.size() < 2 || !absl::SimpleAtoi(toAbsl(Step.substr(1)), &Count) ||
+        Count > this->Before.size() - this->Next)
+      return false;
+    if (Step.front() == '=')
+      for (uint64_t Index = 0; Index < Count; ++Index)
+        this->push(this->Before[this->Next + Index]);
+    else if (Step.front() != '-')
+      return false;
+    this->Next += Count;
+    return true;
+  }
+
+  /// Adds a line to the text after.
+  /// @param Line the line.
+  void push(std::string_view Line) {
+    this->After.push_back(Line);
+    this->Bytes += Line.size() + 1;
+  }
+
+  /// @return the text after.
+  std::string join() const {
+    std::string Text;
+    Text.reserve(this->Bytes);
+    for (size_t Index = 0; Index < this->After.size(); ++Index) {
+      if (Index > 0)
+        Text += '\n';
+      Text += this->After[Index];
+    }
+    return Text;
+  }
+};
+
+} // namespace
+
+std::string encodeDelta(std::string_view Before, std::string_view After) {
+  const Lines Old = splitLines(Before);
+  const Lines New = splitLines(After);
+  const size_t Shorter = std::min(Old.size(), New.size());
+  size_t Front = 0;
+  while (Front < Shorter && Old[Front] == New[Front])
+    ++Front;
+  size_t Back = 0;
+  while (Back < Shorter - Front &&
+         Old[Old.size() - 1 - Back] == New[New.size() - 1 - Back])
+    ++Back;
+  DeltaWriter Out;
+  Out.keep(Front);
+  writeMiddle(std::span(Old).subspan(Front, Old.size() - Front - Back),
+              std::span(New).subspan(Front, New.size() - Front - Back), Out);
+  Out.keep(Back);
+  return Out.take();
+}
+
+Result<std::string> applyDelta(std::string_view Before,
+                               std::string_view Delta) {
+  DeltaReader Reader;
+  Reader.Before = splitLines(Before);
+  while (!Delta.empty()) {
+    const size_t End = Delta.find('\n');
+    if (End == std::string_view::npos || !Reader.step(Delta.substr(0, End)))
+      return misfit();
+    Delta.remove_prefix(End + 1);
+  }
+  if (Reader.Next != Reader.Before.size())
+    return misfit();
+  return Reader.join();
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/rules/parse_func.cpp
@@ -0,0 +1,194 @@
+/// @file
+/// Parsing and checking of the rule file.
+
+#include "rules/parse_func.h"
+
+#include "base/hash_func.h"
+#include "base/ini_func.h"
+#include "rules/field_internal.h"
+
+#include <absl/strings/str_split.h>
+#include <set>
+
+namespace camphornotch {
+
+namespace {
+
+/// How the comment of a rule starts.
+constexpr std::string_view AskedByMark = "asked by ";
+
+/// What the parsing of one file shares.
+struct RuleReader {
+  std::string_view FileName;
+  RuleSet Rules;
+  std::vector<Error> Faults;
+  /// Sections and names seen, to refuse doubles.
+  std::set<std::pair<std::string, std::string>> Seen;
+
+  /// Notes a fault.
+  /// @param Line its line.
+  /// @param Message what is wrong.
+  /// @param Remedy what to write instead.
+  void fault(int Line, std::string_view Message, std::string_view Remedy) {
+    this->Faults.push_back(
+        Error{ErrorKind::BadRule,
+              iniPlace(this->FileName, Line) + std::string(Message),
+              std::string(Remedy)});
+  }
+};
+
+/// @param Kind a kind of rule.
+/// @return its field names.
+template <typename RuleT> std::string fieldNames(const RuleKind<RuleT> &Kind) {
+  std::string Names;
+  for (const RuleField<RuleT> &Field : Kind.Fields)
+    Names += concat(Names.empty() ? "" : ", ", Field.Name);
+  return Names;
+}
+
+/// @param Kind a kind of rule.
+/// @param Name a field's name.
+/// @return the field; null if the kind has none of this name.
+template <typename RuleT>
+const RuleField<RuleT> *findField(const RuleKind<RuleT> &Kind,
+                                  std::string_view Name) {
+  for (const RuleField<RuleT> &Field : Kind.Fields)
+    if (Field.Name == Name)
+      return &Field;
+  return nullptr;
+}
+
+/// Fills every field with its default.
+/// @param Kind the kind of the rule.
+/// @param Rule the rule.
+template <typename RuleT>
+void fillDefaults(const RuleKind<RuleT> &Kind, RuleT &Rule) {
+  for (const RuleField<RuleT> &Field : Kind.Fields)
+    assignField(Field, Field.Default, Rule);
+}
+
+/// Reads one "field=value".
+/// @param Reader the file being read.
+/// @param Kind the kind of the rule.
+/// @param Line its line.
+/// @param Word the word.
+/// @param Rule the rule to fill.
+/// @param Given the fields given before on the line.
+template <typename RuleT>
+void readWordOfRule(RuleReader &Reader, const RuleKind<RuleT> &Kind, int Line,
+                    std::string_view Word, RuleT &Rule,
+                    std::set<std::string_view> &Given) {
+  const size_t Equals = Word.find('=');
+  if (Equals == std::string_view::npos)
+    return Reader.fault(Line, concat("\"", Word, "\" is no field"),
+                        "write field=value without blanks around \"=\"");
+  const std::string_view Name = Word.substr(0, Equals);
+  const RuleField<RuleT> *Field = findField(Kind, Name);
+  if (Field == nullptr)
+    return Reader.fault(
+        Line, concat("unknown field \"", Name, "\""),
+        concat("fields of [", Kind.Section, "]: ", fieldNames(Kind)));
+  if (!Given.insert(Field->Name).second)
+    return Reader.fault(Line, concat(Name, " is given twice"),
+                        "keep one of the two");
+  const FieldRemedy Remedy = assignField(*Field, Word.substr(Equals + 1), Rule);
+  if (Remedy.has_value())
+    Reader.fault(Line, concat("bad value in ", Word), *Remedy);
+}
+
+/// Takes who asked for the rule out of its comment.
+/// @param Reader the file being read.
+/// @param Entry the line.
+/// @return who asked.
+std::string readAskedBy(RuleReader &Reader, const IniEntry &Entry) {
+  const std::string_view Comment = Entry.Comment;
+  if (Comment.starts_with(AskedByMark)) {
+    const std::string_view Who = trimSpace(Comment.substr(AskedByMark.size()));
+    if (!Who.empty())
+      return std::string(Who);
+  }
+  Reader.fault(
+      Entry.Line,
+      concat("rule \"", Entry.Name, "\" does not say who asked for it"),
+      "end the line with \"; asked by NAME: why\", or put that "
+      "comment on the line before");
+  return {};
+}
+
+/// Reads one rule.
+/// @param Reader the file being read.
+/// @param Kind its kind.
+/// @param Entry its line.
+template <typename RuleT>
+void readRule(RuleReader &Reader, const RuleKind<RuleT> &Kind,
+              const IniEntry &Entry) {
+  RuleT Rule;
+  fillDefaults(Kind, Rule);
+  Rule.Source.Name = Entry.Name;
+  Rule.Source.Line = Entry.Line;
+  Rule.Source.AskedBy = readAskedBy(Reader, Entry);
+  if (!Reader.Seen.insert({Entry.Section, Entry.Name}).second)
+    Reader.fault(
+        Entry.Line,
+        concat("[", Entry.Section, "] ", Entry.Name, " is given twice"),
+        "keep one of the lines");
+  std::set<std::string_view> Given;
+  const std::vector<std::string> Words = absl::StrSplit(
+      toAbsl(Entry.Value), absl::ByAnyChar(" \t"), absl::SkipEmpty());
+  for (const std::string &Word : Words)
+    readWordOfRule(Reader, Kind, Entry.Line, Word, Rule, Given);
+  Rule.Source.Text = writeRule(Kind, Rule);
+  (Reader.Rules.*Kind.Rules).push_back(std::move(Rule));
+}
+
+/// @return all sections, for remedies.
+std::string sectionNames() {
+  std::string Names;
+  forEachRuleKind([&](const auto &Kind) {
+    Names += concat(Names.empty() ? "" : ", ", Kind.Section);
+  });
+  return Names;
+}
+
+/// Reads the rule of one line, whatever its kind.
+/// @param Reader the file being read.
+/// @param Entry the line.
+void readEntry(RuleReader &Reader, const IniEntry &Entry) {
+  bool Found = false;
+  forEachRuleKind([&](const auto &Kind) {
+    if (Kind.Section != Entry.Section)
+      return;
+    Found = true;
+    readRule(Reader, Kind, Entry);
+  });
+  if (!Found)
+    Reader.fault(Entry.Line, concat("unknown section [", Entry.Section, "]"),
+                 concat("sections: ", sectionNames()));
+}
+
+} // namespace
+
+RuleResult parseRules(std::string_view FileName, std::string_view Text) {
+  if (Text.size() > MaxRuleFileBytes)
+    return std::vector{Error{ErrorKind::TooLarge,
+                             concat(FileName, ": file over 1 MiB"),
+                             "use patterns in place of single names"}};
+  RuleReader Reader;
+  Reader.FileName = FileName;
+  IniFile File = parseIni(FileName, Text);
+  for (Error &Fault : File.Errors) {
+    Fault.Kind = ErrorKind::BadRule;
+    Reader.Faults.push_back(std::move(Fault));
+  }
+  for (const IniEntry &Entry : File.Entries)
+    readEntry(Reader, Entry);
+  if (!Reader.Faults.empty())
+    return std::move(Reader.Faults);
+  return std::move(Reader.Rules);
+}
+
+int64_t ruleHash(std::string_view Text) {
+  return static_cast<int64_t>(hashBytes(Text));
+}
+
+} // namespace camphornotch
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -91,6 +91,14 @@
   return decode<wire::LogRecord>(Bytes);
 }
 
+std::string encodeSnapshotState(const wire::SnapshotState &State) {
+  return encode(State);
+}
+
+Result<wire::SnapshotState> decodeSnapshotState(std::string_view Bytes) {
+  return decode<wire::SnapshotState>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -39,6 +39,14 @@
 /// @return the record, or what is wrong with it.
 Result<wire::LogRecord> decodeRecord(std::string_view Bytes);
 
+/// @param State the state of a snapshot.
+/// @return its encoding, as a snapshot record carries it.
+std::string encodeSnapshotState(const wire::SnapshotState &State);
+
+/// @param Bytes the state that a snapshot record carries.
+/// @return the state, or what is wrong with it.
+Result<wire::SnapshotState> decodeSnapshotState(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
