--- /dev/null
+++ b/standins/trainer/trainer_task.cpp
@@ -0,0 +1,254 @@
+/// @file
+/// The trainer's steps, pulls and announcements.
+
+#include "standins/trainer/trainer_task.h"
+#include "standins/common/json_func.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace camphornotch::standin {
+
+namespace {
+
+/// Time that a pull waits for samples at the entry.
+constexpr Millis PullWait{500};
+
+/// Time for a whole call.
+constexpr Millis CallTimeout{5000};
+
+/// Time for a whole submission.
+constexpr Millis SubmitTimeout{15000};
+
+/// Wait before a failed call is sent again.
+constexpr Millis RetryWait{100};
+
+/// Longest wait before a refused call is sent again.
+constexpr Millis MaxRetryWait{1000};
+
+/// Time between looks at the store.
+constexpr Millis VersionPoll{200};
+
+/// Samples in one batch.
+constexpr int64_t BatchSamples = 64;
+
+/// How many times the usual tokens a long group has.
+constexpr int64_t LongFactor = 10;
+
+/// @param Result a call that was not taken.
+/// @return how long to wait before it is sent again.
+Millis retryWait(const CallResult &Result) {
+  if (Result.Status == 0) {
+    return RetryWait;
+  }
+  return std::clamp(parseRefusal(Result.Body).RetryAfter, RetryWait,
+                    MaxRetryWait);
+}
+
+} // namespace
+
+TrainerTask::TrainerTask(Loop &Events, HttpClient &Http, EntryCaller &Entries,
+                         TrainerSettings Given)
+    : Events(Events), Http(Http), Entries(Entries), Settings(std::move(Given)),
+      Account(this->Settings.AgeBound, !this->Settings.Scorer.empty()),
+      IdleSince(Events.now()), StartedAt(Events.now()),
+      Server(Events, this->Settings.Port,
+             {[](const Exchange &Waiting) {
+                answerJson(Waiting, 404, {{"error", "unknown path"}});
+              },
+              [this](const HttpRequest &) { return this->record(); },
+              [this](const nlohmann::json &Fault) {
+                this->Settings.Steps = this->SubmittedSteps;
+                return textOf(Fault, "kind") == "stop";
+              },
+              nullptr}) {
+  this->submitDue();
+  this->pull();
+  this->pollVersion();
+}
+
+void TrainerTask::submitDue() {
+  while (this->SubmittedSteps < this->Settings.Steps &&
+         this->SubmittedSteps <= this->TrainedSteps + this->Settings.Ahead) {
+    const int64_t Step = ++this->SubmittedSteps;
+    nlohmann::json Groups = nlohmann::json::array();
+    for (int64_t Index = 0; Index < this->Settings.Groups; ++Index) {
+      const std::string Group = absl::StrCat("g", Index);
+      const std::string Prompt = this->promptOf(Step, Index);
+      this->Account.want(Step, Group, Prompt, this->Settings.Samples);
+      Groups.push_back({{"group", Group},
+                        {"samples", this->Settings.Samples},
+                        {"prompt", Prompt},
+                        {"max_tokens", this->Settings.MaxTokens},
+                        {"scorer", this->Settings.Scorer},
+                        {"parameters", nlohmann::json::object()}});
+    }
+    this->submit({{"trainer", this->Settings.Name},
+                  {"step", Step},
+                  {"model", this->Settings.Model},
+                  {"groups", Groups}});
+  }
+}
+
+void TrainerTask::submit(const nlohmann::json &Body) {
+  this->Entries.send(EntryCaller::post("/v1/steps", Body, SubmitTimeout),
+                     [this, Body](const CallResult &Result) {
+                       if (Result.Status == 200) {
+                         return;
+                       }
+                       if (Result.Status == 0) {
+                         ++this->Broken;
+                       } else {
+                         ++this->Refusals[parseRefusal(Result.Body).Reason];
+                       }
+                       this->Events.callAfter(retryWait(Result), [this, Body] {
+                         this->submit(Body);
+                       });
+                     });
+}
+
+void TrainerTask::pull() {
+  const int64_t Told = this->Version;
+  this->Entries.send(
+      EntryCaller::post("/v1/samples",
+                        {{"trainer", this->Settings.Name},
+                         {"cursor", this->Cursor},
+                         {"resume", false},
+                         {"version", Told},
+                         {"max_samples", BatchSamples},
+                         {"wait_ms", PullWait.Count}},
+                        CallTimeout),
+      [this, Told](const CallResult &Result) { this->onPulled(Result, Told); });
+}
+
+void TrainerTask::onPulled(const CallResult &Result, int64_t Told) {
+  if (Result.Status == 200) {
+    const nlohmann::json Body = parseJson(Result.Body);
+    this->Cursor = textOf(Body, "cursor");
+    for (const nlohmann::json &Sample : arrayOf(Body, "samples")) {
+      this->Account.receive(Sample, Told);
+    }
+    this->trainIfWhole();
+    this->Events.callAfter(Millis{1}, [this] { this->pull(); });
+    return;
+  }
+  if (Result.Status == 0) {
+    ++this->Broken;
+  } else {
+    ++this->Refusals[parseRefusal(Result.Body).Reason];
+  }
+  this->Events.callAfter(retryWait(Result), [this] { this->pull(); });
+}
+
+void TrainerTask::trainIfWhole() {
+  const int64_t Step = this->TrainedSteps + 1;
+  if (this->Training || Step > this->SubmittedSteps ||
+      this->Account.missing(Step) > 0) {
+    return;
+  }
+  this->Idle += this->Events.now() - this->IdleSince;
+  this->Training = true;
+  this->Events.callAfter(this->Settings.TrainTime,
+                         [this] { this->onTrained(); });
+}
+
+void TrainerTask::onTrained() {
+  this->Training = false;
+  ++this->TrainedSteps;
+  this->IdleSince = this->Events.now();
+  this->FinishedAt = this->Events.now();
+  if (this->Settings.Announces) {
+    this->announce();
+  }
+  this->submitDue();
+  this->trainIfWhole();
+}
+
+void TrainerTask::announce() {
+  const int64_t Next = ++this->Version;
+  HttpCall Call =
+      EntryCaller::post(this->modelPath(), {{"newest", Next}}, CallTimeout);
+  Call.Target = this->Settings.Store;
+  const nlohmann::json Body = {
+      {"model", this->Settings.Model},
+      {"version", Next},
+      {"location", absl::StrCat("http://", this->Settings.Store.Address, ":",
+                                this->Settings.Store.Port, "/v1/weights/",
+                                this->Settings.Model, "/", Next)}};
+  HttpEvents Tell;
+  Tell.Finished = [this, Body](const HttpResponse &) {
+    this->announceToEntries(Body);
+  };
+  Tell.Failed = [this, Body](const HttpFailure &) {
+    this->announceToEntries(Body);
+  };
+  this->Http.start(std::move(Call), std::move(Tell));
+}
+
+void TrainerTask::announceToEntries(const nlohmann::json &Body) {
+  this->Entries.send(EntryCaller::post("/v1/weights", Body, CallTimeout),
+                     [this, Body](const CallResult &Result) {
+                       if (Result.Status == 200) {
+                         return;
+                       }
+                       this->Events.callAfter(retryWait(Result), [this, Body] {
+                         this->announceToEntries(Body);
+                       });
+                     });
+}
+
+void TrainerTask::pollVersion() {
+  HttpCall Call;
+  Call.Target = this->Settings.Store;
+  Call.Path = this->modelPath();
+  Call.Timeout = CallTimeout;
+  HttpEvents Tell;
+  Tell.Finished = [this](const HttpResponse &Response) {
+    this->Version =
+        std::max(this->Version, intOf(parseJson(Response.Body), "newest", 1));
+    this->Events.callAfter(VersionPoll, [this] { this->pollVersion(); });
+  };
+  Tell.Failed = [this](const HttpFailure &) {
+    this->Events.callAfter(VersionPoll, [this] { this->pollVersion(); });
+  };
+  this->Http.start(std::move(Call), std::move(Tell));
+}
+
+bool TrainerTask::done() const {
+  return this->TrainedSteps >= this->Settings.Steps;
+}
+
+nlohmann::json TrainerTask::record() {
+  nlohmann::json Record = this->Account.toJson();
+  const Millis Now = this->done() ? this->FinishedAt : this->Events.now();
+  const bool Waits = !this->done() && !this->Training;
+  const Millis Open = Waits ? Now - this->IdleSince : Millis{0};
+  Record["name"] = this->Settings.Name;
+  Record["done"] = this->done();
+  Record["steps"] = this->TrainedSteps;
+  Record["version"] = this->Version;
+  Record["idle_ms"] = (this->Idle + Open).Count;
+  Record["elapsed_ms"] = (Now - this->StartedAt).Count;
+  Record["refusals"] = this->Refusals;
+  Record["broken_calls"] = this->Broken;
+  return Record;
+}
+
+std::string TrainerTask::promptOf(int64_t Step, int64_t Group) const {
+  const PromptHash Draw =
+      hashPrompt(absl::StrCat(this->Settings.Name, Step, "/", Group));
+  const bool Long =
+      static_cast<int64_t>(Draw.Value % 1000) < this->Settings.LongGroups;
+  const int64_t Tokens = this->Settings.UsualTokens * (Long ? LongFactor : 1);
+  std::string Prompt = absl::StrCat(this->Settings.Name, " step ", Step,
+                                    " group ", Group, " len=", Tokens, " ");
+  const auto Bytes = static_cast<size_t>(this->Settings.PromptBytes);
+  Prompt.resize(std::max(Prompt.size(), Bytes), 'p');
+  return Prompt;
+}
+
+std::string TrainerTask::modelPath() const {
+  return absl::StrCat("/v1/models/", this->Settings.Model);
+}
+
+} // namespace camphornotch::standin
