--- a/standins/common/entry_caller.cpp
+++ b/standins/common/entry_caller.cpp
@@ -40,7 +40,7 @@
   }
 }
 
-void EntryCaller::send(HttpCall Call, Handler Tell) {
+void EntryCaller::send(HttpCall Call, const Handler &Tell) {
   Call.Target = this->Entries[this->Random() % this->Entries.size()];
   Call.Headers.push_back({"X-Caller", this->Caller});
   Call.Headers.push_back({"Content-Type", "application/json"});
--- a/standins/common/entry_caller.h
+++ b/standins/common/entry_caller.h
@@ -54,7 +54,7 @@
   /// Sends a call to an entry.
   /// @param Call the call without target.
   /// @param Tell takes the result.
-  void send(HttpCall Call, Handler Tell);
+  void send(HttpCall Call, const Handler &Tell);
 
   /// @param Path the path.
   /// @param Body the JSON body.
