--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -27,7 +27,7 @@
   HttpResponse Response;
   Response.Status = Status;
   Response.Body = jsonText(Body);
-  Waiting->answer(std::move(Response));
+  Waiting->answer(Response);
 }
 
 void cutAnswer(const Exchange &Waiting) {
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -289,7 +289,7 @@
   if (!Run.Waiting->started()) {
     HttpResponse Head;
     Head.ContentType = "text/event-stream";
-    Run.Waiting->start(std::move(Head));
+    Run.Waiting->start(Head);
   }
   Run.Waiting->write(absl::StrCat("data: ", jsonText(Event), "\n\n"));
 }
--- a/standins/weightstore/main.cpp
+++ b/standins/weightstore/main.cpp
@@ -77,7 +77,7 @@
       HttpResponse Response;
       Response.ContentType = "application/octet-stream";
       Response.Body.assign(static_cast<size_t>(FLAGS_kilobytes) * 1024, 'w');
-      Waiting->answer(std::move(Response));
+      Waiting->answer(Response);
     });
   }
 
