--- a/packages/core/agent/agent_base.h
+++ b/packages/core/agent/agent_base.h
@@ -85,6 +85,8 @@
     bool Stream = false;
     /// The offset of the intent; IntentCall only.
     LogOffset Intent = NoOffset;
+    /// Runs through the logs.
+    std::string RequestId;
     /// Whether the endpoint's weights are older than asked for.
     bool TooOld = false;
   };
@@ -200,6 +202,12 @@
                    Millis Now, Actions &Out);
   /// Sends the output from an offset on, and the end if there is one.
   void replay(WorkKey Key, int64_t From, Millis Now, Actions &Out);
+  /// Ends work with the whole answer.
+  void finish(WorkKey Key, const OpenWork &Work, wire::WorkFinished Finished,
+              Actions &Out);
+  /// Answers everyone who waits for an intent.
+  void finishIntent(LogOffset Intent, wire::WorkFinished Finished,
+                    Actions &Out);
   /// Keeps output and sends it on.
   void sendTail(WorkKey Key, const HostId &Peer, const std::string &Data,
                 Actions &Out);
--- a/packages/core/agent/agent_links.cpp
+++ b/packages/core/agent/agent_links.cpp
@@ -101,11 +101,6 @@
     ++this->Counts.Orphans;
     this->admit(DropWork{Key, RefusalReason::PeerLost}, Now, Out);
   }
-  const bool Linked =
-      std::any_of(this->Peers.begin(), this->Peers.end(),
-                  [&](const auto &Each) { return Each.second == Sender; });
-  if (!Linked)
-    return;
   std::erase_if(this->Peers,
                 [&](const auto &Each) { return Each.second == Sender; });
 }
@@ -122,7 +117,8 @@
     this->replay(Key, 0, Now, Out);
     return;
   }
-  this->Open.emplace(Key, OpenWork{Peer, Message.Kind, Message.Stream});
+  this->Open.emplace(Key, OpenWork{Peer, Message.Kind, Message.Stream, NoOffset,
+                                   Message.RequestId});
   this->submit(Key, Message, Now, Out);
 }
 
--- a/packages/core/agent/agent_type.h
+++ b/packages/core/agent/agent_type.h
@@ -211,6 +211,8 @@
 struct CountRefusal {
   /// Why.
   RefusalReason Reason = RefusalReason::Internal;
+  /// The refused request's id, for the log.
+  std::string RequestId;
 };
 
 /// Count a retry.
--- a/packages/core/agent/agent_work.cpp
+++ b/packages/core/agent/agent_work.cpp
@@ -16,6 +16,8 @@
 constexpr int64_t VersionRetryAfterMs = 500;
 /// Time after which a call refused by a starting agent is worth sending again.
 constexpr int64_t StartingRetryAfterMs = 200;
+/// First HTTP status that says that the server failed.
+constexpr int32_t ServerErrors = 500;
 
 } // namespace
 
@@ -34,7 +36,7 @@
   }
   if (const auto *Refused = std::get_if<RefuseIntent>(&Decision)) {
     this->tell(Peer, this->makeRefused(Refused->Why, Message.Work, Now), Out);
-    Out.emplace_back(CountRefusal{Refused->Why.Reason});
+    Out.emplace_back(CountRefusal{Refused->Why.Reason, Message.RequestId});
     return;
   }
   if (std::holds_alternative<JoinIntent>(Decision))
@@ -46,7 +48,7 @@
     return;
   }
   const WorkKey Key = this->keyOf(Peer, Message.Work);
-  OpenWork Work{Peer, Message.Kind, false, Intent};
+  OpenWork Work{Peer, Message.Kind, false, Intent, Message.RequestId};
   this->Open.emplace(Key, std::move(Work));
   this->submit(Key, Message, Now, Out);
 }
@@ -117,7 +119,7 @@
   assert(Found != this->Open.end());
   const OpenWork Work = Found->second;
   this->Open.erase(Found);
-  Out.emplace_back(CountRefusal{Why.Reason});
+  Out.emplace_back(CountRefusal{Why.Reason, Work.RequestId});
   if (Work.Kind == wire::WorkKind::IntentCall) {
     this->refuseIntent(Work.Intent, Why, Now, Out);
     return;
@@ -125,8 +127,9 @@
   wire::WorkRefused Refused = this->makeRefused(Why, Key.Work.Value, Now);
   // Output whose versions are not known is worth nothing to a sample.
   if (Run != nullptr && Run->Label.known() && Run->Label.tokens() > 0) {
-    const std::string_view Output = this->Store.output(Key, 0);
-    Refused.__set_KeptText(absl::StrCat(Run->KeptText, Output));
+    std::string Kept = Run->KeptText;
+    Kept.append(this->Store.output(Key, 0));
+    Refused.__set_KeptText(Kept);
     Refused.__set_KeptTokens(Run->Label.tokens());
     Refused.__set_KeptSegments(Run->Label.segments());
   }
@@ -150,36 +153,47 @@
     ++this->Counts.LateAnswers;
     return;
   }
+  const OpenWork Work = this->Open.at(Found->second.Key);
+  if (Work.Kind == wire::WorkKind::Completion && Event.Status >= ServerErrors) {
+    this->admit(RunEnded{Event.Run, RunOutcome::Failed}, Now, Out);
+    return;
+  }
   const LiveRun Run = std::move(Found->second);
   this->Live.erase(Found);
-  const OpenWork Work = this->Open.at(Run.Key);
   this->Open.erase(Run.Key);
   ++this->Counts.Finished;
   this->Crashes.onFinished(Run.Digest);
+  this->admit(RunEnded{Event.Run, RunOutcome::Finished}, Now, Out);
   wire::WorkFinished Finished = this->makeFinished(Run, Event, Now);
   if (!Finished.LabelKnown)
     ++this->Counts.UnknownLabels;
-  this->admit(RunEnded{Event.Run, RunOutcome::Finished}, Now, Out);
-  Finished.Load = this->load(Now);
-  if (Work.Kind == wire::WorkKind::IntentCall) {
-    for (const IntentWaiter &Waiter :
-         this->Intents.finish(Work.Intent, Finished)) {
-      Finished.Work = Waiter.Work.Value;
-      this->tell(Waiter.Peer, Finished, Out);
-    }
-    return;
+  if (Work.Kind == wire::WorkKind::IntentCall)
+    this->finishIntent(Work.Intent, std::move(Finished), Out);
+  else
+    this->finish(Run.Key, Work, std::move(Finished), Out);
+}
+
+void AgentController::finishIntent(LogOffset Intent,
+                                   wire::WorkFinished Finished, Actions &Out) {
+  for (const IntentWaiter &Waiter : this->Intents.finish(Intent, Finished)) {
+    Finished.Work = Waiter.Work.Value;
+    this->tell(Waiter.Peer, Finished, Out);
   }
+}
+
+void AgentController::finish(WorkKey Key, const OpenWork &Work,
+                             wire::WorkFinished Finished, Actions &Out) {
   if (Work.Stream) {
-    this->sendTail(Run.Key, Work.Peer, Finished.Body, Out);
+    this->sendTail(Key, Work.Peer, Finished.Body, Out);
     Finished.Body.clear();
-  } else {
-    Finished.Body = absl::StrCat(this->Store.output(Run.Key, 0), Finished.Body);
   }
+  const std::string_view Output = this->Store.output(Key, 0);
+  if (!Work.Stream)
+    Finished.Body.insert(0, Output);
   Finished.TotalBytes =
-      Work.Stream ? static_cast<int64_t>(this->Store.output(Run.Key, 0).size())
-                  : static_cast<int64_t>(Finished.Body.size());
+      static_cast<int64_t>(Work.Stream ? Output.size() : Finished.Body.size());
   this->tell(Work.Peer, Finished, Out);
-  this->Store.close(Run.Key, std::move(Finished));
+  this->Store.close(Key, std::move(Finished));
 }
 
 void AgentController::sendTail(WorkKey Key, const HostId &Peer,
@@ -243,6 +257,7 @@
   Finished.Tokens = Run.Label.tokens();
   Finished.Segments = Run.Label.segments();
   Finished.LabelKnown = Run.Label.known();
+  Finished.Load = this->load(Now);
   Finished.QueueMs = Run.Waited.Count;
   Finished.RunMs = (Now - Run.Started).Count;
   const bool Any = Run.FirstOutput > Millis{0};
--- a/packages/core/agent/work_store_base.cpp
+++ b/packages/core/agent/work_store_base.cpp
@@ -39,6 +39,9 @@
 void WorkStore::close(WorkKey Key, WorkEnd End) {
   Entry &Ended = this->Entries[Key];
   assert(!Ended.End);
+  // Only streamed output is asked for again in parts.
+  if (bytesOf(End) > 0)
+    Ended.Output = std::string{};
   Ended.Bytes = Ended.Output.size() + bytesOf(End) + EntryOverheadBytes;
   Ended.End = std::move(End);
   this->EndedBytes += Ended.Bytes;
