--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -212,7 +212,7 @@
 
     # Stand-ins
 
-    def standin(self, kind, name, port, **flags):
+    def standin(self, kind, name, port, /, **flags):
         """Starts a stand-in and waits until it listens."""
         command = [BUILD / "standins" / f"standin_{kind}", f"--port={port}"]
         command += [f"--{key}={value}" for key, value in flags.items()]
--- a/scripts/lib/sites.py
+++ b/scripts/lib/sites.py
@@ -5,11 +5,20 @@
 
 MODEL = "grind"
 DESK_MODEL = "desk"
-ENGINE_SITES = ["dc1"] * 4 + ["dc2"] * 3 + ["dc3"] * 3
-DESK_SITES = ["dc1", "dc2", "dc3"]
-SERVICE_SITES = {"bench": "dc1", "ledger": "dc2"}
+ENGINE_SITES = {
+    "grind-1": "dc1", "grind-2": "dc1", "grind-3": "dc1", "grind-4": "dc2",
+    "grind-5": "dc2", "grind-6": "dc2", "grind-7": "dc3", "grind-8": "dc3",
+    "grind-9": "dc1", "review-1": "dc3"}
+DESK_SITES = {"desk-1": "dc1", "desk-2": "dc2", "desk-3": "dc3"}
+SERVICE_SITES = {"ledger": "dc1", "score": "dc2"}
+SCORER = "score"
+DESK_SERVICES = "ledger,score"
 ENTRY_SITES = {"entry-1": "dc1", "entry-2": "dc2", "entry-3": "dc3"}
 
+# What examples/rules.ini lets each trainer draw on, and its age bound.
+ALLOWED = {"point-angle": ("grind-",), "reviewer": ("review-", "grind-9")}
+AGE_BOUND = {"point-angle": 1, "reviewer": 2}
+
 ENGINE_SLOTS = 8
 
 
@@ -18,13 +27,11 @@
     engine = {"slots": ENGINE_SLOTS, "token_micros": 2000, **(engine or {})}
     desk_engine = {"slots": ENGINE_SLOTS, "token_micros": 1500,
                    **(desk_engine or {})}
-    for number, site in enumerate(ENGINE_SITES, 1):
-        name = f"engine-{number}"
+    for name, site in ENGINE_SITES.items():
         port = cluster.port()
         cluster.standin("engine", name, port, name=name, model=MODEL, **engine)
         cluster.add_agent(name, "engine", MODEL, site, port)
-    for number, site in enumerate(DESK_SITES, 1):
-        name = f"desk-{number}"
+    for name, site in DESK_SITES.items():
         port = cluster.port()
         cluster.standin("engine", name, port, name=name, model=DESK_MODEL,
                         **desk_engine)
@@ -41,6 +48,7 @@
     """Starts a trainer."""
     cluster.standin(
         "trainer", name, cluster.port(), name=name, model=MODEL,
+        scorer=SCORER, age_bound=AGE_BOUND[name],
         entries=cluster.entries(), announce=str(announce).lower(),
         store=f"127.0.0.1:{cluster.platform['weightstore']}", **flags)
 
@@ -48,14 +56,7 @@
 def start_desk(cluster, name, **flags):
     """Starts the load of a desk or portal."""
     cluster.standin("desk", name, cluster.port(), name=name, model=DESK_MODEL,
-                    entries=cluster.entries(), **flags)
-
-
-def records(cluster, prefix):
-    """The records of all stand-ins whose name starts so."""
-    return {name: record(port)
-            for name, (_, port) in cluster.standins.items()
-            if name.startswith(prefix)}
+                    entries=cluster.entries(), services=DESK_SERVICES, **flags)
 
 
 def kind_records(cluster, kind):
@@ -91,6 +92,10 @@
         self.false_not_run = len(not_run & set(self.booked))
         self.whole_not_booked = len(
             self.keys("whole_keys") - set(self.booked))
+        self.outside_rules = sum(
+            1 for name, trainer in self.trainers.items()
+            for sample in trainer["samples"]
+            if not sample["run"].startswith(ALLOWED[name]))
 
     def sum(self, name, among=None):
         """The sum of one count over all trainers (or other stand-ins)."""
