Fix: [Net] An exchange dropped before its last part was sent was still looked at

Cause: the exchange's destructor cleared the call that takes the responder off the list of waiting clients; the next look at the list used freed memory. Seen as a segmentation fault of an engine with 40 streams of 200 tokens. Change: the destructor takes the responder off the list itself.

--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -67,6 +67,8 @@
   bool Gone = false;
   /// Called when the client goes away.
   Call OnGone;
+  /// Takes the exchange off the list of those whose clients are looked at.
+  Call Forget;
 
   /// Takes note that the client went away.
   void clientGone() {
@@ -153,6 +155,7 @@
       else
         Exchange->clientGone();
     };
+    Exchange->Forget = [Self, Responder] { Self->Waiting.erase(Responder); };
     Self->Waiting.emplace(Responder, Exchange);
     Self->Handle(Handle);
     return 0;
@@ -223,8 +226,10 @@
   else
     Responder->end(H2O_SEND_STATE_ERROR);
   // Ending may have disposed of the responder, which clears the pointer.
-  if (this->Inner->Responder != nullptr)
-    this->Inner->Responder->OnDisposed = nullptr;
+  if (this->Inner->Responder == nullptr)
+    return;
+  this->Inner->Responder->OnDisposed = nullptr;
+  this->Inner->Forget();
 }
 
 const HttpRequest &HttpExchange::request() const {
