--- /dev/null
+++ b/packages/core/filters/parse_filter.cpp
@@ -0,0 +1,50 @@
+/// @file
+/// Turns the request into a typed one.
+
+#include "core/filters/caller_request_func.h"
+#include "core/filters/filter_chain_base.h"
+
+#include "base/hash_func.h"
+
+#include <charconv>
+
+namespace camphornotch {
+
+namespace {
+
+/// Longest deadline that a caller may name.
+constexpr Millis MaxDeadline = seconds(3600);
+
+/// @param Text the header.
+/// @param Fallback the deadline of a request that names none.
+/// @return the deadline.
+Millis parseDeadline(std::string_view Text, Millis Fallback) {
+  int64_t Count = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Count);
+  const bool Good = !Text.empty() && Parsed.ec == std::errc() &&
+                    Parsed.ptr == End && Count > 0;
+  return Good ? std::min(Millis{Count}, MaxDeadline) : Fallback;
+}
+
+} // namespace
+
+std::optional<Refusal> ParseFilter::apply(RequestContext &Context,
+                                          const FilterWorld &World) {
+  auto Parsed = parseCallerRequest(
+      RequestParts{Context.Method, Context.Path, Context.Query, Context.Body});
+  if (!Parsed) {
+    const Error &Fault = Parsed.error();
+    const bool Unknown = Fault.Kind == ErrorKind::NotFound;
+    return notRun(Unknown ? RefusalReason::UnknownPath
+                          : RefusalReason::BadRequest,
+                  Fault.Message);
+  }
+  Context.Request = std::move(Parsed.value());
+  Context.Deadline = parseDeadline(Context.DeadlineMs, World.DefaultDeadline);
+  const uint64_t PathHash = hashBytes(Context.Path);
+  Context.Digest = static_cast<int64_t>(hashBytes(Context.Body, PathHash));
+  return std::nullopt;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/core/filters/rule_filter.cpp
@@ -0,0 +1,36 @@
+/// @file
+/// Looks up the rules that decide on the request.
+
+#include "core/filters/filter_chain_base.h"
+
+#include "rules/lookup_func.h"
+
+#include <algorithm>
+
+namespace camphornotch {
+
+std::optional<Refusal> RuleFilter::apply(RequestContext &Context,
+                                         const FilterWorld &World) {
+  Context.MaxWait = limitRule(World.Rules, Context.Caller).MaxWait;
+  const PriorityRule &Priority = priorityRule(World.Rules, Context.Caller);
+  Context.Class = Priority.Class == PriorityClass::Short
+                      ? wire::WorkClass::Short
+                      : wire::WorkClass::Rollout;
+  const auto *Service = std::get_if<ServiceRequest>(&Context.Request);
+  if (Service == nullptr)
+    return std::nullopt;
+  const std::string_view Path =
+      std::string_view(Service->Path).substr(0, Service->Path.find('?'));
+  const ServiceRule &Rule =
+      serviceRule(World.Rules, Service->Service, Context.Method, Path);
+  // A key asks for a single run whatever the rules say.
+  Context.NonIdempotent = Rule.NonIdempotent || !Context.KeyHeader.empty();
+  if (Rule.Deadline > Millis{0})
+    Context.Deadline = std::min(Context.Deadline, Rule.Deadline);
+  if (Rule.NonIdempotent && Context.KeyHeader.empty())
+    return notRun(RefusalReason::BadRequest,
+                  "this call may run at most once: send an Idempotency-Key");
+  return std::nullopt;
+}
+
+} // namespace camphornotch
