--- a/packages/core/routing/route_controller_base.cpp
+++ b/packages/core/routing/route_controller_base.cpp
@@ -270,7 +270,7 @@
   if (Found->second.MayHaveRun)
     Why.State = RunState::Unknown;
   this->Requests.erase(Found);
-  Out.emplace_back(RefuseRequest{Ref, std::move(Why)});
+  Out.emplace_back(RefuseRoute{Ref, std::move(Why)});
 }
 
 void RouteController::refuseForWant(RequestRef Ref, Actions &Out) {
--- a/packages/core/routing/route_controller_base.h
+++ b/packages/core/routing/route_controller_base.h
@@ -34,7 +34,7 @@
 };
 
 /// The route controller of one entry. Every request ends in exactly one
-/// UseAnswer or RefuseRequest, unless its caller goes away.
+/// UseAnswer or RefuseRoute, unless its caller goes away.
 class RouteController {
 public:
   /// @param Settings the settings in force.
--- a/packages/core/routing/route_type.h
+++ b/packages/core/routing/route_type.h
@@ -145,7 +145,7 @@
 };
 
 /// Tell the caller that the request was refused.
-struct RefuseRequest {
+struct RefuseRoute {
   /// The request.
   RequestRef Request;
   /// Why, and whether it ran.
@@ -160,7 +160,7 @@
 
 /// What the route controller asks for.
 using RouteAction = std::variant<SendRequest, StopRequest, UseAnswer,
-                                 RefuseRequest, CountRouteRetry>;
+                                 RefuseRoute, CountRouteRetry>;
 
 } // namespace camphornotch
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,5 +1,41 @@
 /// @file
 /// Entry point of the daemon.
 
+#include "base/command_line_func.h"
+#include "base/log_func.h"
+#include "base/settings_func.h"
+#include "daemon/run_func.h"
+
+#include <variant>
+
+namespace {
+
+using namespace camphornotch;
+
+/// Runs the role that the settings name.
+struct RoleRunner {
+  /// @param Settings an entry's settings.
+  /// @return the exit code.
+  int operator()(const EntrySettings &Settings) const {
+    return runEntry(Settings);
+  }
+  /// @param Settings an agent's settings.
+  /// @return the exit code.
+  int operator()(const AgentSettings &Settings) const {
+    return runAgent(Settings);
+  }
+};
+
+} // namespace
+
+/// @param Count how many arguments.
+/// @param Arguments the command line.
 /// @return the exit code.
-int main() { return 0; }
+int main(int Count, char **Arguments) {
+  const CommandLineResult Parsed = parseDaemonCommandLine(Count, Arguments);
+  if (const auto *Exit = std::get_if<ExitNow>(&Parsed))
+    return Exit->Code;
+  const auto &Settings = std::get<DaemonSettings>(Parsed);
+  setupLogging(commonSettings(Settings));
+  return std::visit(RoleRunner{}, Settings);
+}
--- /dev/null
+++ b/packages/daemon/push_task_base.h
@@ -0,0 +1,58 @@
+/// @file
+/// Pushes configuration, versions and quarantine to the agents.
+
+#ifndef CAMPHORNOTCH_DAEMON_PUSH_TASK_BASE_H
+#define CAMPHORNOTCH_DAEMON_PUSH_TASK_BASE_H
+
+#include "core/fold/fold_change_type.h"
+#include "daemon/link_task_base.h"
+#include "daemon/log_task_base.h"
+
+#include <vector>
+
+namespace camphornotch {
+
+/// Tells agents what the log says, since they have no connection to it.
+class PushTask {
+public:
+  /// @param Links carries the messages.
+  /// @param Log holds the folded state.
+  PushTask(LinkTask &Links, const LogTask &Log) : Links(Links), Log(Log) {}
+
+  /// A peer's link is up: tells an agent all that it needs.
+  /// @param Up the event.
+  void linkUp(const LinkUp &Up);
+
+  /// The folded state changed: tells all agents what concerns them.
+  /// @param Changes what changed.
+  void changed(const std::vector<FoldChange> &Changes);
+
+  /// A peer is behind.
+  /// @param Peer its host.
+  /// @param Pull what it has.
+  void pulled(const HostId &Peer, const wire::ConfigPull &Pull);
+
+  /// Fills the heartbeats of this entry.
+  /// @param Beat the heartbeat.
+  void fill(wire::Heartbeat &Beat) const;
+
+private:
+  /// @param Peer an agent.
+  void sendConfig(const HostId &Peer);
+  /// @param Peer an agent.
+  /// @param Model the model whose version is told.
+  void sendVersion(const HostId &Peer, const std::string &Model);
+  /// @param Peer an agent.
+  void sendQuarantine(const HostId &Peer);
+  /// @return the hosts of the linked agents.
+  std::vector<HostId> agents() const;
+
+  /// Carries the messages.
+  LinkTask &Links;
+  /// Holds the folded state.
+  const LogTask &Log;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_DAEMON_PUSH_TASK_BASE_H
--- /dev/null
+++ b/packages/daemon/settings_func.cpp
@@ -0,0 +1,45 @@
+/// @file
+/// Parts of the settings as the tasks of packages/net take them.
+
+#include "daemon/settings_func.h"
+
+#include <random>
+
+namespace camphornotch {
+
+namespace {
+
+/// The longest wait before connecting again, as a multiple of the first.
+constexpr int64_t BackoffFactor = 16;
+
+} // namespace
+
+HttpTarget targetOf(const Address &Where) {
+  return HttpTarget{Where.Ip, Where.Port};
+}
+
+LinkSettings linkSettingsOf(const CommonSettings &Settings) {
+  LinkSettings Links;
+  Links.HeartbeatInterval = Settings.Heartbeat;
+  Links.SilenceAfter = Settings.LinkSilence;
+  Links.ConnectTimeout = Settings.ConnectTimeout;
+  Links.BackoffMin = Settings.ReconnectDelay;
+  Links.BackoffMax = Settings.ReconnectDelay * BackoffFactor;
+  Links.MaxQueuedBytes = static_cast<size_t>(Settings.MaxAnswerBytesHeld);
+  return Links;
+}
+
+LogAppenderSettings appenderSettingsOf(const CommonSettings &Settings) {
+  LogAppenderSettings Appends;
+  Appends.FlushAfter = Settings.AppendFlush;
+  Appends.FlushBytes = static_cast<size_t>(Settings.AppendMaxBytes);
+  return Appends;
+}
+
+BootId drawBoot() {
+  std::random_device Device;
+  std::uniform_int_distribution<int64_t> Numbers(1, INT64_MAX);
+  return BootId{Numbers(Device)};
+}
+
+} // namespace camphornotch
--- a/packages/net/log_client_base.h
+++ b/packages/net/log_client_base.h
@@ -50,6 +50,9 @@
   /// @return the next offset to be read.
   LogOffset next() const { return this->Next; }
 
+  /// @return the oldest offset that the log kept at the last read.
+  LogOffset oldest() const { return this->Oldest; }
+
   /// @return whether the last read answered.
   bool reachable() const { return this->LastReachable; }
 
@@ -73,6 +76,8 @@
   LogReaderEvents Tell;
   /// The next offset to read.
   LogOffset Next{1};
+  /// The oldest offset kept at the last read.
+  LogOffset Oldest{1};
   /// The read under way.
   HttpCallId Call;
   /// The wait before the next read.
--- a/packages/net/log_reader.cpp
+++ b/packages/net/log_reader.cpp
@@ -90,10 +90,10 @@
   }
   this->Failures = 0;
   this->setReachable(true);
-  const LogOffset Oldest{numberOf(Json, "oldest", this->Next.Value)};
-  if (Oldest > this->Next && this->Tell.Gap)
-    this->Tell.Gap(Oldest);
-  this->Next = std::max(this->Next, Oldest);
+  this->Oldest = LogOffset{numberOf(Json, "oldest", this->Next.Value)};
+  if (this->Oldest > this->Next && this->Tell.Gap)
+    this->Tell.Gap(this->Oldest);
+  this->Next = std::max(this->Next, this->Oldest);
   for (const nlohmann::json &Record : *Records) {
     const LogOffset Offset{numberOf(Record, "offset", 0)};
     if (Offset < this->Next)
--- a/tests/routing/route_controller_test.cpp
+++ b/tests/routing/route_controller_test.cpp
@@ -53,7 +53,7 @@
 
 Test(routeController, no_endpoint_is_refused_as_not_run) {
   RouteFixture Fixture;
-  const auto Refused = actionsOf<RefuseRequest>(Fixture.request(1, true));
+  const auto Refused = actionsOf<RefuseRoute>(Fixture.request(1, true));
   cr_assert(Refused.size() == 1);
   cr_assert(Refused[0].Why.Reason == RefusalReason::NoEndpoint);
   cr_assert(Refused[0].Why.State == RunState::NotRun);
@@ -77,7 +77,7 @@
   const auto Actions =
       Fixture.refuse(First.Work, RefusalReason::PeerLost, RunState::Unknown);
   cr_assert(actionsOf<SendRequest>(Actions).empty());
-  const auto Refused = actionsOf<RefuseRequest>(Actions);
+  const auto Refused = actionsOf<RefuseRoute>(Actions);
   cr_assert(Refused.size() == 1);
   cr_assert(Refused[0].Why.State == RunState::Unknown);
 }
@@ -89,7 +89,7 @@
   const auto First = onlySend(Fixture.request(1, true));
   const auto Second = onlySend(Fixture.refuse(
       First.Work, RefusalReason::EndpointFailed, RunState::Unknown));
-  const auto Refused = actionsOf<RefuseRequest>(
+  const auto Refused = actionsOf<RefuseRoute>(
       Fixture.refuse(Second.Work, RefusalReason::QueueFull, RunState::NotRun));
   cr_assert(Refused.size() == 1);
   cr_assert(Refused[0].Why.State == RunState::Unknown);
@@ -138,7 +138,7 @@
         Out.push_back(Each.Work);
       for (const auto &Each : actionsOf<UseAnswer>(Actions))
         ++Ends[Each.Request];
-      for (const auto &Each : actionsOf<RefuseRequest>(Actions))
+      for (const auto &Each : actionsOf<RefuseRoute>(Actions))
         ++Ends[Each.Request];
     };
     const auto Choices = *rc::gen::container<std::vector<uint8_t>>(
