--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -35,7 +35,7 @@
       Front(
           this->Events, Settings, this->Log, this->Counters,
           [this](const std::shared_ptr<CallerExchange> &Exchange) {
-            this->dispatch(std::move(Exchange));
+            this->dispatch(Exchange);
           },
           FrontQuestions{[this] { return this->whyNotReady(); },
                          [this] { this->updateGauges(); }}) {}
