Change: [Stand-ins] Callers choose among ready entries

Cause: the platform's balancer asks the entries whether they are ready. Conclusion: a stopped entry gets no new calls once it says so.

--- a/standins/common/entry_caller.cpp
+++ b/standins/common/entry_caller.cpp
@@ -14,6 +14,12 @@
 /// Exit code for targets that cannot be understood.
 constexpr int ExitBadTarget = 2;
 
+/// Time between questions whether an entry is ready.
+constexpr Millis ProbeInterval{100};
+
+/// Time after which an entry without answer is not ready.
+constexpr Millis ProbeTimeout{500};
+
 } // namespace
 
 ParsedRefusal parseRefusal(std::string_view Body) {
@@ -25,9 +31,10 @@
   return Refusal;
 }
 
-EntryCaller::EntryCaller(HttpClient &Http, std::string_view Targets,
-                         std::string_view Caller, uint64_t Seed)
-    : Http(Http), Caller(Caller), Random(Seed) {
+EntryCaller::EntryCaller(Loop &Events, HttpClient &Http,
+                         std::string_view Targets, std::string_view Caller,
+                         uint64_t Seed)
+    : Events(Events), Http(Http), Caller(Caller), Random(Seed) {
   while (!Targets.empty()) {
     const size_t Comma = std::min(Targets.find(','), Targets.size());
     const auto Target = parseTarget(Targets.substr(0, Comma));
@@ -35,13 +42,50 @@
       std::fprintf(stderr, "--entries: write ip:port,ip:port\n");
       std::exit(ExitBadTarget);
     }
-    this->Entries.push_back(Target.value());
+    this->Entries.push_back({Target.value(), true});
     Targets.remove_prefix(std::min(Comma + 1, Targets.size()));
   }
+  for (size_t Index = 0; Index < this->Entries.size(); ++Index) {
+    this->probe(Index);
+  }
+}
+
+void EntryCaller::probe(size_t Index) {
+  HttpCall Call;
+  Call.Target = this->Entries[Index].Target;
+  Call.Path = "/readyz";
+  Call.Timeout = ProbeTimeout;
+  Call.Reuse = false;
+  HttpEvents Tell;
+  Tell.Finished = [this, Index](const HttpResponse &Response) {
+    this->onProbed(Index, Response.Status == 200);
+  };
+  Tell.Failed = [this, Index](const HttpFailure &) {
+    this->onProbed(Index, false);
+  };
+  this->Http.start(std::move(Call), std::move(Tell));
+}
+
+void EntryCaller::onProbed(size_t Index, bool Ready) {
+  this->Entries[Index].Ready = Ready;
+  this->Events.callAfter(ProbeInterval, [this, Index] { this->probe(Index); });
+}
+
+const HttpTarget &EntryCaller::choose() {
+  std::vector<size_t> Ready;
+  for (size_t Index = 0; Index < this->Entries.size(); ++Index) {
+    if (this->Entries[Index].Ready) {
+      Ready.push_back(Index);
+    }
+  }
+  if (Ready.empty()) {
+    return this->Entries[this->Random() % this->Entries.size()].Target;
+  }
+  return this->Entries[Ready[this->Random() % Ready.size()]].Target;
 }
 
 void EntryCaller::send(HttpCall Call, const Handler &Tell) {
-  Call.Target = this->Entries[this->Random() % this->Entries.size()];
+  Call.Target = this->choose();
   Call.Headers.push_back({"X-Caller", this->Caller});
   Call.Headers.push_back({"Content-Type", "application/json"});
   HttpEvents Events;
--- a/standins/common/entry_caller.h
+++ b/standins/common/entry_caller.h
@@ -38,17 +38,19 @@
 /// @return what it says.
 ParsedRefusal parseRefusal(std::string_view Body);
 
-/// Spreads calls over the entries at random.
+/// Spreads calls at random over the entries that say they are ready, as the
+/// platform's balancer does.
 class EntryCaller {
 public:
   /// Takes the result of a call.
   using Handler = std::function<void(const CallResult &)>;
 
+  /// @param Events the loop to run on.
   /// @param Http sends the calls.
   /// @param Targets the entries, as "ip:port" with commas between.
   /// @param Caller the name that calls carry.
   /// @param Seed seeds the choice of entries.
-  EntryCaller(HttpClient &Http, std::string_view Targets,
+  EntryCaller(Loop &Events, HttpClient &Http, std::string_view Targets,
               std::string_view Caller, uint64_t Seed);
 
   /// Sends a call to an entry.
@@ -64,10 +66,29 @@
                        Millis Timeout);
 
 private:
+  /// One entry.
+  struct Entry {
+    /// Where it is.
+    HttpTarget Target;
+    /// Whether it said that it is ready when asked last.
+    bool Ready = true;
+  };
+
+  /// Asks an entry whether it is ready, again and again.
+  /// @param Index the entry.
+  void probe(size_t Index);
+  /// @param Index the entry.
+  /// @param Ready whether it is ready.
+  void onProbed(size_t Index, bool Ready);
+  /// @return an entry that is ready, or any if none is.
+  const HttpTarget &choose();
+
+  /// The loop.
+  Loop &Events;
   /// Sends the calls.
   HttpClient &Http;
   /// The entries.
-  std::vector<HttpTarget> Entries;
+  std::vector<Entry> Entries;
   /// The name that calls carry.
   std::string Caller;
   /// Chooses entries.
--- a/standins/desk/desk_type.h
+++ b/standins/desk/desk_type.h
@@ -81,7 +81,7 @@
   int64_t GivenUp = 0;
   /// Calls given up after the longest time.
   int64_t TimedOut = 0;
-  /// Attempts that failed without an answer.
+  /// Attempts that failed without a whole answer after they were sent.
   int64_t Broken = 0;
   /// Attempts after the first of a call.
   int64_t Retries = 0;
--- a/standins/trainer/main.cpp
+++ b/standins/trainer/main.cpp
@@ -60,8 +60,8 @@
   camphornotch::Loop Loop;
   camphornotch::standin::endOnSignal(Loop);
   camphornotch::HttpClient Http(Loop);
-  camphornotch::standin::EntryCaller Entries(Http, FLAGS_entries, FLAGS_name,
-                                             static_cast<uint64_t>(FLAGS_seed));
+  camphornotch::standin::EntryCaller Entries(
+      Loop, Http, FLAGS_entries, FLAGS_name, static_cast<uint64_t>(FLAGS_seed));
   const camphornotch::standin::TrainerTask Trainer(Loop, Http, Entries,
                                                    parseSettings());
   Loop.run();
