--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -71,9 +71,12 @@
         self.out = out
         self.handle = None
         self.starts = 0
+        self.ended = False
 
     def start(self):
         """Starts it; its output goes to a file of its name."""
+        if self.ended:
+            return
         with open(self.out / f"{self.name}.out", "ab") as log:
             self.handle = subprocess.Popen(
                 self.command, stdin=subprocess.DEVNULL, stdout=log,
@@ -168,11 +171,12 @@
 class Cluster:
     """A whole deployment. Use it in a with statement: leaving ends it."""
 
-    def __init__(self, base_port, out, settings=None):
+    def __init__(self, base_port, out, settings=None, delays=True):
+        self.delays = delays
         self.next_port = base_port
         self.out = pathlib.Path(out)
         self.out.mkdir(parents=True, exist_ok=True)
-        for old in self.out.glob("*.out"):
+        for old in (*self.out.glob("*.out"), *self.out.glob("*.log")):
             old.unlink()
         self.settings = settings or {}
         self.processes = []
@@ -192,6 +196,7 @@
     def end(self):
         """Ends all processes that were started here."""
         for process in self.processes:
+            process.ended = True
             process.resume()
             process.signal(signal.SIGKILL)
         for process in self.processes:
@@ -236,7 +241,7 @@
 
     def from_data_centre(self, viewer, where, port):
         """The port by which a data centre reaches a port of another one."""
-        if viewer == where:
+        if viewer == where or not self.delays:
             return port
         name, delay = self.line(viewer, where)
         return self.relay(port, delay, name)
@@ -247,8 +252,10 @@
         """Adds an entry, without starting it."""
         host = Host(name, "entry", data_centre)
         self.place(host)
-        self.client_ports.append(
-            self.relay(host.http, CLIENT_DELAY_US, f"client-{name}"))
+        port = host.http
+        if self.delays:
+            port = self.relay(port, CLIENT_DELAY_US, f"client-{name}")
+        self.client_ports.append(port)
 
     def add_agent(self, endpoint, kind, serves, data_centre, endpoint_port):
         """Adds the agent beside an endpoint, without starting it."""
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -20,6 +20,8 @@
     parser.add_argument("--base-port", type=int, default=27100)
     parser.add_argument("--out", default=ROOT / "build" / "demo")
     parser.add_argument("--rules", default=ROOT / "examples" / "rules.ini")
+    parser.add_argument("--keep", action="store_true",
+                        help="leave the deployment running until Ctrl-C")
     return parser.parse_args()
 
 
@@ -111,6 +113,19 @@
                   f"{each['broken']}, unknown {each['unknown']}")
 
 
+def keep(cluster):
+    """Leaves the deployment running, for a reader to try things."""
+    print(f"demo: entries are at {cluster.entries()}, the log is at "
+          f"127.0.0.1:{cluster.platform['log']}, the host list at "
+          f"127.0.0.1:{cluster.platform['hostlist']}; Ctrl-C ends it",
+          flush=True)
+    try:
+        while True:
+            time.sleep(1)
+    except KeyboardInterrupt:
+        print()
+
+
 def holds(verdict):
     """Whether every promise was kept."""
     wrong = (verdict.duplicated, verdict.lost, verdict.mislabelled,
@@ -131,6 +146,8 @@
             start(cluster, arguments.rules)
             run_load(cluster)
             verdict = sites.Verdict(cluster)
+            if arguments.keep:
+                keep(cluster)
     except Failure as failure:
         print(f"demo: failed: {failure}")
         return 1
