Add: [Daemon] Log line and gauges for the configuration in force

Change: entry and agent write a line with offset and wall clock; agents show the offset and their link bytes as gauges. Small additive edits.

--- a/packages/daemon/agent_http.cpp
+++ b/packages/daemon/agent_http.cpp
@@ -86,6 +86,13 @@
   Set("agent_token_micros", "Microseconds a token.", Load.TokenMicros);
   Set("agent_weight_version", "Confirmed version; -1: unknown.", Load.Version);
   Set("agent_leaving", "Whether the agent is leaving.", Load.Leaving ? 1 : 0);
+  Set("config_offset", "Offset of the configuration in force.",
+      this->Controller.configOffset().Value);
+  const LinkCounters Links = this->Links.counters();
+  Set("link_bytes_in", "Bytes received over links.",
+      static_cast<int64_t>(Links.BytesIn));
+  Set("link_bytes_out", "Bytes sent over links.",
+      static_cast<int64_t>(Links.BytesOut));
   const AgentCounts &Counts = this->Controller.counts();
   Set("agent_work_finished", "Work finished since the boot.", Counts.Finished);
   Set("agent_late_answers", "Answers for attempts that had ended.",
--- a/packages/daemon/agent_task_base.cpp
+++ b/packages/daemon/agent_task_base.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/refusal_func.h"
 #include "daemon/agent_settings_func.h"
+#include "daemon/config_note_func.h"
 #include "daemon/settings_func.h"
 
 #include <absl/strings/str_cat.h>
@@ -81,9 +82,17 @@
   const auto Actions = this->Controller.handle(Event, this->Events.now());
   for (const AgentAction &Action : Actions)
     std::visit([this](const auto &Each) { this->carry(Each); }, Action);
+  this->noteConfig();
   this->planTick();
 }
 
+void AgentTask::noteConfig() {
+  if (this->Controller.configOffset() == this->NotedConfig)
+    return;
+  this->NotedConfig = this->Controller.configOffset();
+  noteConfigInForce(this->NotedConfig);
+}
+
 void AgentTask::planTick() {
   const Millis Due = this->Controller.nextDeadline();
   if (Due == this->TickAt)
--- a/packages/daemon/agent_task_base.h
+++ b/packages/daemon/agent_task_base.h
@@ -47,6 +47,8 @@
   void watchClock();
   /// Looks for a pause at each interval, also when nothing happens.
   void watchClockAgain();
+  /// Writes a line if another configuration is in force.
+  void noteConfig();
   /// Plans the controller's next tick.
   void planTick();
   /// Fills a heartbeat.
@@ -85,6 +87,8 @@
   int64_t Fence = 0;
   /// All decisions.
   AgentController Controller;
+  /// The offset of the configuration that was noted last.
+  LogOffset NotedConfig{NoOffset};
   /// Sends calls.
   HttpClient Http;
   /// The endpoint's client.
--- a/packages/daemon/push_task_base.cpp
+++ b/packages/daemon/push_task_base.cpp
@@ -4,6 +4,7 @@
 #include "daemon/push_task_base.h"
 
 #include "base/clock_func.h"
+#include "daemon/config_note_func.h"
 
 namespace camphornotch {
 
@@ -36,6 +37,8 @@
     if (const auto *Version = std::get_if<VersionAnnounced>(&Change))
       Models.push_back(Version->Model);
   }
+  if (Config)
+    noteConfigInForce(this->Log.fold().config().Offset);
   for (const HostId &Agent : this->agents()) {
     if (Config)
       this->sendConfig(Agent);
