--- a/packages/core/claims/claim_base.h
+++ b/packages/core/claims/claim_base.h
@@ -83,6 +83,17 @@
   /// @param Out receives losses.
   void foldRelease(const wire::ReleaseRecord &Release, Millis Now,
                    Actions &Out);
+  /// Appends the release of a shard.
+  /// @param Name the shard.
+  /// @param State its state.
+  /// @param Out receives the release.
+  void release(const ShardId &Name, ShardState &State, Actions &Out);
+  /// Appends a claim of a shard.
+  /// @param Name the shard.
+  /// @param State its state.
+  /// @param Now the present.
+  /// @param Out receives the claim.
+  void claim(const ShardId &Name, ShardState &State, Millis Now, Actions &Out);
   /// Notes whether a shard has a live owner and claims it if it is time.
   /// @param Name the shard.
   /// @param Now the present.
@@ -126,6 +137,11 @@
 std::vector<HostId> rankEntries(const ShardId &Shard,
                                 const std::map<HostId, EntryView> &Entries);
 
+/// @param Current the shard's epoch before the record; -1: none seen.
+/// @param Claim a claim.
+/// @return whether it takes the shard over.
+bool claimStands(Epoch Current, const wire::ClaimRecord &Claim);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_CORE_CLAIMS_CLAIM_BASE_H
--- a/packages/core/samples/step_table_base.h
+++ b/packages/core/samples/step_table_base.h
@@ -7,7 +7,6 @@
 
 #include "core/samples/sample_type.h"
 
-#include <deque>
 #include <map>
 #include <set>
 
@@ -86,10 +85,10 @@
   const wire::GroupSpec *group(const SlotKey &Key) const;
 
   /// @return the slots held by the trainer that no checkpoint lists yet.
-  std::set<SlotKey> undurable() const;
+  const std::set<SlotKey> &undurable() const { return this->Undurable; }
 
   /// @return slots not yet held by the trainer.
-  int64_t openSlots() const;
+  int64_t openSlots() const { return this->Open; }
 
   /// @return the open steps by number.
   const std::map<int64_t, StepState> &steps() const { return this->Steps; }
@@ -119,6 +118,10 @@
   int64_t Floor = INT64_MIN;
   /// The largest batch that a checkpoint shows as acknowledged.
   int64_t DurableBatch = 0;
+  /// Slots not yet held by the trainer.
+  int64_t Open = 0;
+  /// Slots held by the trainer that no checkpoint lists yet.
+  std::set<SlotKey> Undurable;
 };
 
 } // namespace camphornotch
