--- a/packages/core/calls/call_base.h
+++ b/packages/core/calls/call_base.h
@@ -6,6 +6,7 @@
 
 #include "core/calls/call_type.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <deque>
 #include <map>
 #include <set>
@@ -52,6 +53,8 @@
     wire::IntentRecord Record;
     /// The outcome, once read back or told by the agent.
     std::optional<wire::OutcomeRecord> Outcome;
+    /// Whether an intent of this process is on its way to the log.
+    bool Proposed = false;
     /// The work number under which it was sent; 0: not sent by this process.
     WorkId Work;
     /// Whether the present link to the agent carried the work.
@@ -64,6 +67,9 @@
     std::optional<CallReceived> Request;
   };
 
+  /// The known keys.
+  using KeyMap = std::map<std::string, KeyState>;
+
   /// @name Event handlers
   /// Each takes the event, the present and receives actions.
   /// @{
@@ -87,42 +93,66 @@
                   Millis Now, Actions &Out);
   /// Folds one outcome: it answers or reopens its key.
   /// @param Record the outcome.
+  /// @param Now the present.
   /// @param Out receives answers.
-  void foldOutcome(const wire::OutcomeRecord &Record, Actions &Out);
+  void foldOutcome(const wire::OutcomeRecord &Record, Millis Now, Actions &Out);
+  /// Adds a waiter to a key, unless the request contradicts the key.
+  /// @param Event the request.
+  /// @param State the key's state.
+  /// @param Out receives the refusal.
+  /// @return whether it waits.
+  bool addWaiter(const CallReceived &Event, KeyState &State, Actions &Out);
+  /// Does what a key with waiters needs next.
+  /// @param State the key's state.
+  /// @param Now the present.
+  /// @param Out receives it.
+  void proceed(KeyState &State, Millis Now, Actions &Out);
   /// Appends an intent for a key that has none.
-  /// @param Key the key.
-  /// @param State its state.
+  /// @param State the key's state.
   /// @param Now the present.
   /// @param Out receives the record or refusals.
-  void propose(const std::string &Key, KeyState &State, Millis Now,
-               Actions &Out);
+  void propose(KeyState &State, Millis Now, Actions &Out);
   /// Sends a standing intent to its agent, or tells why that cannot be.
-  /// @param Key the key.
-  /// @param State its state.
+  /// @param State the key's state.
   /// @param Now the present.
   /// @param Out receives the message or refusals.
-  void dispatch(const std::string &Key, KeyState &State, Millis Now,
-                Actions &Out);
-  /// Answers every waiter from a known outcome.
-  /// @param Key the key.
-  /// @param State its state.
+  void dispatch(KeyState &State, Millis Now, Actions &Out);
+  /// @param State a key with a standing intent and a request.
+  /// @return the message that starts or joins it.
+  wire::StartWork startMessage(const KeyState &State) const;
+  /// Answers every waiter.
+  /// @param State the key's state.
+  /// @param Outcome the answer, with its body.
   /// @param Repeated whether an earlier request ran it.
   /// @param Out receives the answers.
-  void answer(const std::string &Key, KeyState &State, bool Repeated,
-              Actions &Out);
+  void answer(KeyState &State, const wire::OutcomeRecord &Outcome,
+              bool Repeated, Actions &Out);
   /// Refuses every waiter.
   /// @param State the key's state.
-  /// @param Why the refusal; its state is made truthful for each waiter.
-  /// @param Settled whether Why.State holds whatever the caller sent before.
+  /// @param Why the refusal.
+  /// @param Settled whether Why.State holds whatever the caller sent before;
+  ///        if not, it is made truthful for each waiter.
   /// @param Out receives the refusals.
-  static void refuse(KeyState &State, const Refusal &Why, bool Settled,
-                     Actions &Out);
+  void refuse(KeyState &State, const Refusal &Why, bool Settled, Actions &Out);
+  /// Appends an outcome.
+  /// @param Outcome the outcome.
+  /// @param Out receives the record.
+  static void appendOutcome(const wire::OutcomeRecord &Outcome, Actions &Out);
+  /// Notes that nobody waits for a key any more.
+  /// @param State the key's state.
+  void clearWaiters(KeyState &State);
+  /// Forgets that a key was sent.
+  /// @param State the key's state.
+  void forgetWork(KeyState &State);
   /// @param Work a work number of this process.
-  /// @return the key sent under it, or the end of Keys.
-  std::map<std::string, KeyState>::iterator findWork(int64_t Work);
-  /// Notes that nobody waits for a key any more, and forgets old keys.
-  /// @param Key the key.
-  void retire(const std::string &Key);
+  /// @return the state of the key sent under it, or nullptr.
+  KeyState *findWork(int64_t Work);
+  /// @param Key a key.
+  /// @return whether its intent was forgotten, but not that there was one.
+  bool forgotten(const std::string &Key) const;
+  /// Reduces the oldest keys to their hashes, and forgets expired hashes.
+  /// @param Newest the newest offset read.
+  void shrink(LogOffset Newest);
 
   /// Delays and bounds.
   CallSettings Settings;
@@ -132,14 +162,22 @@
   bool LogUp = true;
   /// The boots of the agents whose link works.
   std::map<HostId, BootId> Agents;
-  /// The newest boot ever seen on a host.
+  /// The newest boot seen on a host by link or log.
   std::map<HostId, BootId> LastBoots;
   /// Known keys.
-  std::map<std::string, KeyState> Keys;
+  KeyMap Keys;
+  /// Keys with waiters.
+  std::set<std::string> Waiting;
+  /// The keys of waiting requests.
+  std::map<RequestHandle, std::string> Requests;
   /// Work numbers in use.
   std::map<int64_t, std::string> Works;
-  /// Keys in the order in which their outcome came, for forgetting.
-  std::deque<std::string> Finished;
+  /// Keys in the order of their intents, for forgetting.
+  std::deque<std::pair<LogOffset, std::string>> Order;
+  /// Hashes of keys whose intents were reduced.
+  absl::flat_hash_set<uint64_t> ReducedKeys;
+  /// The same in the order of their intents.
+  std::deque<std::pair<LogOffset, uint64_t>> ReducedOrder;
 };
 
 } // namespace camphornotch
--- a/packages/core/calls/call_type.h
+++ b/packages/core/calls/call_type.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_CORE_CALLS_CALL_TYPE_H
 #define CAMPHORNOTCH_CORE_CALLS_CALL_TYPE_H
 
+#include "base/refusal_func.h"
 #include "core/samples/sample_type.h"
 
 namespace camphornotch {
@@ -27,8 +28,11 @@
   Millis AnswerWait{seconds(120)};
   /// Largest answer kept in the log.
   int64_t MaxOutcomeBytes = 16 << 10;
-  /// Finished keys remembered; the oldest are forgotten first.
-  size_t MaxKeys = 200000;
+  /// Keys remembered with their answer; older ones are only recognised.
+  size_t MaxKeys = 20000;
+  /// Records of the log after which a key may be used anew; less than the log
+  /// keeps, so that every process recognises the same keys.
+  int64_t KeyHorizonRecords = 4000000;
 };
 
 /// Event: a caller wants a call that may run at most once.
--- a/packages/core/claims/claim_base.cpp
+++ b/packages/core/claims/claim_base.cpp
@@ -15,7 +15,7 @@
   for (const auto &[Host, View] : Entries) {
     if (View.Leaving)
       continue;
-    Weighted.emplace_back(rendezvousWeight(Shard.Value, Host.Value), Host);
+    Weighted.emplace_back(rendezvousScore(Shard.Value, Host.Value), Host);
   }
   std::sort(Weighted.rbegin(), Weighted.rend());
   std::vector<HostId> Ranked;
@@ -38,6 +38,13 @@
   return Out;
 }
 
+void ClaimController::load(const std::map<ShardId, ShardClaim> &Claims) {
+  for (const auto &[Name, Claim] : Claims)
+    this->Shards[Name].View =
+        ShardView{Claim.Current, Claim.Owner, Claim.OwnerBoot, Claim.Released,
+                  Claim.Successor};
+}
+
 Millis ClaimController::nextDeadline() const {
   if (!this->LogUp || this->Stopping)
     return Never;
@@ -286,9 +293,7 @@
 #ifdef CAMPHORNOTCH_MUTATION_IGNORE_EPOCH
   return Claim.PreviousEpoch <= Current.Value;
 #else
-  // Records older than the log's retention are not seen: the first claim that
-  // is seen stands.
-  return Current == Epoch{-1} || Claim.PreviousEpoch == Current.Value;
+  return Claim.PreviousEpoch == Current.Value;
 #endif
 }
 
--- a/packages/core/claims/claim_base.h
+++ b/packages/core/claims/claim_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_CORE_CLAIMS_CLAIM_BASE_H
 
 #include "core/claims/claim_type.h"
+#include "core/fold/fold_state_type.h"
 
 #include <map>
 
@@ -22,6 +23,10 @@
   /// @return what is to be done.
   std::vector<ClaimAction> handle(const ClaimEvent &Event, Millis Now);
 
+  /// Takes the claims over from a fold that was restored from a snapshot.
+  /// @param Claims the claims that stand.
+  void load(const std::map<ShardId, ShardClaim> &Claims);
+
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
 
--- a/packages/core/samples/cursor_func.cpp
+++ b/packages/core/samples/cursor_func.cpp
@@ -88,7 +88,7 @@
 /// @param What what is wrong.
 /// @return the error for the trainer.
 Error cursorError(std::string_view What) {
-  return Error{ErrorKind::BadInput, absl::StrCat("cursor: ", What),
+  return Error{ErrorKind::BadInput, absl::StrCat("cursor: ", std::string(What)),
                "send the cursor of the last answer, unchanged"};
 }
 
@@ -138,7 +138,8 @@
 
 Result<Cursor> parseCursor(std::string_view Text, const TrainerId &Trainer) {
   std::string Bytes;
-  if (!absl::WebSafeBase64Unescape(Text, &Bytes))
+  const absl::string_view Escaped(Text.data(), Text.size());
+  if (!absl::WebSafeBase64Unescape(Escaped, &Bytes))
     return cursorError("not a cursor");
   if (Bytes.size() <= ChecksumBytes)
     return cursorError("too short");
--- a/packages/core/samples/sample_base.h
+++ b/packages/core/samples/sample_base.h
@@ -4,15 +4,12 @@
 #ifndef CAMPHORNOTCH_CORE_SAMPLES_SAMPLE_BASE_H
 #define CAMPHORNOTCH_CORE_SAMPLES_SAMPLE_BASE_H
 
+#include "core/fold/fold_state_type.h"
 #include "core/samples/cursor_func.h"
 #include "core/samples/step_table_base.h"
 
 namespace camphornotch {
 
-/// @param Trainer a trainer.
-/// @return the shard that holds its samples.
-ShardId trainerShard(const TrainerId &Trainer);
-
 /// One trainer's shard. Every entry feeds it the records read back, so that
 /// it can take over; it acts between ShardGained and ShardLost only.
 class SampleController {
@@ -26,6 +23,11 @@
   /// @return what is to be done.
   std::vector<SampleAction> handle(const SampleEvent &Event, Millis Now);
 
+  /// Takes the state over from a fold that was restored from a snapshot.
+  /// @param State the trainer's steps as folded.
+  /// @param Standing the epoch that stands for the shard; -1: none.
+  void load(const TrainerState &State, Epoch Standing);
+
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
 
@@ -100,7 +102,7 @@
   /// @{
   void on(const SubmitReceived &Event, Millis Now, Actions &Out);
   void on(const PullReceived &Event, Millis Now, Actions &Out);
-  void on(const AttemptFinished &Event, Millis Now, Actions &Out);
+  void on(const SlotFinished &Event, Millis Now, Actions &Out);
   void on(const SlotFailed &Event, Millis Now, Actions &Out);
   void on(const ScoreFinished &Event, Millis Now, Actions &Out);
   void on(const ScoreFailed &Event, Millis Now, Actions &Out);
@@ -118,6 +120,12 @@
   /// @param Offset its offset.
   /// @param Claim the claim.
   void foldClaim(LogOffset Offset, const wire::ClaimRecord &Claim);
+  /// @param Written the epoch of a record.
+  /// @return whether the record counts.
+  bool standing(int64_t Written) const;
+  /// Notes new open slots.
+  /// @param Keys the slots.
+  void addSlots(const std::vector<SlotKey> &Keys);
   /// Folds a step record.
   /// @param Record the record.
   /// @param Out receives answers and attempts.
@@ -167,9 +175,6 @@
   /// Appends checkpoints if enough has gathered or a step ended.
   /// @param Out receives the records.
   void maybeCheckpoint(Actions &Out);
-  /// Appends all open state again.
-  /// @param Out receives the records.
-  void carryForward(Actions &Out);
 
   /// Asks for output for idle slots up to the bound.
   /// @param Out receives the requests.
@@ -186,8 +191,27 @@
   /// Puts a slot's output in line for delivery.
   /// @param Key the slot.
   /// @param State the slot.
-  /// @param Out receives nothing or the pull's answer.
   void makeReady(const SlotKey &Key, SlotState &State);
+  /// Notes a version of a model that somebody showed.
+  /// @param Model the model.
+  /// @param Version the version.
+  /// @param Now the present.
+  void noteVersion(const std::string &Model, int64_t Version, Millis Now);
+  /// Asks again for samples that a newer version made too old.
+  /// @param Out receives drops and requests.
+  void sweepOld(Actions &Out);
+  /// Refuses every request that waits.
+  /// @param Reason why.
+  /// @param Out receives the refusals.
+  void refuseWaiting(RefusalReason Reason, Actions &Out);
+  /// Refuses the submissions whose time is over.
+  /// @param Now the present.
+  /// @param Out receives the refusals.
+  void expireSubmits(Millis Now, Actions &Out);
+  /// Reads a pull's cursor.
+  /// @param Event the pull.
+  /// @return the cursor, or what is wrong with it.
+  Result<Cursor> readCursor(const PullReceived &Event) const;
   /// Forgets a slot's output and attempts.
   /// @param Key the slot.
   /// @param Out receives what cancels them.
@@ -248,8 +272,6 @@
   std::map<std::string, ModelState> Models;
   /// The version that the trainer has reached.
   int64_t TrainerVersion = -1;
-  /// When open state is appended again.
-  Millis CarryAt = Never;
 };
 
 } // namespace camphornotch
--- a/packages/core/samples/sample_type.h
+++ b/packages/core/samples/sample_type.h
@@ -75,8 +75,6 @@
   int64_t MaxRecordBytes = 256 << 10;
   /// How long a submission waits for its records before it is refused.
   Millis SubmitWait{10000};
-  /// When all open state is appended again; half of the log's retention.
-  Millis CarryForwardEvery{seconds(1800)};
 };
 
 /// Event: a trainer submits groups of a step.
@@ -108,7 +106,7 @@
 };
 
 /// Event: an attempt at a slot gave whole output.
-struct AttemptFinished {
+struct SlotFinished {
   /// The slot.
   SlotKey Slot;
   /// The output.
@@ -252,7 +250,7 @@
 
 /// What the sample controller is told.
 using SampleEvent =
-    std::variant<SubmitReceived, PullReceived, AttemptFinished, SlotFailed,
+    std::variant<SubmitReceived, PullReceived, SlotFinished, SlotFailed,
                  ScoreFinished, ScoreFailed, NewestVersion,
                  SampleSettingsChanged, RequestGone, ShardGained, ShardLost,
                  RecordCommitted, LogStatus, Tick>;
--- a/packages/core/samples/step_table_base.cpp
+++ b/packages/core/samples/step_table_base.cpp
@@ -18,11 +18,29 @@
                  static_cast<int32_t>(Number & MaxGroupSamples)};
 }
 
+void StepTable::load(const std::string &Trainer, const TrainerState &State) {
+  *this = StepTable{};
+  for (const auto &[Number, Folded] : State.Steps) {
+    wire::StepRecord Step;
+    Step.Trainer = Trainer;
+    Step.Step = Number;
+    Step.Model = Folded.Model;
+    Step.Groups = Folded.Groups;
+    this->add(Step);
+    wire::CheckpointRecord Held;
+    Held.Step = Number;
+    Held.Batch = std::max<int64_t>(Folded.Batch, 0);
+    Held.Delivered.assign(Folded.Delivered.begin(), Folded.Delivered.end());
+    this->checkpoint(Held);
+  }
+  this->HighestDone = State.HighestDone;
+}
+
 std::vector<SlotKey> StepTable::add(const wire::StepRecord &Record) {
   std::vector<SlotKey> Added;
-  if (this->Done.contains(Record.Step) || Record.Step <= this->Floor)
+  if (this->ended(Record.Step))
     return Added;
-  StepState &Step = this->Steps[Record.Step];
+  OpenStep &Step = this->Steps[Record.Step];
   if (Step.Groups.empty())
     Step.Model = Record.Model;
   for (const wire::GroupSpec &Group : Record.Groups) {
@@ -81,7 +99,11 @@
   if (Ended != this->Done.end())
     return Ended->second.contains(hashBytes(Group)) ? GroupStanding::Known
                                                     : GroupStanding::StepEnded;
-  return Step <= this->Floor ? GroupStanding::StepEnded : GroupStanding::New;
+  return this->ended(Step) ? GroupStanding::StepEnded : GroupStanding::New;
+}
+
+bool StepTable::ended(int64_t Step) const {
+  return Step <= this->HighestDone && !this->Steps.contains(Step);
 }
 
 const wire::GroupSpec *StepTable::group(const SlotKey &Key) const {
@@ -99,9 +121,7 @@
   const auto Found = this->Steps.find(Step);
   if (Found == this->Steps.end() || !Found->second.complete())
     return false;
-  const bool LaterOpen = this->Steps.rbegin()->first > Step;
-  const bool LaterDone = !this->Done.empty() && this->Done.rbegin()->first > Step;
-  return LaterOpen || LaterDone;
+  return this->Steps.rbegin()->first > Step || this->HighestDone > Step;
 }
 
 int32_t StepTable::nextOrdinal(int64_t Step) const {
@@ -123,10 +143,9 @@
                   [&](const SlotKey &Key) { return Key.Step == Step; });
     this->Steps.erase(Found);
   }
-  while (this->Done.size() > DoneStepsKept) {
-    this->Floor = std::max(this->Floor, this->Done.begin()->first);
+  this->HighestDone = std::max(this->HighestDone, Step);
+  while (this->Done.size() > DoneStepsKept)
     this->Done.erase(this->Done.begin());
-  }
 }
 
 } // namespace camphornotch
--- a/packages/core/samples/step_table_base.h
+++ b/packages/core/samples/step_table_base.h
@@ -5,6 +5,7 @@
 #ifndef CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
 #define CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
 
+#include "core/fold/fold_state_type.h"
 #include "core/samples/sample_type.h"
 
 #include <map>
@@ -29,7 +30,7 @@
 SlotKey slotOfNumber(int64_t Step, int64_t Number);
 
 /// One open step.
-struct StepState {
+struct OpenStep {
   /// The model to sample from.
   std::string Model;
   /// Its groups by ordinal.
@@ -60,6 +61,11 @@
 /// take over without reading the log again.
 class StepTable {
 public:
+  /// Takes the steps over from a restored fold.
+  /// @param Trainer the trainer's name, for the records made of them.
+  /// @param State the trainer's steps as folded.
+  void load(const std::string &Trainer, const TrainerState &State);
+
   /// Folds one step record of the present epoch.
   /// @param Record the record.
   /// @return the slots that it adds.
@@ -91,7 +97,7 @@
   int64_t openSlots() const { return this->Open; }
 
   /// @return the open steps by number.
-  const std::map<int64_t, StepState> &steps() const { return this->Steps; }
+  const std::map<int64_t, OpenStep> &steps() const { return this->Steps; }
 
   /// @param Step a step.
   /// @return whether nothing more can come: the trainer holds all of it and
@@ -106,16 +112,19 @@
   int32_t nextOrdinal(int64_t Step) const;
 
 private:
+  /// @param Step a step.
+  /// @return whether it ended, or was passed over by one that ended.
+  bool ended(int64_t Step) const;
   /// Forgets an ended step but for the hashes of its groups.
   /// @param Step the step.
   void close(int64_t Step);
 
   /// The open steps.
-  std::map<int64_t, StepState> Steps;
+  std::map<int64_t, OpenStep> Steps;
   /// Hashes of the group names of ended steps.
   std::map<int64_t, std::set<uint64_t>> Done;
-  /// No step up to this one may be submitted any more.
-  int64_t Floor = INT64_MIN;
+  /// The highest ended step; lower ones that are not open cannot be opened.
+  int64_t HighestDone = -1;
   /// The largest batch that a checkpoint shows as acknowledged.
   int64_t DurableBatch = 0;
   /// Slots not yet held by the trainer.
