--- a/packages/core/calls/call_base.cpp
+++ b/packages/core/calls/call_base.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-CallController::CallController(CallSettings Settings, WorkId FirstWork)
-    : Settings(Settings), NextWork(FirstWork) {}
+CallController::CallController(CallSettings Settings, WorkIdSource &WorkIds)
+    : Settings(Settings), WorkIds(WorkIds) {}
 
 std::vector<CallAction> CallController::handle(const CallEvent &Event,
                                                Millis Now) {
@@ -33,13 +33,13 @@
 
 void CallController::on(const CallReceived &Event, Millis Now, Actions &Out) {
   if (Event.Key.empty()) {
-    Out.push_back(RefuseRequest{
+    Out.emplace_back(RefuseRequest{
         Event.Request, Refusal{RefusalReason::BadRequest, RunState::NotRun, 0,
                                "Idempotency-Key: is missing"}});
     return;
   }
   if (this->forgotten(Event.Key)) {
-    Out.push_back(RefuseRequest{
+    Out.emplace_back(RefuseRequest{
         Event.Request, Refusal{RefusalReason::OutcomeUnknown, RunState::Unknown,
                                0, "the answer is no longer kept"}});
     return;
@@ -58,7 +58,7 @@
   if (OtherRun || OtherWaits) {
     // While no intent stands, the one with this digest may still win.
     const RunState Run = Standing ? RunState::NotRun : RunState::Unknown;
-    Out.push_back(RefuseRequest{
+    Out.emplace_back(RefuseRequest{
         Event.Request, Refusal{RefusalReason::KeyReused, Run, 0,
                                "the key belongs to another request"}});
     return false;
@@ -114,7 +114,7 @@
   Intent.Caller = State.Request->Caller;
   wire::LogRecord Record;
   Record.__set_Intent(Intent);
-  Out.push_back(AppendRecord{std::move(Record)});
+  Out.emplace_back(AppendRecord{std::move(Record)});
 #ifdef CAMPHORNOTCH_MUTATION_SEND_BEFORE_READ_BACK
   State.Record = Intent;
   this->dispatch(State, Now, Out);
@@ -144,12 +144,11 @@
   if (!this->Agents.contains(Agent) || State.OnLink)
     return;
   if (State.Work == WorkId{0}) {
-    State.Work = this->NextWork;
-    ++this->NextWork.Value;
+    State.Work = this->WorkIds.next();
     this->Works[State.Work.Value] = State.Record.Key;
   }
   State.OnLink = true;
-  Out.push_back(SendIntent{Agent, this->startMessage(State)});
+  Out.emplace_back(SendIntent{Agent, this->startMessage(State)});
 }
 
 wire::StartWork CallController::startMessage(const KeyState &State) const {
--- a/packages/core/calls/call_base.h
+++ b/packages/core/calls/call_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_CORE_CALLS_CALL_BASE_H
 
 #include "core/calls/call_type.h"
+#include "core/routing/work_id_base.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <deque>
@@ -19,8 +20,8 @@
 class CallController {
 public:
   /// @param Settings delays and bounds.
-  /// @param FirstWork work numbers start here; unique for this process.
-  CallController(CallSettings Settings, WorkId FirstWork);
+  /// @param WorkIds numbers for work; must outlive the controller.
+  CallController(CallSettings Settings, WorkIdSource &WorkIds);
 
   /// @param Event what happened.
   /// @param Now the present.
@@ -156,8 +157,8 @@
 
   /// Delays and bounds.
   CallSettings Settings;
-  /// The next work number.
-  WorkId NextWork;
+  /// Numbers for work.
+  WorkIdSource &WorkIds;
   /// Whether the log answers.
   bool LogUp = true;
   /// The boots of the agents whose link works.
--- a/packages/core/calls/call_fold.cpp
+++ b/packages/core/calls/call_fold.cpp
@@ -57,7 +57,7 @@
   if (!Record.NotRun) {
     State.Outcome = Record;
     if (State.Work != WorkId{0} && !Record.BodyOmitted)
-      Out.push_back(AckIntent{HostId{State.Record.AgentHost}, State.Work});
+      Out.emplace_back(AckIntent{HostId{State.Record.AgentHost}, State.Work});
     this->proceed(State, Now, Out);
     return;
   }
@@ -71,13 +71,12 @@
     this->proceed(State, Now, Out);
 }
 
-void CallController::answer(KeyState &State,
-                            const wire::OutcomeRecord &Outcome, bool Repeated,
-                            Actions &Out) {
+void CallController::answer(KeyState &State, const wire::OutcomeRecord &Outcome,
+                            bool Repeated, Actions &Out) {
   bool First = !Repeated;
   for (const Waiter &Waiting : State.Waiters) {
-    Out.push_back(AnswerCall{Waiting.Request, Outcome.Status,
-                             Outcome.ContentType, Outcome.Body, !First});
+    Out.emplace_back(AnswerCall{Waiting.Request, Outcome.Status,
+                                Outcome.ContentType, Outcome.Body, !First});
     First = false;
   }
   this->clearWaiters(State);
@@ -94,7 +93,7 @@
     if (!Settled && !Untouched)
       Told.State = RunState::Unknown;
 #endif
-    Out.push_back(RefuseRequest{Waiting.Request, Told});
+    Out.emplace_back(RefuseRequest{Waiting.Request, Told});
   }
   this->clearWaiters(State);
 }
@@ -103,7 +102,7 @@
                                    Actions &Out) {
   wire::LogRecord Record;
   Record.__set_Outcome(Outcome);
-  Out.push_back(AppendRecord{std::move(Record)});
+  Out.emplace_back(AppendRecord{std::move(Record)});
 }
 
 void CallController::clearWaiters(KeyState &State) {
--- a/packages/core/claims/claim_base.cpp
+++ b/packages/core/claims/claim_base.cpp
@@ -161,7 +161,7 @@
   if (Mine) {
     State.Held = true;
     State.Releasing = false;
-    Out.push_back(ShardGained{Name, State.View.CurrentEpoch});
+    Out.emplace_back(ShardGained{Name, State.View.CurrentEpoch});
     if (this->Stopping)
       this->release(Name, State, Out);
   }
@@ -195,7 +195,7 @@
     Release.Successor = Ranked.front().Value;
   wire::LogRecord Record;
   Record.__set_Release(Release);
-  Out.push_back(AppendRecord{std::move(Record)});
+  Out.emplace_back(AppendRecord{std::move(Record)});
 }
 
 void ClaimController::review(const ShardId &Name, Millis Now, Actions &Out) {
@@ -231,10 +231,10 @@
   Claim.PreviousEpoch = State.View.CurrentEpoch.Value;
   wire::LogRecord Record;
   Record.__set_Claim(Claim);
-  Out.push_back(AppendRecord{std::move(Record)});
+  Out.emplace_back(AppendRecord{std::move(Record)});
 #ifdef CAMPHORNOTCH_MUTATION_CLAIM_BEFORE_READ_BACK
   State.Held = true;
-  Out.push_back(ShardGained{Name, Epoch{State.View.CurrentEpoch.Value + 1}});
+  Out.emplace_back(ShardGained{Name, Epoch{State.View.CurrentEpoch.Value + 1}});
 #endif
 }
 
@@ -244,7 +244,7 @@
     return;
   State.Held = false;
   State.Releasing = false;
-  Out.push_back(ShardLost{Name, State.View.CurrentEpoch});
+  Out.emplace_back(ShardLost{Name, State.View.CurrentEpoch});
 }
 
 void ClaimController::checkStopped(Actions &Out) {
@@ -256,7 +256,7 @@
   if (Holding)
     return;
   this->StopTold = true;
-  Out.push_back(StopReady{});
+  Out.emplace_back(StopReady{});
 }
 
 bool ClaimController::hasLiveOwner(const ShardView &View) const {
--- a/packages/core/samples/sample_base.cpp
+++ b/packages/core/samples/sample_base.cpp
@@ -97,7 +97,7 @@
   this->Own.reset();
   for (auto &[Key, State] : this->Slots) {
     if (State.Stage == Phase::Running)
-      Out.push_back(CancelAttempts{Key});
+      Out.emplace_back(CancelAttempts{Key});
     State = SlotState{};
     this->IdleSlots.insert(Key);
   }
@@ -164,8 +164,8 @@
   std::erase_if(this->Submits, [&](const PendingSubmit &Waiting) {
     if (!Waiting.Missing.empty())
       return false;
-    Out.push_back(AnswerSubmit{Waiting.Request, Waiting.GroupsNew,
-                               Waiting.GroupsKnown});
+    Out.emplace_back(
+        AnswerSubmit{Waiting.Request, Waiting.GroupsNew, Waiting.GroupsKnown});
     return true;
   });
   if (!this->active())
@@ -193,12 +193,12 @@
 
 void SampleController::refuseWaiting(RefusalReason Reason, Actions &Out) {
   for (const PendingSubmit &Waiting : this->Submits)
-    Out.push_back(refusal(Waiting.Request, Reason, RunState::Unknown,
-                          "the shard has a new owner"));
+    Out.emplace_back(refusal(Waiting.Request, Reason, RunState::Unknown,
+                             "the shard has a new owner"));
   this->Submits.clear();
   if (this->Pull)
-    Out.push_back(refusal(this->Pull->Request, Reason, RunState::NotRun,
-                          "the shard has a new owner"));
+    Out.emplace_back(refusal(this->Pull->Request, Reason, RunState::NotRun,
+                             "the shard has a new owner"));
   this->Pull.reset();
 }
 
@@ -206,8 +206,8 @@
                                         RefusalReason Reason, RunState State,
                                         std::string Detail) {
   constexpr int64_t RetryAfterMs = 200;
-  const bool Retry = Reason != RefusalReason::BadRequest &&
-                     Reason != RefusalReason::BadCursor;
+  const bool Retry =
+      Reason != RefusalReason::BadRequest && Reason != RefusalReason::BadCursor;
   return RefuseRequest{Handle, Refusal{Reason, State, Retry ? RetryAfterMs : 0,
                                        std::move(Detail)}};
 }
--- a/packages/core/samples/sample_pull.cpp
+++ b/packages/core/samples/sample_pull.cpp
@@ -15,31 +15,30 @@
   return parseCursor(Event.Cursor, this->Trainer);
 }
 
-void SampleController::on(const PullReceived &Event, Millis Now,
-                          Actions &Out) {
+void SampleController::on(const PullReceived &Event, Millis Now, Actions &Out) {
   if (!this->active()) {
-    Out.push_back(refusal(Event.Request, RefusalReason::WrongOwner,
-                          RunState::NotRun, "not the owner of the trainer"));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::WrongOwner,
+                             RunState::NotRun, "not the owner of the trainer"));
     return;
   }
   const Result<Cursor> Shown = this->readCursor(Event);
   if (!Shown) {
-    Out.push_back(refusal(Event.Request, RefusalReason::BadCursor,
-                          RunState::NotRun, Shown.error().Message));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::BadCursor,
+                             RunState::NotRun, Shown.error().Message));
     return;
   }
 #ifndef CAMPHORNOTCH_MUTATION_IGNORE_EPOCH
   if (Shown.value().Made > *this->Own) {
-    Out.push_back(EpochSeen{this->Shard, Shown.value().Made});
-    Out.push_back(refusal(Event.Request, RefusalReason::WrongOwner,
-                          RunState::NotRun, "the shard has a newer owner"));
+    Out.emplace_back(EpochSeen{this->Shard, Shown.value().Made});
+    Out.emplace_back(refusal(Event.Request, RefusalReason::WrongOwner,
+                             RunState::NotRun, "the shard has a newer owner"));
     return;
   }
 #endif
   if (Shown.value().Batch < this->AckedBatch) {
-    Out.push_back(refusal(Event.Request, RefusalReason::BadCursor,
-                          RunState::NotRun,
-                          "cursor: a later one was shown; resume instead"));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::BadCursor,
+                             RunState::NotRun,
+                             "cursor: a later one was shown; resume instead"));
     return;
   }
   if (Event.TrainerVersion.Value > this->TrainerVersion) {
@@ -48,8 +47,8 @@
   }
   this->acknowledge(Shown.value(), Out);
   if (this->Pull)
-    Out.push_back(refusal(this->Pull->Request, RefusalReason::Cancelled,
-                          RunState::NotRun, "a later pull took its place"));
+    Out.emplace_back(refusal(this->Pull->Request, RefusalReason::Cancelled,
+                             RunState::NotRun, "a later pull took its place"));
   const int32_t Limit = this->Settings.MaxBatch;
   const int32_t Wanted =
       Event.MaxSamples > 0 ? std::min(Event.MaxSamples, Limit) : Limit;
@@ -125,7 +124,7 @@
     ++Next.Batch;
   Answer.Cursor = encodeCursor(Next);
   Answer.OpenSlots = this->Table.openSlots();
-  Out.push_back(std::move(Answer));
+  Out.emplace_back(std::move(Answer));
   this->Pull.reset();
 #ifdef CAMPHORNOTCH_MUTATION_ACK_ON_SEND
   this->acknowledge(Next, Out);
@@ -170,7 +169,7 @@
     Checkpoint.Batch = this->AckedBatch;
     wire::LogRecord Record;
     Record.__set_Checkpoint(Checkpoint);
-    Out.push_back(AppendRecord{std::move(Record)});
+    Out.emplace_back(AppendRecord{std::move(Record)});
   }
 }
 
--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -59,14 +59,13 @@
   assert(Group);
   const std::string &Model = this->Table.steps().at(Key.Step).Model;
   this->Slots[Key].Stage = Phase::Running;
-  Out.push_back(NeedAttempt{Key, this->Trainer, Group->Group, Model,
-                            Group->Prompt, Group->MaxTokens, Group->Parameters,
-                            WeightVersion{this->minVersion(Model)}});
+  Out.emplace_back(NeedAttempt{
+      Key, this->Trainer, Group->Group, Model, Group->Prompt, Group->MaxTokens,
+      Group->Parameters, WeightVersion{this->minVersion(Model)}});
 }
 
-void SampleController::retry(const SlotKey &Key, DropReason Why,
-                             Actions &Out) {
-  Out.push_back(SampleDropped{Key, Why});
+void SampleController::retry(const SlotKey &Key, DropReason Why, Actions &Out) {
+  Out.emplace_back(SampleDropped{Key, Why});
   this->ReadySlots.erase(Key);
   this->Batch.erase(Key);
   this->Slots[Key] = SlotState{};
@@ -83,26 +82,25 @@
   if (Found == this->Slots.end())
     return;
   if (Found->second.Stage == Phase::Running)
-    Out.push_back(CancelAttempts{Key});
+    Out.emplace_back(CancelAttempts{Key});
   this->Slots.erase(Found);
   this->IdleSlots.erase(Key);
   this->ReadySlots.erase(Key);
   this->Batch.erase(Key);
   if (this->active())
-    Out.push_back(SlotAcknowledged{Key});
+    Out.emplace_back(SlotAcknowledged{Key});
 }
 
-void SampleController::on(const SlotFinished &Event, Millis Now,
-                          Actions &Out) {
+void SampleController::on(const SlotFinished &Event, Millis Now, Actions &Out) {
   const auto Found = this->Slots.find(Event.Slot);
   if (!this->active() || Found == this->Slots.end()) {
-    Out.push_back(SampleDropped{Event.Slot, DropReason::UnknownSlot});
+    Out.emplace_back(SampleDropped{Event.Slot, DropReason::UnknownSlot});
     return;
   }
   SlotState &State = Found->second;
 #ifndef CAMPHORNOTCH_MUTATION_REFILL_SLOT
   if (State.Stage != Phase::Running) {
-    Out.push_back(SampleDropped{Event.Slot, DropReason::Duplicate});
+    Out.emplace_back(SampleDropped{Event.Slot, DropReason::Duplicate});
     return;
   }
 #endif
@@ -118,16 +116,16 @@
   ModelState &Versions = this->Models[Model];
   Versions.AttemptMs = smooth(Versions.AttemptMs, Event.Took.Count);
   const wire::GroupSpec &Group = *this->Table.group(Event.Slot);
-  State.Output = Sample{Event.Slot, Group.Group, Event.Text, Event.Tokens,
+  State.Output = Sample{Event.Slot,     Group.Group,  Event.Text,  Event.Tokens,
                         Event.Segments, std::nullopt, std::nullopt};
   if (this->tooOld(Event.Slot, State)) {
     this->retry(Event.Slot, DropReason::TooOld, Out);
     return;
   }
-  Out.push_back(CancelAttempts{Event.Slot});
+  Out.emplace_back(CancelAttempts{Event.Slot});
   if (!Group.Scorer.empty()) {
     State.Stage = Phase::Scoring;
-    Out.push_back(
+    Out.emplace_back(
         NeedScore{Event.Slot, Group.Scorer, Group.Prompt, Event.Text});
     return;
   }
@@ -139,7 +137,7 @@
   const auto Found = this->Slots.find(Event.Slot);
   if (!this->active() || Found == this->Slots.end() ||
       Found->second.Stage != Phase::Running) {
-    Out.push_back(SampleDropped{Event.Slot, DropReason::UnknownSlot});
+    Out.emplace_back(SampleDropped{Event.Slot, DropReason::UnknownSlot});
     return;
   }
   Sample Empty;
@@ -147,7 +145,7 @@
   Empty.Group = this->Table.group(Event.Slot)->Group;
   Empty.Failure = Event.Reason;
   Found->second.Output = std::move(Empty);
-  Out.push_back(CancelAttempts{Event.Slot});
+  Out.emplace_back(CancelAttempts{Event.Slot});
   this->makeReady(Event.Slot, Found->second);
   this->tryAnswerPull(Now, Out);
 }
@@ -206,8 +204,7 @@
   if (State.Output.Failure)
     return false;
   const std::string &Model = this->Table.steps().at(Key.Step).Model;
-  const int64_t Oldest =
-      this->newest(Model) - this->Settings.MaxVersionsBehind;
+  const int64_t Oldest = this->newest(Model) - this->Settings.MaxVersionsBehind;
   const auto &Segments = State.Output.Segments;
   return std::any_of(Segments.begin(), Segments.end(),
                      [&](const wire::LabelSegment &Segment) {
--- a/packages/core/samples/sample_submit.cpp
+++ b/packages/core/samples/sample_submit.cpp
@@ -50,17 +50,18 @@
                           Actions &Out) {
   const std::string Fault = submitFault(Event);
   if (!Fault.empty()) {
-    Out.push_back(refusal(Event.Request, RefusalReason::BadRequest,
-                          RunState::NotRun, Fault));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::BadRequest,
+                             RunState::NotRun, Fault));
     return;
   }
   if (!this->active()) {
-    Out.push_back(refusal(Event.Request, RefusalReason::WrongOwner,
-                          RunState::Unknown, "not the owner of the trainer"));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::WrongOwner,
+                             RunState::Unknown,
+                             "not the owner of the trainer"));
     return;
   }
-  PendingSubmit Waiting{Event.Request, {}, Now + this->Settings.SubmitWait, 0,
-                        0};
+  PendingSubmit Waiting{
+      Event.Request, {}, Now + this->Settings.SubmitWait, 0, 0};
   std::vector<wire::GroupSpec> Fresh;
   int64_t FreshSlots = 0;
   for (const wire::GroupSpec &Group : Event.Groups) {
@@ -69,9 +70,9 @@
     if (Standing == GroupStanding::New && this->EndSent.contains(Event.Step))
       Standing = GroupStanding::StepEnded;
     if (Standing == GroupStanding::StepEnded) {
-      Out.push_back(refusal(Event.Request, RefusalReason::BadRequest,
-                            RunState::Unknown,
-                            "step: ended; submit new groups as a later step"));
+      Out.emplace_back(
+          refusal(Event.Request, RefusalReason::BadRequest, RunState::Unknown,
+                  "step: ended; submit new groups as a later step"));
       return;
     }
     if (Standing == GroupStanding::Known) {
@@ -88,13 +89,14 @@
     Fresh.push_back(Group);
   }
   if (this->Table.openSlots() + FreshSlots > this->Settings.MaxOpenSlots) {
-    Out.push_back(refusal(Event.Request, RefusalReason::QueueFull,
-                          RunState::Unknown, "too many open samples"));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::QueueFull,
+                             RunState::Unknown, "too many open samples"));
     return;
   }
   if (!Fresh.empty() && !this->LogUp) {
-    Out.push_back(refusal(Event.Request, RefusalReason::LogUnavailable,
-                          RunState::Unknown, "the submission is not durable"));
+    Out.emplace_back(refusal(Event.Request, RefusalReason::LogUnavailable,
+                             RunState::Unknown,
+                             "the submission is not durable"));
     return;
   }
   for (wire::GroupSpec &Group : Fresh) {
@@ -107,8 +109,8 @@
   Waiting.Missing.clear();
 #endif
   if (Waiting.Missing.empty())
-    Out.push_back(AnswerSubmit{Waiting.Request, Waiting.GroupsNew,
-                               Waiting.GroupsKnown});
+    Out.emplace_back(
+        AnswerSubmit{Waiting.Request, Waiting.GroupsNew, Waiting.GroupsKnown});
   else
     this->Submits.push_back(std::move(Waiting));
 }
@@ -127,7 +129,7 @@
     Part.Model = Model;
     wire::LogRecord Record;
     Record.__set_Step(Part);
-    Out.push_back(AppendRecord{std::move(Record)});
+    Out.emplace_back(AppendRecord{std::move(Record)});
     Part.Groups.clear();
     Bytes = 0;
   };
@@ -153,9 +155,9 @@
   std::erase_if(this->Submits, [&](const PendingSubmit &Waiting) {
     if (Now < Waiting.Deadline)
       return false;
-    Out.push_back(refusal(Waiting.Request, RefusalReason::LogUnavailable,
-                          RunState::Unknown,
-                          "the submission was not read back in time"));
+    Out.emplace_back(refusal(Waiting.Request, RefusalReason::LogUnavailable,
+                             RunState::Unknown,
+                             "the submission was not read back in time"));
     return true;
   });
 }
--- a/packages/core/samples/step_table_base.cpp
+++ b/packages/core/samples/step_table_base.cpp
@@ -44,9 +44,8 @@
   if (Step.Groups.empty())
     Step.Model = Record.Model;
   for (const wire::GroupSpec &Group : Record.Groups) {
-    const int32_t Ordinal = Group.__isset.Ordinal
-                                ? Group.Ordinal
-                                : this->nextOrdinal(Record.Step);
+    const int32_t Ordinal =
+        Group.__isset.Ordinal ? Group.Ordinal : this->nextOrdinal(Record.Step);
     if (Step.Ordinals.contains(Group.Group) || Step.Groups.contains(Ordinal))
       continue;
     Step.Ordinals[Group.Group] = Ordinal;
