--- a/packages/core/samples/sample_base.cpp
+++ b/packages/core/samples/sample_base.cpp
@@ -7,6 +7,7 @@
 #include "core/fold/shard_func.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace camphornotch {
 
@@ -21,9 +22,11 @@
   return Out;
 }
 
-void SampleController::load(const TrainerState &State, Epoch Standing) {
+void SampleController::load(const TrainerState &State,
+                            const ShardClaim &Standing) {
   assert(!this->active());
-  this->Current = Standing;
+  this->Current = Standing.Current;
+  this->Released = Standing.Released;
   this->Table.load(this->Trainer.Value, State);
   this->AckedBatch = std::max(this->AckedBatch, this->Table.durableBatch());
   this->Slots.clear();
@@ -111,6 +114,8 @@
   const wire::LogRecord &Record = Event.Record;
   if (Record.__isset.Claim)
     this->foldClaim(Event.Offset, Record.Claim);
+  if (Record.__isset.Release)
+    this->foldRelease(Record.Release);
   if (Record.__isset.Step)
     this->foldStep(Record.Step, Out);
   if (Record.__isset.Checkpoint)
@@ -132,15 +137,23 @@
 
 void SampleController::foldClaim(LogOffset Offset,
                                  const wire::ClaimRecord &Claim) {
-  if (Claim.Shard == this->Shard.Value && claimStands(this->Current, Claim))
-    this->Current = Epoch{Offset.Value};
+  if (Claim.Shard != this->Shard.Value || !claimStands(this->Current, Claim))
+    return;
+  this->Current = Epoch{Offset.Value};
+  this->Released = false;
+}
+
+void SampleController::foldRelease(const wire::ReleaseRecord &Release) {
+  if (Release.Shard == this->Shard.Value &&
+      Release.Epoch == this->Current.Value)
+    this->Released = true;
 }
 
 bool SampleController::standing(int64_t Written) const {
 #ifdef CAMPHORNOTCH_MUTATION_IGNORE_EPOCH
   return Written <= this->Current.Value;
 #else
-  return Written == this->Current.Value;
+  return Written == this->Current.Value && !this->Released;
 #endif
 }
 
--- a/packages/core/samples/sample_base.h
+++ b/packages/core/samples/sample_base.h
@@ -25,8 +25,8 @@
 
   /// Takes the state over from a fold that was restored from a snapshot.
   /// @param State the trainer's steps as folded.
-  /// @param Standing the epoch that stands for the shard; -1: none.
-  void load(const TrainerState &State, Epoch Standing);
+  /// @param Standing the claim that stands for the shard.
+  void load(const TrainerState &State, const ShardClaim &Standing);
 
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
@@ -120,6 +120,9 @@
   /// @param Offset its offset.
   /// @param Claim the claim.
   void foldClaim(LogOffset Offset, const wire::ClaimRecord &Claim);
+  /// Folds a release of this shard.
+  /// @param Release the release.
+  void foldRelease(const wire::ReleaseRecord &Release);
   /// @param Written the epoch of a record.
   /// @return whether the record counts.
   bool standing(int64_t Written) const;
@@ -138,7 +141,23 @@
   /// @param Event a submission.
   /// @return what is wrong with it; empty if nothing.
   static std::string submitFault(const SubmitReceived &Event);
-  /// Appends groups as few records.
+  /// Sorts a submission's groups into known, awaited and new ones.
+  /// @param Event the submission.
+  /// @param Waiting receives counts and the groups awaited.
+  /// @param Fresh receives the new groups.
+  /// @param Out receives the refusal.
+  /// @return whether the submission can be taken.
+  bool sortGroups(const SubmitReceived &Event, PendingSubmit &Waiting,
+                  std::vector<wire::GroupSpec> &Fresh, Actions &Out) const;
+  /// Refuses a submission.
+  /// @param Event the submission.
+  /// @param Reason why.
+  /// @param Detail particulars.
+  /// @param Out receives the refusal.
+  /// @return false, for the caller to return.
+  static bool refuseSubmit(const SubmitReceived &Event, RefusalReason Reason,
+                           std::string Detail, Actions &Out);
+  /// Appends groups in a few records.
   /// @param Step the step.
   /// @param Model its model.
   /// @param Groups the groups, with ordinals.
@@ -242,6 +261,8 @@
   SampleSettings Settings;
   /// The epoch of the claim that stands.
   Epoch Current{-1};
+  /// Whether its owner gave the shard up.
+  bool Released = false;
   /// The epoch under which this process acts; nothing: it does not.
   std::optional<Epoch> Own;
   /// Whether the log answers.
--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -4,6 +4,7 @@
 #include "core/samples/sample_base.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace camphornotch {
 
--- a/packages/core/samples/sample_submit.cpp
+++ b/packages/core/samples/sample_submit.cpp
@@ -60,25 +60,49 @@
                              "not the owner of the trainer"));
     return;
   }
-  PendingSubmit Waiting{
-      Event.Request, {}, Now + this->Settings.SubmitWait, 0, 0};
+  PendingSubmit Waiting;
+  Waiting.Request = Event.Request;
+  Waiting.Deadline = Now + this->Settings.SubmitWait;
   std::vector<wire::GroupSpec> Fresh;
+  if (!this->sortGroups(Event, Waiting, Fresh, Out))
+    return;
+  for (wire::GroupSpec &Group : Fresh) {
+    const int32_t Ordinal = this->takeOrdinal(Event.Step);
+    Group.__set_Ordinal(Ordinal);
+    this->PendingGroups[{Event.Step, Group.Group}] = Ordinal;
+  }
+  this->appendGroups(Event.Step, Event.Model, std::move(Fresh), Out);
+#ifdef CAMPHORNOTCH_MUTATION_SUBMIT_BEFORE_READ_BACK
+  Waiting.Missing.clear();
+#endif
+  if (Waiting.Missing.empty())
+    Out.emplace_back(
+        AnswerSubmit{Waiting.Request, Waiting.GroupsNew, Waiting.GroupsKnown});
+  else
+    this->Submits.push_back(std::move(Waiting));
+}
+
+bool SampleController::sortGroups(const SubmitReceived &Event,
+                                  PendingSubmit &Waiting,
+                                  std::vector<wire::GroupSpec> &Fresh,
+                                  Actions &Out) const {
   int64_t FreshSlots = 0;
   for (const wire::GroupSpec &Group : Event.Groups) {
-    const std::pair Named(Event.Step, Group.Group);
     GroupStanding Standing = this->Table.standing(Event.Step, Group.Group);
     if (Standing == GroupStanding::New && this->EndSent.contains(Event.Step))
       Standing = GroupStanding::StepEnded;
-    if (Standing == GroupStanding::StepEnded) {
-      Out.emplace_back(
-          refusal(Event.Request, RefusalReason::BadRequest, RunState::Unknown,
-                  "step: ended; submit new groups as a later step"));
-      return;
-    }
+    if (Standing == GroupStanding::StepEnded)
+      return refuseSubmit(Event, RefusalReason::BadRequest,
+                          "step: ended; submit new groups as a later step",
+                          Out);
+    if (Standing == GroupStanding::TooMany)
+      return refuseSubmit(Event, RefusalReason::QueueFull,
+                          "too many open steps", Out);
     if (Standing == GroupStanding::Known) {
       ++Waiting.GroupsKnown;
       continue;
     }
+    const std::pair Named(Event.Step, Group.Group);
     Waiting.Missing.insert(Named);
     if (this->PendingGroups.contains(Named)) {
       ++Waiting.GroupsKnown;
@@ -88,31 +112,23 @@
     FreshSlots += Group.Samples;
     Fresh.push_back(Group);
   }
-  if (this->Table.openSlots() + FreshSlots > this->Settings.MaxOpenSlots) {
-    Out.emplace_back(refusal(Event.Request, RefusalReason::QueueFull,
-                             RunState::Unknown, "too many open samples"));
-    return;
-  }
-  if (!Fresh.empty() && !this->LogUp) {
-    Out.emplace_back(refusal(Event.Request, RefusalReason::LogUnavailable,
-                             RunState::Unknown,
-                             "the submission is not durable"));
-    return;
-  }
-  for (wire::GroupSpec &Group : Fresh) {
-    const int32_t Ordinal = this->takeOrdinal(Event.Step);
-    Group.__set_Ordinal(Ordinal);
-    this->PendingGroups[{Event.Step, Group.Group}] = Ordinal;
-  }
-  this->appendGroups(Event.Step, Event.Model, std::move(Fresh), Out);
-#ifdef CAMPHORNOTCH_MUTATION_SUBMIT_BEFORE_READ_BACK
-  Waiting.Missing.clear();
-#endif
-  if (Waiting.Missing.empty())
-    Out.emplace_back(
-        AnswerSubmit{Waiting.Request, Waiting.GroupsNew, Waiting.GroupsKnown});
-  else
-    this->Submits.push_back(std::move(Waiting));
+  if (this->Table.openSlots() + FreshSlots > this->Settings.MaxOpenSlots)
+    return refuseSubmit(Event, RefusalReason::QueueFull,
+                        "too many open samples", Out);
+  if (!Fresh.empty() && !this->LogUp)
+    return refuseSubmit(Event, RefusalReason::LogUnavailable,
+                        "the submission is not durable", Out);
+  return true;
+}
+
+bool SampleController::refuseSubmit(const SubmitReceived &Event,
+                                    RefusalReason Reason, std::string Detail,
+                                    Actions &Out) {
+  // An earlier copy of the submission may have been taken: only a repeat
+  // tells.
+  Out.emplace_back(
+      refusal(Event.Request, Reason, RunState::Unknown, std::move(Detail)));
+  return false;
 }
 
 void SampleController::appendGroups(int64_t Step, const std::string &Model,
--- a/packages/core/samples/step_table_base.cpp
+++ b/packages/core/samples/step_table_base.cpp
@@ -38,7 +38,8 @@
 
 std::vector<SlotKey> StepTable::add(const wire::StepRecord &Record) {
   std::vector<SlotKey> Added;
-  if (this->ended(Record.Step))
+  const bool Open = this->Steps.contains(Record.Step);
+  if (!Open && (this->ended(Record.Step) || this->Steps.size() >= MaxOpenSteps))
     return Added;
   OpenStep &Step = this->Steps[Record.Step];
   if (Step.Groups.empty())
@@ -98,7 +99,10 @@
   if (Ended != this->Done.end())
     return Ended->second.contains(hashBytes(Group)) ? GroupStanding::Known
                                                     : GroupStanding::StepEnded;
-  return this->ended(Step) ? GroupStanding::StepEnded : GroupStanding::New;
+  if (this->ended(Step))
+    return GroupStanding::StepEnded;
+  return this->Steps.size() < MaxOpenSteps ? GroupStanding::New
+                                           : GroupStanding::TooMany;
 }
 
 bool StepTable::ended(int64_t Step) const {
--- a/packages/core/samples/step_table_base.h
+++ b/packages/core/samples/step_table_base.h
@@ -20,6 +20,9 @@
 /// Finished steps whose repeated submissions are recognised.
 inline constexpr size_t DoneStepsKept = 64;
 
+/// Largest number of open steps; the fold keeps no more.
+inline constexpr size_t MaxOpenSteps = FoldLimits{}.StepsPerTrainer;
+
 /// @param Key a slot.
 /// @return its number in checkpoint records, unique in its step.
 int64_t slotNumber(const SlotKey &Key);
@@ -55,6 +58,7 @@
   New,       ///< Not known: it may be added.
   Known,     ///< Already part of the step.
   StepEnded, ///< The step ended without it, or was forgotten.
+  TooMany,   ///< Too many steps are open for another one.
 };
 
 /// The folded steps of one trainer. Every entry keeps one, so that any can
