--- a/packages/core/calls/call_base.cpp
+++ b/packages/core/calls/call_base.cpp
@@ -75,8 +75,11 @@
 void CallController::proceed(KeyState &State, Millis Now, Actions &Out) {
   if (State.Waiters.empty())
     return;
+  const bool Ended = State.Outcome && State.Outcome->NotRun;
   const bool Whole = State.Outcome && !State.Outcome->BodyOmitted;
-  if (Whole)
+  if (Ended)
+    this->refuse(State, endedRefusal(*State.Outcome), true, Out);
+  else if (Whole)
     this->answer(State, *State.Outcome, true, Out);
   else if (State.Intent != NoOffset)
     this->dispatch(State, Now, Out);
@@ -224,14 +227,16 @@
   const wire::RefusalMessage &Told = Event.Answer.Refusal;
   Refusal Why{refusalFromWire(Told.Reason), RunState::Unknown,
               Told.RetryAfterMs, Told.Detail};
-  const bool NotRun = Told.RunState == static_cast<int32_t>(RunState::NotRun);
-  if (NotRun) {
+  if (Told.RunState == static_cast<int32_t>(RunState::NotRun)) {
     Why.State = RunState::NotRun;
     wire::OutcomeRecord Outcome;
     Outcome.Key = State->Record.Key;
     Outcome.IntentOffset = State->Intent.Value;
     Outcome.NotRun = true;
-    appendOutcome(Outcome, Out);
+    Outcome.Status = Told.Reason;
+    if (!State->Outcome)
+      appendOutcome(Outcome, Out);
+    State->Outcome = Outcome;
   }
   if (Why.Reason == RefusalReason::WrongBoot)
     Why.Reason = RefusalReason::OutcomeUnknown;
--- a/packages/core/calls/call_base.h
+++ b/packages/core/calls/call_base.h
@@ -15,8 +15,8 @@
 namespace camphornotch {
 
 /// Records an intent before a call is sent, and answers repeats from its
-/// outcome. The first intent record of a key stands until an outcome with
-/// NotRun closes it.
+/// outcome. The first intent record of a key stands for ever: an outcome with
+/// NotRun ends the key, so that what the caller was told stays true.
 class CallController {
 public:
   /// @param Settings delays and bounds.
@@ -92,7 +92,7 @@
   /// @param Out receives the dispatch.
   void foldIntent(LogOffset Offset, const wire::IntentRecord &Record,
                   Millis Now, Actions &Out);
-  /// Folds one outcome: it answers or reopens its key.
+  /// Folds one outcome: it answers or ends its key.
   /// @param Record the outcome.
   /// @param Now the present.
   /// @param Out receives answers.
@@ -135,6 +135,9 @@
   ///        if not, it is made truthful for each waiter.
   /// @param Out receives the refusals.
   void refuse(KeyState &State, const Refusal &Why, bool Settled, Actions &Out);
+  /// @param Outcome an outcome with NotRun.
+  /// @return what every request of its key is told.
+  static Refusal endedRefusal(const wire::OutcomeRecord &Outcome);
   /// Appends an outcome.
   /// @param Outcome the outcome.
   /// @param Out receives the record.
--- a/packages/core/calls/call_fold.cpp
+++ b/packages/core/calls/call_fold.cpp
@@ -54,21 +54,20 @@
       Found->second.Intent.Value != Record.IntentOffset)
     return;
   KeyState &State = Found->second;
-  if (!Record.NotRun) {
-    State.Outcome = Record;
-    if (State.Work != WorkId{0} && !Record.BodyOmitted)
-      Out.emplace_back(AckIntent{HostId{State.Record.AgentHost}, State.Work});
-    this->proceed(State, Now, Out);
+  if (State.Outcome && State.Outcome->NotRun != Record.NotRun)
     return;
-  }
-  // The agent never starts this intent: the key is free for a new one.
-  this->forgetWork(State);
-  State.Intent = NoOffset;
-  State.Outcome.reset();
-  if (State.Waiters.empty())
-    this->Keys.erase(Found);
-  else
-    this->proceed(State, Now, Out);
+  const bool Told = State.Outcome.has_value() && !State.Outcome->BodyOmitted;
+  if (!Told)
+    State.Outcome = Record;
+  if (State.Work != WorkId{0} && !Record.BodyOmitted)
+    Out.emplace_back(AckIntent{HostId{State.Record.AgentHost}, State.Work});
+  this->proceed(State, Now, Out);
+}
+
+Refusal CallController::endedRefusal(const wire::OutcomeRecord &Outcome) {
+  // The first intent of a key stands for ever, so that "not run" stays true.
+  return Refusal{refusalFromWire(Outcome.Status), RunState::NotRun, 0,
+                 "the key ended without a run; use a new one"};
 }
 
 void CallController::answer(KeyState &State, const wire::OutcomeRecord &Outcome,
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -378,7 +378,7 @@
   4: string ContentType,
   5: binary Body,
   6: bool BodyOmitted,
-  7: bool NotRun,          // the agent says for its boot that it never ran
+  7: bool NotRun,          // it never ran and never will; Status: the reason
 }
 
 /** A digest that must not run until released. */
