Add: [Config] Spreading of configuration, membership, carrying forward

Entries push an accepted configuration to the agents of their data centre as a change by lines; whoever is behind pulls; a fresh process in a log outage takes the highest that its peers hold.

rapidcheck found that a push from before a peer's restart hid that the peer was behind; the heartbeat alone now tells what a peer holds.

--- a/packages/rules/prune_func.cpp
+++ b/bench/programs/config_fanout/prune_func.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// The part of a rule file that can apply at one agent.
 
-#include "rules/prune_func.h"
+#include "config_fanout/prune_func.h"
 
 #include "base/text_func.h"
 #include "rules/lookup_func.h"
--- a/packages/rules/prune_func.h
+++ b/bench/programs/config_fanout/prune_func.h
@@ -1,8 +1,8 @@
 /// @file
 /// The part of a rule file that can apply at one agent.
 
-#ifndef CAMPHORNOTCH_RULES_PRUNE_FUNC_H
-#define CAMPHORNOTCH_RULES_PRUNE_FUNC_H
+#ifndef CAMPHORNOTCH_BENCH_PROGRAMS_CONFIG_FANOUT_PRUNE_FUNC_H
+#define CAMPHORNOTCH_BENCH_PROGRAMS_CONFIG_FANOUT_PRUNE_FUNC_H
 
 #include "rules/rule_set_type.h"
 
@@ -37,4 +37,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_RULES_PRUNE_FUNC_H
+#endif // CAMPHORNOTCH_BENCH_PROGRAMS_CONFIG_FANOUT_PRUNE_FUNC_H
--- a/packages/core/fold/log_fold_base.cpp
+++ b/packages/core/fold/log_fold_base.cpp
@@ -33,6 +33,7 @@
   this->Pending.clear();
   this->PendingBytes = 0;
   this->LastSnapshot = NoOffset;
+  this->LastSnapshotWall = Millis{0};
   this->Oldest = Oldest;
   this->Applied = LogOffset{Oldest.Value - 1};
   this->MustCover = this->Applied;
--- a/packages/core/fold/log_fold_base.h
+++ b/packages/core/fold/log_fold_base.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_CORE_FOLD_LOG_FOLD_BASE_H
 #define CAMPHORNOTCH_CORE_FOLD_LOG_FOLD_BASE_H
 
+#include "base/millis_type.h"
 #include "core/fold/fold_change_type.h"
 #include "core/fold/fold_state_type.h"
 #include "core/fold/writer_table_base.h"
@@ -114,6 +115,9 @@
   /// @return the offset of the newest snapshot record; NoOffset: none.
   LogOffset lastSnapshot() const { return this->LastSnapshot; }
 
+  /// @return the wall clock of the newest snapshot's writer; 0: none.
+  Millis lastSnapshotWall() const { return this->LastSnapshotWall; }
+
   /// The record that carries the whole state forward.
   /// @return a snapshot that covers everything applied.
   /// @pre known()
@@ -260,6 +264,8 @@
   WriterTable Writers;
   /// The newest snapshot record.
   LogOffset LastSnapshot = NoOffset;
+  /// When its writer wrote it.
+  Millis LastSnapshotWall{0};
   /// Records kept until the state is known.
   std::deque<PendingRecord> Pending;
   /// Their size.
--- a/packages/core/fold/log_fold_snapshot.cpp
+++ b/packages/core/fold/log_fold_snapshot.cpp
@@ -116,8 +116,10 @@
                                    : !this->Known && Covers >= this->MustCover;
   // Whether a reset counts must not depend on whether it stands here, since
   // a reader that started late cannot judge that.
-  if (!Record.Reset || coversAllBefore(Offset, Record))
+  if (!Record.Reset || coversAllBefore(Offset, Record)) {
     this->LastSnapshot = Offset;
+    this->LastSnapshotWall = Millis{Record.WrittenWallMs};
+  }
   Seen.Restored = Stands;
   Out.push_back(Seen);
   if (!Stands)
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -404,6 +404,7 @@
   4: binary State,         // an encoded SnapshotState
   5: bool Reset,           // starts anew after every older record expired
   6: i64 OldestOffset,     // Reset: the oldest record the writer could read
+  7: i64 WrittenWallMs,    // when; only to time the next one by
 }
 
 /** An operator's order that a host leaves. */
--- /dev/null
+++ b/tests/config/config_test.cpp
@@ -0,0 +1,311 @@
+/// @file
+/// Tests of the spreading of configuration.
+
+#include "core/config/config_base.h"
+#include "rules/parse_func.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// @param Offset the configuration's offset; also told in its text.
+/// @return the configuration.
+AcceptedConfig config(int64_t Offset) {
+  AcceptedConfig Config;
+  Config.Offset = LogOffset{Offset};
+  Config.Text = "[hosts]\n; asked by Morag\n* = leave_grace_ms=" +
+                std::to_string(Offset) + "\n[limits]\n; asked by Iona\n" +
+                "desk* = rate_per_second=10 max_wait_ms=2000\n";
+  Config.Hash = ruleHash(Config.Text);
+  Config.Rules =
+      std::make_shared<const RuleSet>(parseRules("rules", Config.Text).value());
+  return Config;
+}
+
+/// @param Name the process.
+/// @param ReadsLog whether it is an entry.
+/// @return its settings.
+ConfigSettings settings(const std::string &Name, bool ReadsLog) {
+  ConfigSettings Settings;
+  Settings.Self = HostId{Name};
+  Settings.DataCentre = DataCentreId{"dc1"};
+  Settings.ReadsLog = ReadsLog;
+  return Settings;
+}
+
+/// @param Name the peer.
+/// @param IsAgent whether it is an agent.
+/// @param Offset what it holds.
+/// @return its link.
+ConfigPeerUp peerUp(const std::string &Name, bool IsAgent, int64_t Offset) {
+  return ConfigPeerUp{HostId{Name}, IsAgent, DataCentreId{"dc1"},
+                      LogOffset{Offset}};
+}
+
+/// @tparam ActionT a kind of action.
+/// @param Actions actions.
+/// @return the first of that kind; null if there is none.
+template <typename ActionT>
+const ActionT *firstOf(const std::vector<ConfigAction> &Actions) {
+  for (const ConfigAction &Action : Actions)
+    if (const auto *Found = std::get_if<ActionT>(&Action))
+      return Found;
+  return nullptr;
+}
+
+} // namespace
+
+Test(configSpread, responsible_entry_pushes_the_change_at_once) {
+  ConfigController Entry(settings("entry", true));
+  Entry.handle(ConfigFolded{config(5)}, Millis{0});
+  Entry.handle(peerUp("agent", true, 5), Millis{0});
+  const auto Actions = Entry.handle(ConfigFolded{config(6)}, Millis{1});
+  const auto *Push = firstOf<SendConfigPush>(Actions);
+  cr_assert(Push != nullptr && Push->Push.__isset.Delta);
+  cr_assert(Push->Push.BaseOffset == 5);
+  cr_assert(Push->Push.Delta.size() < config(6).Text.size());
+}
+
+Test(configSpread, other_entry_pushes_when_the_first_does_not) {
+  const HostId Agent{"agent"};
+  ConfigController First(settings("entry-1", true));
+  ConfigController Second(settings("entry-2", true));
+  int AtOnce = 0;
+  int Later = 0;
+  for (ConfigController *Entry : {&First, &Second}) {
+    Entry->handle(ConfigEntries{{HostId{"entry-1"}, HostId{"entry-2"}}},
+                  Millis{0});
+    Entry->handle(peerUp("agent", true, -1), Millis{0});
+    AtOnce += firstOf<SendConfigPush>(
+                  Entry->handle(ConfigFolded{config(6)}, Millis{1})) != nullptr;
+    Later += firstOf<SendConfigPush>(
+                 Entry->handle(ConfigTick{}, Millis{2000})) != nullptr;
+  }
+  cr_assert(AtOnce == 1);
+  cr_assert(Later == 2);
+}
+
+Test(configSpread, older_configuration_is_never_applied) {
+  ConfigController Entry(settings("entry", true));
+  Entry.handle(ConfigFolded{config(6)}, Millis{0});
+  cr_assert(Entry.handle(ConfigFolded{config(5)}, Millis{1}).empty());
+  wire::ConfigPush Push;
+  Push.Offset = 5;
+  Push.__set_Text(config(5).Text);
+  Push.Hash = config(5).Hash;
+  cr_assert(firstOf<ApplyConfig>(Entry.handle(ConfigPushed{HostId{"p"}, Push},
+                                              Millis{2})) == nullptr);
+  cr_assert(Entry.inForce().Offset == LogOffset{6});
+}
+
+Test(configSpread, process_behind_pulls_after_patience) {
+  ConfigController Agent(settings("agent", false));
+  Agent.handle(peerUp("entry", false, 6), Millis{0});
+  cr_assert(Agent.nextDeadline() == Millis{300});
+  const auto Actions = Agent.handle(ConfigTick{}, Millis{300});
+  cr_assert(firstOf<SendConfigPull>(Actions) != nullptr);
+}
+
+Test(configSpread, change_with_another_base_makes_it_ask_for_the_whole) {
+  ConfigController Agent(settings("agent", false));
+  Agent.handle(peerUp("entry", false, 6), Millis{0});
+  wire::ConfigPush Push;
+  Push.Offset = 6;
+  Push.__set_BaseOffset(5);
+  Push.__set_Delta("=1\n");
+  const auto Actions =
+      Agent.handle(ConfigPushed{HostId{"entry"}, Push}, Millis{1});
+  cr_assert(firstOf<ConfigPushBad>(Actions) != nullptr);
+  cr_assert(firstOf<SendConfigPull>(Actions)->Pull.HaveOffset == -1);
+}
+
+Test(configSpread, text_without_its_hash_is_refused) {
+  ConfigController Agent(settings("agent", false));
+  wire::ConfigPush Push;
+  Push.Offset = 6;
+  Push.__set_Text(config(6).Text);
+  Push.Hash = 1;
+  const auto Actions =
+      Agent.handle(ConfigPushed{HostId{"entry"}, Push}, Millis{1});
+  cr_assert(firstOf<ApplyConfig>(Actions) == nullptr);
+}
+
+Test(configReady, fresh_entry_in_a_log_outage_takes_what_agents_hold) {
+  ConfigController Entry(settings("entry", true));
+  Entry.handle(ConfigLogState{false, false}, Millis{0});
+  cr_assert(!Entry.ready(Millis{100000}));
+  Entry.handle(peerUp("agent", true, 9), Millis{0});
+  cr_assert(!Entry.ready(Millis{100000}));
+  const auto Pull = Entry.handle(ConfigTick{}, Millis{300});
+  cr_assert(firstOf<SendConfigPull>(Pull)->Peer == HostId{"agent"});
+  ConfigController Agent(settings("agent", false));
+  wire::ConfigPush Held;
+  Held.Offset = 9;
+  Held.Hash = config(9).Hash;
+  Held.__set_Text(config(9).Text);
+  Agent.handle(ConfigPushed{HostId{"old"}, Held}, Millis{0});
+  Agent.handle(peerUp("entry", false, -1), Millis{0});
+  const auto Answer = Agent.handle(
+      ConfigPulled{HostId{"entry"}, firstOf<SendConfigPull>(Pull)->Pull},
+      Millis{301});
+  const auto Applied = Entry.handle(
+      ConfigPushed{HostId{"agent"}, firstOf<SendConfigPush>(Answer)->Push},
+      Millis{302});
+  cr_assert(firstOf<ApplyConfig>(Applied) != nullptr);
+  cr_assert(!Entry.ready(Millis{2999}));
+  cr_assert(Entry.ready(Millis{3000}));
+}
+
+Test(configReady, entry_waits_for_the_end_of_the_log) {
+  ConfigController Entry(settings("entry", true));
+  Entry.handle(ConfigLogState{true, false}, Millis{0});
+  cr_assert(!Entry.ready(Millis{100000}));
+  Entry.handle(ConfigLogState{true, true}, Millis{1});
+  cr_assert(Entry.ready(Millis{1}));
+}
+
+namespace {
+
+/// A message under way.
+struct InFlight {
+  HostId From;
+  HostId To;
+  std::variant<wire::ConfigPush, wire::ConfigPull> Body;
+};
+
+/// Two entries and three agents whose links lose messages.
+struct Network {
+  std::map<HostId, ConfigController> Nodes;
+  std::vector<InFlight> Messages;
+  std::map<HostId, LogOffset> Highest;
+  Millis Now{0};
+
+  Network() {
+    for (const auto *Name : {"entry-1", "entry-2"})
+      this->Nodes.emplace(HostId{Name}, settings(Name, true));
+    for (const auto *Name : {"agent-1", "agent-2", "agent-3"})
+      this->Nodes.emplace(HostId{Name}, settings(Name, false));
+    for (const auto &[Host, Node] : this->Nodes)
+      this->link(Host);
+  }
+
+  /// @param Host a process.
+  /// @return whether it is an agent.
+  static bool isAgent(const HostId &Host) {
+    return Host.Value.starts_with("agent");
+  }
+
+  /// Links a process with all others.
+  /// @param Host the process.
+  void link(const HostId &Host) {
+    for (const auto &[Other, Node] : this->Nodes) {
+      if (Other == Host || (isAgent(Other) && isAgent(Host)))
+        continue;
+      this->handle(Host, peerUp(Other.Value, isAgent(Other),
+                                Node.inForce().Offset.Value));
+      const int64_t Mine = this->Nodes.at(Host).inForce().Offset.Value;
+      this->handle(Other, peerUp(Host.Value, isAgent(Host), Mine));
+    }
+    this->handle(Host, ConfigEntries{{HostId{"entry-1"}, HostId{"entry-2"}}});
+  }
+
+  /// @param Host a process.
+  /// @param Event what happens there.
+  void handle(const HostId &Host, const ConfigEvent &Event) {
+    for (ConfigAction &Action : this->Nodes.at(Host).handle(Event, this->Now)) {
+      if (auto *Push = std::get_if<SendConfigPush>(&Action))
+        this->Messages.push_back({Host, Push->Peer, Push->Push});
+      if (auto *Pull = std::get_if<SendConfigPull>(&Action))
+        this->Messages.push_back({Host, Pull->Peer, Pull->Pull});
+      if (auto *Applied = std::get_if<ApplyConfig>(&Action)) {
+        RC_ASSERT(Applied->Config.Offset > this->Highest[Host]);
+        RC_ASSERT(Applied->Config.Text ==
+                  config(Applied->Config.Offset.Value).Text);
+        this->Highest[Host] = Applied->Config.Offset;
+      }
+    }
+  }
+
+  /// Delivers one message.
+  /// @param Index which.
+  void deliver(size_t Index) {
+    const InFlight Message = this->Messages[Index];
+    this->Messages.erase(this->Messages.begin() +
+                         static_cast<std::ptrdiff_t>(Index));
+    if (const auto *Push = std::get_if<wire::ConfigPush>(&Message.Body))
+      this->handle(Message.To, ConfigPushed{Message.From, *Push});
+    else
+      this->handle(
+          Message.To,
+          ConfigPulled{Message.From, std::get<wire::ConfigPull>(Message.Body)});
+  }
+
+  /// Lets every process hear every other's heartbeat, and time pass.
+  void beat() {
+    this->Now += Millis{500};
+    for (const auto &[Host, Node] : this->Nodes)
+      for (const auto &[Other, Unused] : this->Nodes)
+        if (Other != Host && !(isAgent(Other) && isAgent(Host)))
+          this->handle(Other, ConfigPeerBeat{Host, Node.inForce().Offset,
+                                             Node.inForce().Hash});
+    for (const auto &[Host, Node] : this->Nodes)
+      this->handle(Host, ConfigTick{});
+  }
+
+  /// Replaces a process by a fresh one.
+  /// @param Host the process.
+  void restart(const HostId &Host) {
+    this->Nodes.erase(Host);
+    this->Nodes.emplace(Host, settings(Host.Value, !isAgent(Host)));
+    this->Highest[Host] = NoOffset;
+    this->link(Host);
+  }
+
+  /// @return the process that random data choose.
+  HostId someHost() {
+    return std::next(this->Nodes.begin(), *rc::gen::inRange(0, 5))->first;
+  }
+};
+
+} // namespace
+
+Test(configSpread, all_converge_through_loss_and_restarts) {
+  const bool Holds = rc::check([] {
+    Network Net;
+    int64_t Published = 0;
+    const int Steps = *rc::gen::inRange(1, 60);
+    for (int Step = 0; Step < Steps; ++Step) {
+      const int What = *rc::gen::inRange(0, 6);
+      if (What == 0)
+        ++Published;
+      if (What <= 1 && Published > 0)
+        Net.handle(*rc::gen::element(HostId{"entry-1"}, HostId{"entry-2"}),
+                   ConfigFolded{config(Published)});
+      if (What == 2 && !Net.Messages.empty())
+        Net.deliver(*rc::gen::inRange<size_t>(0, Net.Messages.size()));
+      if (What == 3 && !Net.Messages.empty())
+        Net.Messages.pop_back();
+      if (What == 4)
+        Net.beat();
+      if (What == 5)
+        Net.restart(Net.someHost());
+    }
+    LogOffset Newest = NoOffset;
+    for (const auto &[Host, Node] : Net.Nodes)
+      Newest = std::max(Newest, Node.inForce().Offset);
+    for (int Round = 0; Round < 12; ++Round) {
+      Net.beat();
+      while (!Net.Messages.empty())
+        Net.deliver(0);
+    }
+    // A message under way may have carried a newer one than any process held.
+    const LogOffset Settled = Net.Nodes.begin()->second.inForce().Offset;
+    RC_ASSERT(Settled >= Newest);
+    for (const auto &[Host, Node] : Net.Nodes)
+      RC_ASSERT(Node.inForce().Offset == Settled);
+  });
+  cr_assert(Holds);
+}
