--- a/packages/core/samples/sample_base.h
+++ b/packages/core/samples/sample_base.h
@@ -4,15 +4,12 @@
 #ifndef CAMPHORNOTCH_CORE_SAMPLES_SAMPLE_BASE_H
 #define CAMPHORNOTCH_CORE_SAMPLES_SAMPLE_BASE_H
 
+#include "core/fold/fold_state_type.h"
 #include "core/samples/cursor_func.h"
 #include "core/samples/step_table_base.h"
 
 namespace camphornotch {
 
-/// @param Trainer a trainer.
-/// @return the shard that holds its samples.
-ShardId trainerShard(const TrainerId &Trainer);
-
 /// One trainer's shard. Every entry feeds it the records read back, so that
 /// it can take over; it acts between ShardGained and ShardLost only.
 class SampleController {
@@ -26,6 +23,11 @@
   /// @return what is to be done.
   std::vector<SampleAction> handle(const SampleEvent &Event, Millis Now);
 
+  /// Takes the state over from a fold that was restored from a snapshot.
+  /// @param State the trainer's steps as folded.
+  /// @param Standing the claim that stands for the shard.
+  void load(const TrainerState &State, const ShardClaim &Standing);
+
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
 
@@ -100,7 +102,7 @@
   /// @{
   void on(const SubmitReceived &Event, Millis Now, Actions &Out);
   void on(const PullReceived &Event, Millis Now, Actions &Out);
-  void on(const AttemptFinished &Event, Millis Now, Actions &Out);
+  void on(const SlotFinished &Event, Millis Now, Actions &Out);
   void on(const SlotFailed &Event, Millis Now, Actions &Out);
   void on(const ScoreFinished &Event, Millis Now, Actions &Out);
   void on(const ScoreFailed &Event, Millis Now, Actions &Out);
@@ -118,6 +120,15 @@
   /// @param Offset its offset.
   /// @param Claim the claim.
   void foldClaim(LogOffset Offset, const wire::ClaimRecord &Claim);
+  /// Folds a release of this shard.
+  /// @param Release the release.
+  void foldRelease(const wire::ReleaseRecord &Release);
+  /// @param Written the epoch of a record.
+  /// @return whether the record counts.
+  bool standing(int64_t Written) const;
+  /// Notes new open slots.
+  /// @param Keys the slots.
+  void addSlots(const std::vector<SlotKey> &Keys);
   /// Folds a step record.
   /// @param Record the record.
   /// @param Out receives answers and attempts.
@@ -130,7 +141,23 @@
   /// @param Event a submission.
   /// @return what is wrong with it; empty if nothing.
   static std::string submitFault(const SubmitReceived &Event);
-  /// Appends groups as few records.
+  /// Sorts a submission's groups into known, awaited and new ones.
+  /// @param Event the submission.
+  /// @param Waiting receives counts and the groups awaited.
+  /// @param Fresh receives the new groups.
+  /// @param Out receives the refusal.
+  /// @return whether the submission can be taken.
+  bool sortGroups(const SubmitReceived &Event, PendingSubmit &Waiting,
+                  std::vector<wire::GroupSpec> &Fresh, Actions &Out) const;
+  /// Refuses a submission.
+  /// @param Event the submission.
+  /// @param Reason why.
+  /// @param Detail particulars.
+  /// @param Out receives the refusal.
+  /// @return false, for the caller to return.
+  static bool refuseSubmit(const SubmitReceived &Event, RefusalReason Reason,
+                           std::string Detail, Actions &Out);
+  /// Appends groups in a few records.
   /// @param Step the step.
   /// @param Model its model.
   /// @param Groups the groups, with ordinals.
@@ -167,9 +194,6 @@
   /// Appends checkpoints if enough has gathered or a step ended.
   /// @param Out receives the records.
   void maybeCheckpoint(Actions &Out);
-  /// Appends all open state again.
-  /// @param Out receives the records.
-  void carryForward(Actions &Out);
 
   /// Asks for output for idle slots up to the bound.
   /// @param Out receives the requests.
@@ -186,8 +210,27 @@
   /// Puts a slot's output in line for delivery.
   /// @param Key the slot.
   /// @param State the slot.
-  /// @param Out receives nothing or the pull's answer.
   void makeReady(const SlotKey &Key, SlotState &State);
+  /// Notes a version of a model that somebody showed.
+  /// @param Model the model.
+  /// @param Version the version.
+  /// @param Now the present.
+  void noteVersion(const std::string &Model, int64_t Version, Millis Now);
+  /// Asks again for samples that a newer version made too old.
+  /// @param Out receives drops and requests.
+  void sweepOld(Actions &Out);
+  /// Refuses every request that waits.
+  /// @param Reason why.
+  /// @param Out receives the refusals.
+  void refuseWaiting(RefusalReason Reason, Actions &Out);
+  /// Refuses the submissions whose time is over.
+  /// @param Now the present.
+  /// @param Out receives the refusals.
+  void expireSubmits(Millis Now, Actions &Out);
+  /// Reads a pull's cursor.
+  /// @param Event the pull.
+  /// @return the cursor, or what is wrong with it.
+  Result<Cursor> readCursor(const PullReceived &Event) const;
   /// Forgets a slot's output and attempts.
   /// @param Key the slot.
   /// @param Out receives what cancels them.
@@ -218,6 +261,8 @@
   SampleSettings Settings;
   /// The epoch of the claim that stands.
   Epoch Current{-1};
+  /// Whether its owner gave the shard up.
+  bool Released = false;
   /// The epoch under which this process acts; nothing: it does not.
   std::optional<Epoch> Own;
   /// Whether the log answers.
@@ -248,8 +293,6 @@
   std::map<std::string, ModelState> Models;
   /// The version that the trainer has reached.
   int64_t TrainerVersion = -1;
-  /// When open state is appended again.
-  Millis CarryAt = Never;
 };
 
 } // namespace camphornotch
