--- a/packages/core/claims/claim_base.h
+++ b/packages/core/claims/claim_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_CORE_CLAIMS_CLAIM_BASE_H
 
 #include "core/claims/claim_type.h"
+#include "core/fold/fold_state_type.h"
 
 #include <map>
 
@@ -22,6 +23,10 @@
   /// @return what is to be done.
   std::vector<ClaimAction> handle(const ClaimEvent &Event, Millis Now);
 
+  /// Takes the claims over from a fold that was restored from a snapshot.
+  /// @param Claims the claims that stand.
+  void load(const std::map<ShardId, ShardClaim> &Claims);
+
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
 
@@ -83,6 +88,17 @@
   /// @param Out receives losses.
   void foldRelease(const wire::ReleaseRecord &Release, Millis Now,
                    Actions &Out);
+  /// Appends the release of a shard.
+  /// @param Name the shard.
+  /// @param State its state.
+  /// @param Out receives the release.
+  void release(const ShardId &Name, ShardState &State, Actions &Out);
+  /// Appends a claim of a shard.
+  /// @param Name the shard.
+  /// @param State its state.
+  /// @param Now the present.
+  /// @param Out receives the claim.
+  void claim(const ShardId &Name, ShardState &State, Millis Now, Actions &Out);
   /// Notes whether a shard has a live owner and claims it if it is time.
   /// @param Name the shard.
   /// @param Now the present.
@@ -126,6 +142,11 @@
 std::vector<HostId> rankEntries(const ShardId &Shard,
                                 const std::map<HostId, EntryView> &Entries);
 
+/// @param Current the shard's epoch before the record; -1: none seen.
+/// @param Claim a claim.
+/// @return whether it takes the shard over.
+bool claimStands(Epoch Current, const wire::ClaimRecord &Claim);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_CORE_CLAIMS_CLAIM_BASE_H
