Add: [Entry] Steps, samples, calls, owners, status

Cause: trainers and callers of non-idempotent services need an entry. Change: one task each for samples, calls and shard owners on the controllers of core; operators' status and explain.

--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -6,6 +6,8 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/fold/shard_func.h"
+#include "daemon/admin_func.h"
 #include "daemon/run_func.h"
 #include "daemon/settings_func.h"
 
@@ -31,6 +33,12 @@
       Works(this->Events, this->Links.hub(), this->Counters),
       Routes(this->Events, this->Works, this->Table, this->WorkIds,
              this->Counters),
+      Samples(this->Events, this->Works, this->Routes, this->Log, this->Table,
+              this->WorkIds, this->Counters),
+      Calls(this->Events, this->Works, this->Log, this->Table, this->Links,
+            this->WorkIds),
+      Owners(this->Events, this->Links, this->Log, Settings.Common, this->Boot,
+             this->Counters),
       Pushes(this->Links, this->Log),
       Front(
           this->Events, Settings, this->Log, this->Counters,
@@ -41,13 +49,23 @@
                          [this] { this->updateGauges(); }}) {}
 
 Result<uint16_t> Entry::start() {
+  this->Owners.start(OwnerTaskEvents{
+      [this](const ShardGained &Event) { this->Samples.gained(Event); },
+      [this](const ShardLost &Event) { this->Samples.lost(Event); },
+      [this] { this->partStopped(); },
+      [this](std::shared_ptr<CallerExchange> Exchange) {
+        this->Front.takeForwarded(std::move(Exchange));
+      }});
+  this->Samples.onEpoch(
+      [this](const EpochSeen &Event) { this->Owners.handle(Event); });
+  this->Works.onAnswer([this](const HostId &Agent, const WorkEvent &Event) {
+    this->onAnswer(Agent, Event);
+  });
+  this->Links.hub().onHeartbeat(
+      [this](wire::Heartbeat &Beat) { this->Pushes.fill(Beat); });
   auto Port = this->Links.start(this->linkEvents());
   if (!Port)
     return Port.error();
-  this->Links.hub().onHeartbeat(
-      [this](wire::Heartbeat &Beat) { this->Pushes.fill(Beat); });
-  this->Works.onAnswer(
-      [this](const WorkEvent &Event) { this->onAnswer(Event); });
   this->Log.start(this->logEvents());
   this->Events.takeSignals([this](int) { this->beginStop(); });
   return this->Front.listen();
@@ -57,28 +75,49 @@
 
 LinkTaskEvents Entry::linkEvents() {
   LinkTaskEvents Tell;
-  Tell.Up = [this](const LinkUp &Up) {
-    this->Works.linkUp(Up);
-    this->Pushes.linkUp(Up);
+  Tell.Up = [this](const LinkUp &Up) { this->onUp(Up); };
+  Tell.Down = [this](const HostId &Peer) {
+    this->Works.linkDown(Peer);
+    this->Owners.linkDown(Peer);
+    this->Calls.handle(AgentLost{Peer});
   };
-  Tell.Down = [this](const HostId &Peer) { this->Works.linkDown(Peer); };
   Tell.Message = [this](const HostId &Peer, const wire::PeerMessage &Message) {
     this->onPeer(Peer, Message);
   };
   Tell.EndpointLost = [this](EndpointIndex Endpoint) {
     this->Routes.endpointLost(Endpoint);
+    this->Samples.endpointLost(Endpoint);
+  };
+  Tell.Members = [this](std::vector<EntryView> Entries) {
+    this->Owners.handle(MembersChanged{std::move(Entries)});
   };
-  Tell.Members = [](const std::vector<EntryView> &) {};
   return Tell;
 }
 
+void Entry::onUp(const LinkUp &Up) {
+  this->Works.linkUp(Up);
+  this->Pushes.linkUp(Up);
+  this->Owners.linkUp(Up);
+  const auto Endpoint = this->Links.endpointOf(Up.Peer);
+  if (!Endpoint)
+    return;
+  this->Calls.handle(AgentPresent{Up.Peer, BootId{Up.Hello.Boot}});
+  this->Samples.endpointReported(*Endpoint);
+}
+
 LogTaskEvents Entry::logEvents() {
   LogTaskEvents Tell;
-  Tell.Committed = [](const RecordCommitted &) {};
+  Tell.Committed = [this](const RecordCommitted &Event) {
+    this->onCommitted(Event);
+  };
   Tell.Changed = [this](const std::vector<FoldChange> &Changes) {
-    this->Pushes.changed(Changes);
+    this->onChanged(Changes);
+  };
+  Tell.Status = [this](const LogStatus &Event) {
+    this->Samples.logStatus(Event);
+    this->Calls.handle(Event);
+    this->Owners.handle(Event);
   };
-  Tell.Status = [](const LogStatus &) {};
   Tell.Reply = [this](const HostId &Peer, const wire::AppendReply &Reply) {
     wire::PeerMessage Message;
     Message.__set_AppendReplyMsg(Reply);
@@ -87,22 +126,56 @@
   return Tell;
 }
 
+void Entry::onCommitted(const RecordCommitted &Event) {
+  this->Samples.committed(Event);
+  this->Calls.handle(Event);
+  this->Owners.handle(Event);
+}
+
+void Entry::onChanged(const std::vector<FoldChange> &Changes) {
+  for (const FoldChange &Change : Changes) {
+    const auto *Snapshot = std::get_if<SnapshotSeen>(&Change);
+    if (Snapshot != nullptr && Snapshot->Restored)
+      this->Owners.reload();
+  }
+  this->Samples.changed(Changes);
+  this->Pushes.changed(Changes);
+}
+
 void Entry::onPeer(const HostId &Peer, const wire::PeerMessage &Message) {
   if (Message.__isset.WorkFinishedMsg)
     this->Links.noteLoad(Peer, Message.WorkFinishedMsg.Load);
   if (Message.__isset.WorkRefusedMsg)
     this->Links.noteLoad(Peer, Message.WorkRefusedMsg.Load);
+  const auto Endpoint = this->Links.endpointOf(Peer);
+  if (Message.__isset.HeartbeatMsg && Endpoint)
+    this->Samples.endpointReported(*Endpoint);
   if (this->Works.take(Peer, Message))
     return;
   if (Message.__isset.ConfigPullMsg)
     this->Pushes.pulled(Peer, Message.ConfigPullMsg);
   if (Message.__isset.AppendRequestMsg)
     this->Log.appendFor(Peer, Message.AppendRequestMsg);
+  if (Message.__isset.ForwardRequestMsg)
+    this->Owners.takeForward(Peer, Message.ForwardRequestMsg);
+  if (Message.__isset.ForwardReplyMsg)
+    this->Owners.takeReply(Message.ForwardReplyMsg);
 }
 
-void Entry::onAnswer(const WorkEvent &Event) {
-  if (Event.Owner == WorkOwner::Route)
-    this->Routes.take(Event);
+void Entry::onAnswer(const HostId &Agent, const WorkEvent &Event) {
+  if (Event.Owner == WorkOwner::Rollout) {
+    this->Samples.take(Agent, Event);
+    return;
+  }
+  if (Event.Owner == WorkOwner::Intent) {
+    this->Calls.take(Event);
+    return;
+  }
+  this->Routes.take(Event);
+  if (const auto *Done = std::get_if<wire::WorkFinished>(&Event.Answer))
+    this->Works.acknowledge(Agent, WorkId{Done->Work});
+  if (const auto *Refused = std::get_if<wire::WorkRefused>(&Event.Answer))
+    this->Works.acknowledge(Agent, WorkId{Refused->Work});
 }
 
 void Entry::dispatch(const std::shared_ptr<CallerExchange> &Exchange) {
@@ -116,13 +189,21 @@
 }
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
-                  const SubmitRequest & /*Wanted*/) {
-  Exchange->refuse(notRun(RefusalReason::UnknownPath, "not served yet"));
+                  const SubmitRequest &Wanted) {
+  this->Owners.route(trainerShard(Wanted.Trainer), Exchange,
+                     [this](const std::shared_ptr<CallerExchange> &One) {
+                       this->Samples.submit(
+                           One, std::get<SubmitRequest>(One->Context.Request));
+                     });
 }
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
-                  const PullRequest & /*Wanted*/) {
-  Exchange->refuse(notRun(RefusalReason::UnknownPath, "not served yet"));
+                  const PullRequest &Wanted) {
+  this->Owners.route(trainerShard(Wanted.Trainer), Exchange,
+                     [this](const std::shared_ptr<CallerExchange> &One) {
+                       this->Samples.pull(
+                           One, std::get<PullRequest>(One->Context.Request));
+                     });
 }
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
@@ -151,17 +232,27 @@
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
                   const ServiceRequest &Wanted) {
-  this->Routes.callService(Exchange, Wanted);
+  if (Exchange->Context.NonIdempotent)
+    this->Calls.call(Exchange, Wanted);
+  else
+    this->Routes.callService(Exchange, Wanted);
 }
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
                   const StatusRequest & /*Wanted*/) {
-  Exchange->refuse(notRun(RefusalReason::UnknownPath, "not served yet"));
+  const StatusView View{this->Settings.Common, this->Boot,
+                        this->whyNotReady(),   this->Log.reachable(),
+                        this->Log.fold(),      this->Links.peers(),
+                        this->Table,           this->Samples.counts()};
+  Exchange->answer(
+      CallerAnswer{200, "application/json", renderStatus(View), 0});
 }
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
-                  const ExplainRequest & /*Wanted*/) {
-  Exchange->refuse(notRun(RefusalReason::UnknownPath, "not served yet"));
+                  const ExplainRequest &Wanted) {
+  Exchange->answer(
+      CallerAnswer{200, "application/json",
+                   renderExplain(*this->Log.fold().config().Rules, Wanted), 0});
 }
 
 std::string Entry::whyNotReady() const {
@@ -202,17 +293,23 @@
     return;
   this->Stopping = true;
   logLine(LogLevel::Info, "stopping");
+  // New work goes elsewhere, shards get a successor, open requests end.
+  this->StopParts = 2;
   this->Links.setLeaving();
-  const auto Exit = [this] {
-    this->Events.callAfter(StopLinger, [this] { this->Events.stop(); });
-  };
-  this->Front.beginStop(Exit);
+  this->Owners.handle(StopRequested{});
+  this->Front.beginStop([this] { this->partStopped(); });
   this->Events.callAfter(this->Settings.Common.StopGrace, [this] {
     logLine(LogLevel::Error, "requests did not end in time");
     this->Events.stop();
   });
 }
 
+void Entry::partStopped() {
+  if (--this->StopParts > 0)
+    return;
+  this->Events.callAfter(StopLinger, [this] { this->Events.stop(); });
+}
+
 int runEntry(const EntrySettings &Settings) {
   Entry Process(Settings);
   const auto Port = Process.start();
--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -4,11 +4,14 @@
 #ifndef CAMPHORNOTCH_DAEMON_ENTRY_BASE_H
 #define CAMPHORNOTCH_DAEMON_ENTRY_BASE_H
 
+#include "daemon/call_task_base.h"
 #include "daemon/http_front_base.h"
 #include "daemon/link_task_base.h"
 #include "daemon/log_task_base.h"
+#include "daemon/owner_task_base.h"
 #include "daemon/push_task_base.h"
 #include "daemon/route_task_base.h"
+#include "daemon/sample_task_base.h"
 #include "daemon/work_links_base.h"
 
 namespace camphornotch {
@@ -58,14 +61,26 @@
   /// @param Message the message.
   void onPeer(const HostId &Peer, const wire::PeerMessage &Message);
   /// Takes an answer to work.
+  /// @param Agent the sender.
   /// @param Event the answer.
-  void onAnswer(const WorkEvent &Event);
+  void onAnswer(const HostId &Agent, const WorkEvent &Event);
+  /// A peer's link is up.
+  /// @param Up the event.
+  void onUp(const LinkUp &Up);
+  /// A record stands in the log.
+  /// @param Event the record.
+  void onCommitted(const RecordCommitted &Event);
+  /// The folded state changed.
+  /// @param Changes what changed.
+  void onChanged(const std::vector<FoldChange> &Changes);
   /// @return why the process cannot serve; empty if it can.
   std::string whyNotReady() const;
   /// Brings gauges up to date.
   void updateGauges();
   /// Begins to stop.
   void beginStop();
+  /// One part of the stop is done; the last one ends the process.
+  void partStopped();
 
   /// The settings.
   const EntrySettings &Settings;
@@ -89,12 +104,20 @@
   WorkLinks Works;
   /// Requests that are answered whole.
   RouteTask Routes;
+  /// Trainers' steps and samples.
+  SampleTask Samples;
+  /// Calls that may run at most once.
+  CallTask Calls;
+  /// Who owns which shard.
+  OwnerTask Owners;
   /// What agents are told of the log.
   PushTask Pushes;
   /// HTTP towards callers.
   HttpFront Front;
   /// Whether the process is stopping.
   bool Stopping = false;
+  /// Parts of the stop that are not done.
+  int StopParts = 0;
 };
 
 } // namespace camphornotch
--- a/packages/daemon/log_task_base.cpp
+++ b/packages/daemon/log_task_base.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/hash_func.h"
 #include "base/log_func.h"
+#include "core/claims/log_feed_func.h"
 #include "daemon/settings_func.h"
 #include "wire/codec_func.h"
 
@@ -78,11 +79,12 @@
       std::any_of(Changes.begin(), Changes.end(), [](const FoldChange &One) {
         return std::holds_alternative<DuplicateDropped>(One);
       });
+  if (recordStands(Changes))
+    this->Tell.Committed(RecordCommitted{Offset, Record});
   if (Record.__isset.Snapshot)
     this->SnapshotAt = steadyNow();
   if (!Duplicate) {
     this->remember(Key, Offset);
-    this->Tell.Committed(RecordCommitted{Offset, Record});
     this->Tell.Changed(Changes);
   }
   this->settleAgents(Key, Offset);
--- a/packages/daemon/route_task_base.cpp
+++ b/packages/daemon/route_task_base.cpp
@@ -19,6 +19,10 @@
 constexpr int64_t DefaultExpectedTokens = 128;
 /// Time beyond the deadline for the agent's own answer to arrive.
 constexpr Millis DeadlineSlack{250};
+/// Deadline of calls of our own.
+constexpr Millis OwnCallDeadline = seconds(30);
+/// The status of an answer.
+constexpr int StatusOk = 200;
 /// Most bytes of a stream that wait for a slow caller.
 constexpr size_t MaxUnsentBytes = size_t{8} << 20;
 
@@ -72,6 +76,9 @@
   if (!Wanted.PromptPrefix.empty())
     Job.Spec.Affinity = std::to_string(hashBytes(Wanted.PromptPrefix));
   Job.Work.Affinity = Job.Spec.Affinity;
+  Job.Style.Id = Exchange->Context.RequestId;
+  Job.Style.Model = Wanted.Model;
+  Job.Style.Chat = Wanted.Chat;
   Job.Exchange = std::move(Exchange);
   this->submit(std::move(Job));
 }
@@ -94,13 +101,14 @@
   Job.Spec.Class = Job.Work.Class;
   Job.Spec.Bytes = static_cast<int64_t>(Job.Work.Body.size());
   OpenJob Open;
-  if (Job.Exchange != nullptr) {
-    const Millis Deadline = Job.Exchange->Context.Deadline;
-    Job.Spec.Deadline = steadyNow() + Deadline;
-    Open.Timer = this->Events.callAfter(
-        Deadline + DeadlineSlack, [this, Ref] { this->deadlinePassed(Ref); });
+  const Millis Deadline = Job.Exchange == nullptr
+                              ? OwnCallDeadline
+                              : Job.Exchange->Context.Deadline;
+  Job.Spec.Deadline = steadyNow() + Deadline;
+  Open.Timer = this->Events.callAfter(
+      Deadline + DeadlineSlack, [this, Ref] { this->deadlinePassed(Ref); });
+  if (Job.Exchange != nullptr)
     Job.Exchange->onGone([this, Ref] { this->callerGone(Ref); });
-  }
   const RouteRequested Requested{Job.Spec};
   Open.Job = std::move(Job);
   this->Jobs.emplace(Ref, std::move(Open));
@@ -169,10 +177,11 @@
 }
 
 void RouteTask::passOn(RequestRef Ref, std::string_view Bytes) {
-  const auto Exchange = this->Jobs.at(Ref).Job.Exchange;
+  const RouteJob &Job = this->Jobs.at(Ref).Job;
+  const auto Exchange = Job.Exchange;
   if (Exchange == nullptr)
     return;
-  Exchange->stream(Bytes);
+  Exchange->stream(renderPart(Job.Style, Bytes));
   if (Exchange->unsentBytes() <= MaxUnsentBytes)
     return;
   this->handle(RouteCallerGone{Ref});
@@ -207,15 +216,27 @@
     Open->Job.Done(Finished);
     return;
   }
-  CallerExchange &Exchange = *Open->Job.Exchange;
-  if (Open->Job.Work.Stream && Exchange.answered()) {
-    if (!Finished.Body.empty())
-      Exchange.stream(Finished.Body);
-    Exchange.finishStream();
+  const bool Output = Open->Job.Work.Kind == wire::WorkKind::Completion &&
+                      Finished.Status == StatusOk;
+  if (Output)
+    RouteTask::deliverCompletion(Open->Job, Finished);
+  else
+    Open->Job.Exchange->answer(
+        CallerAnswer{Finished.Status, Finished.ContentType, Finished.Body, 0});
+}
+
+void RouteTask::deliverCompletion(const RouteJob &Job,
+                                  const wire::WorkFinished &Finished) {
+  CallerExchange &Exchange = *Job.Exchange;
+  if (!Job.Work.Stream) {
+    Exchange.answer(CallerAnswer{StatusOk, "application/json",
+                                 renderWhole(Job.Style, Finished), 0});
     return;
   }
-  Exchange.answer(
-      CallerAnswer{Finished.Status, Finished.ContentType, Finished.Body, 0});
+  if (!Finished.Body.empty())
+    Exchange.stream(renderPart(Job.Style, Finished.Body));
+  Exchange.stream(renderEnd(Job.Style, Finished));
+  Exchange.finishStream();
 }
 
 void RouteTask::refuse(RequestRef Ref, const Refusal &Why) {
--- a/packages/daemon/route_task_base.h
+++ b/packages/daemon/route_task_base.h
@@ -6,6 +6,7 @@
 
 #include "core/routing/route_controller_base.h"
 #include "daemon/caller_exchange_base.h"
+#include "daemon/completion_answer_func.h"
 #include "daemon/work_links_base.h"
 
 #include <functional>
@@ -16,8 +17,9 @@
 namespace camphornotch {
 
 /// The end of a call of our own: the answer or the refusal.
-using RouteDone =
-    std::function<void(std::variant<wire::WorkFinished, Refusal>)>;
+using RouteEnd = std::variant<wire::WorkFinished, Refusal>;
+/// Told the end of a call of our own.
+using RouteDone = std::function<void(const RouteEnd &)>;
 
 /// One request for the route task.
 struct RouteJob {
@@ -25,6 +27,8 @@
   RouteSpec Spec;
   /// What is sent; work number, attempt and deadline are filled in.
   wire::StartWork Work;
+  /// How a completion is rendered.
+  CompletionStyle Style;
   /// The caller; null for a call of our own.
   std::shared_ptr<CallerExchange> Exchange;
   /// Told the end of a call of our own.
@@ -80,13 +84,8 @@
     TimerId Timer;
   };
 
-  /// The first parts of an attempt whose output may become the answer.
-  using Answer =
-      std::variant<wire::WorkChunk, wire::WorkFinished, wire::WorkRefused>;
-
   /// Hands an event to the controller and does what it asks for.
   /// @param Event the event.
-  /// @param Now the present.
   void handle(const RouteEvent &Event);
 
   /// @name Actions
@@ -113,6 +112,11 @@
   /// @param Ref the request.
   /// @param Finished the answer.
   void deliver(RequestRef Ref, const wire::WorkFinished &Finished);
+  /// Gives the caller of a completion its answer.
+  /// @param Job the request.
+  /// @param Finished the answer.
+  static void deliverCompletion(const RouteJob &Job,
+                                const wire::WorkFinished &Finished);
   /// Refuses a request and forgets it.
   /// @param Ref the request.
   /// @param Why the refusal.
--- a/packages/daemon/work_links_base.cpp
+++ b/packages/daemon/work_links_base.cpp
@@ -121,7 +121,7 @@
   Fresh.Data.erase(0, static_cast<size_t>(Open.Received - Chunk.Offset));
   Fresh.Offset = Open.Received;
   Open.Received = Chunk.Offset + Length;
-  this->Handler(WorkEvent{Open.Owner, std::move(Fresh)});
+  this->Handler(Agent, WorkEvent{Open.Owner, std::move(Fresh)});
 }
 
 void WorkLinks::takeFinished(const HostId &Agent,
@@ -135,7 +135,7 @@
     return;
   }
   if (const auto Owner = this->settle(Agent, WorkId{Answer.Work}))
-    this->Handler(WorkEvent{*Owner, Answer});
+    this->Handler(Agent, WorkEvent{*Owner, Answer});
 }
 
 bool WorkLinks::take(const HostId &Agent, const wire::PeerMessage &Message) {
@@ -150,7 +150,7 @@
   if (Message.__isset.WorkRefusedMsg) {
     const auto &Answer = Message.WorkRefusedMsg;
     if (const auto Owner = this->settle(Agent, WorkId{Answer.Work}))
-      this->Handler(WorkEvent{*Owner, Answer});
+      this->Handler(Agent, WorkEvent{*Owner, Answer});
     return true;
   }
   return false;
--- a/packages/daemon/work_links_base.h
+++ b/packages/daemon/work_links_base.h
@@ -33,8 +33,8 @@
   std::variant<wire::WorkChunk, wire::WorkFinished, wire::WorkRefused> Answer;
 };
 
-/// Takes answers.
-using WorkHandler = std::function<void(WorkEvent)>;
+/// Takes answers, with the host of the agent that sent them.
+using WorkHandler = std::function<void(const HostId &, const WorkEvent &)>;
 
 /// Sends work and finds the work of each answer, on whatever connection and
 /// in whatever order answers come.
