--- a/packages/core/filters/caller_request_func.cpp
+++ b/packages/core/filters/caller_request_func.cpp
@@ -136,6 +136,7 @@
   CompletionRequest Request;
   Request.Model = Fields.text("model", true);
   Request.Stream = Fields.flag("stream");
+  Request.Chat = Chat;
   Request.MaxTokens = Fields.number("max_tokens", 0, 0);
   if (Chat && Fields.find("messages", true) != nullptr)
     Request.PromptPrefix = firstMessage(Value);
--- a/packages/core/filters/caller_request_type.h
+++ b/packages/core/filters/caller_request_type.h
@@ -22,6 +22,8 @@
   std::string Model;
   /// Whether the answer is wanted as Server-Sent Events.
   bool Stream = false;
+  /// Whether it has messages in place of a prompt.
+  bool Chat = false;
   /// The most tokens wanted; 0: not given.
   int64_t MaxTokens = 0;
   /// The start of the prompt, for prefix affinity.
--- a/packages/core/filters/parse_filter.cpp
+++ b/packages/core/filters/parse_filter.cpp
@@ -42,8 +42,11 @@
   }
   Context.Request = std::move(Parsed.value());
   Context.Deadline = parseDeadline(Context.DeadlineMs, World.DefaultDeadline);
-  const uint64_t PathHash = hashBytes(Context.Path);
-  Context.Digest = static_cast<int64_t>(hashBytes(Context.Body, PathHash));
+  uint64_t Digest = hashBytes(Context.Method);
+  for (const std::string_view Part :
+       {Context.Path, Context.Query, Context.Body})
+    Digest = hashBytes(Part, Digest);
+  Context.Digest = static_cast<int64_t>(Digest);
   return std::nullopt;
 }
 
