--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -20,6 +20,8 @@
 /// How long a stopping process waits after its last answer, so that callers
 /// with an idle connection find another entry.
 constexpr Millis StopLinger{300};
+/// How long a process without open requests waits for its releases to stand.
+constexpr Millis ReleaseWait = seconds(3);
 
 } // namespace
 
@@ -297,7 +299,11 @@
   this->StopParts = 2;
   this->Links.setLeaving();
   this->Owners.handle(StopRequested{});
-  this->Front.beginStop([this] { this->partStopped(); });
+  this->Front.beginStop([this] {
+    this->partStopped();
+    // With the log down nothing can be released; a successor claims anyway.
+    this->Events.callAfter(ReleaseWait, [this] { this->Events.stop(); });
+  });
   this->Events.callAfter(this->Settings.Common.StopGrace, [this] {
     logLine(LogLevel::Error, "requests did not end in time");
     this->Events.stop();
