--- a/packages/core/samples/step_table_base.h
+++ b/packages/core/samples/step_table_base.h
@@ -5,9 +5,9 @@
 #ifndef CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
 #define CAMPHORNOTCH_CORE_SAMPLES_STEP_TABLE_BASE_H
 
+#include "core/fold/fold_state_type.h"
 #include "core/samples/sample_type.h"
 
-#include <deque>
 #include <map>
 #include <set>
 
@@ -20,6 +20,9 @@
 /// Finished steps whose repeated submissions are recognised.
 inline constexpr size_t DoneStepsKept = 64;
 
+/// Largest number of open steps; the fold keeps no more.
+inline constexpr size_t MaxOpenSteps = FoldLimits{}.StepsPerTrainer;
+
 /// @param Key a slot.
 /// @return its number in checkpoint records, unique in its step.
 int64_t slotNumber(const SlotKey &Key);
@@ -30,7 +33,7 @@
 SlotKey slotOfNumber(int64_t Step, int64_t Number);
 
 /// One open step.
-struct StepState {
+struct OpenStep {
   /// The model to sample from.
   std::string Model;
   /// Its groups by ordinal.
@@ -55,12 +58,18 @@
   New,       ///< Not known: it may be added.
   Known,     ///< Already part of the step.
   StepEnded, ///< The step ended without it, or was forgotten.
+  TooMany,   ///< Too many steps are open for another one.
 };
 
 /// The folded steps of one trainer. Every entry keeps one, so that any can
 /// take over without reading the log again.
 class StepTable {
 public:
+  /// Takes the steps over from a restored fold.
+  /// @param Trainer the trainer's name, for the records made of them.
+  /// @param State the trainer's steps as folded.
+  void load(const std::string &Trainer, const TrainerState &State);
+
   /// Folds one step record of the present epoch.
   /// @param Record the record.
   /// @return the slots that it adds.
@@ -86,13 +95,13 @@
   const wire::GroupSpec *group(const SlotKey &Key) const;
 
   /// @return the slots held by the trainer that no checkpoint lists yet.
-  std::set<SlotKey> undurable() const;
+  const std::set<SlotKey> &undurable() const { return this->Undurable; }
 
   /// @return slots not yet held by the trainer.
-  int64_t openSlots() const;
+  int64_t openSlots() const { return this->Open; }
 
   /// @return the open steps by number.
-  const std::map<int64_t, StepState> &steps() const { return this->Steps; }
+  const std::map<int64_t, OpenStep> &steps() const { return this->Steps; }
 
   /// @param Step a step.
   /// @return whether nothing more can come: the trainer holds all of it and
@@ -107,18 +116,25 @@
   int32_t nextOrdinal(int64_t Step) const;
 
 private:
+  /// @param Step a step.
+  /// @return whether it ended, or was passed over by one that ended.
+  bool ended(int64_t Step) const;
   /// Forgets an ended step but for the hashes of its groups.
   /// @param Step the step.
   void close(int64_t Step);
 
   /// The open steps.
-  std::map<int64_t, StepState> Steps;
+  std::map<int64_t, OpenStep> Steps;
   /// Hashes of the group names of ended steps.
   std::map<int64_t, std::set<uint64_t>> Done;
-  /// No step up to this one may be submitted any more.
-  int64_t Floor = INT64_MIN;
+  /// The highest ended step; lower ones that are not open cannot be opened.
+  int64_t HighestDone = -1;
   /// The largest batch that a checkpoint shows as acknowledged.
   int64_t DurableBatch = 0;
+  /// Slots not yet held by the trainer.
+  int64_t Open = 0;
+  /// Slots held by the trainer that no checkpoint lists yet.
+  std::set<SlotKey> Undurable;
 };
 
 } // namespace camphornotch
