--- /dev/null
+++ b/packages/ctl/host_commands.cpp
@@ -0,0 +1,141 @@
+/// @file
+/// Subcommands about hosts: status and drain.
+
+#include "base/text_func.h"
+#include "ctl/command_func.h"
+#include "ctl/output_func.h"
+#include "ctl/reports_func.h"
+
+#include <absl/strings/str_format.h>
+#include <iostream>
+
+namespace camphornotch {
+
+namespace {
+
+using nlohmann::json;
+
+/// @param Report a host.
+/// @return one word for its state.
+std::string stateWord(const HostReport &Report) {
+  if (Report.ReachedBy.empty())
+    return "silent";
+  return Report.Listed;
+}
+
+/// @param Host its name.
+/// @param Report a host.
+/// @return it as JSON.
+json hostJson(const std::string &Host, const HostReport &Report) {
+  return json{{"host", Host},
+              {"role", Report.Role},
+              {"data_centre", Report.DataCentre},
+              {"state", stateWord(Report)},
+              {"config_offset", Report.ConfigOffset},
+              {"reached_by", Report.ReachedBy},
+              {"endpoint", Report.Endpoint}};
+}
+
+/// @param Value a JSON object or null.
+/// @param Name a member.
+/// @return its text; "-" if there is none.
+std::string cell(const json &Value, const char *Name) {
+  if (!Value.is_object() || !Value.contains(Name))
+    return "-";
+  const json &Member = Value[Name];
+  return Member.is_string() ? Member.get<std::string>() : Member.dump();
+}
+
+/// Prints the table of hosts.
+/// @param Seen the reports.
+void printHosts(const Reports &Seen) {
+  std::cout << absl::StrFormat("%-16s %-6s %-8s %-9s %8s %8s  %-12s %8s %8s "
+                               "%7s\n",
+                               "host", "role", "centre", "state", "config",
+                               "entries", "endpoint", "running", "queued",
+                               "version");
+  for (const auto &[Host, Report] : Seen.Hosts)
+    std::cout << absl::StrFormat(
+        "%-16s %-6s %-8s %-9s %8s %8d  %-12s %8s %8s %7s\n", Host, Report.Role,
+        Report.DataCentre, stateWord(Report),
+        Report.ConfigOffset < -1 ? "?" : concat(Report.ConfigOffset),
+        Report.ReachedBy.size(), cell(Report.Endpoint, "endpoint"),
+        cell(Report.Endpoint, "running"), cell(Report.Endpoint, "queued"),
+        cell(Report.Endpoint, "version"));
+}
+
+/// Prints what each entry says of itself.
+/// @param Seen the reports.
+void printEntries(const Reports &Seen) {
+  for (const json &Entry : Seen.Entries) {
+    std::cout << cell(Entry, "host") << ": ready=" << cell(Entry, "ready");
+    if (Entry.contains("log"))
+      std::cout << " log_reachable=" << cell(Entry["log"], "reachable")
+                << " log_applied=" << cell(Entry["log"], "applied");
+    const std::string Why = cell(Entry, "why_not_ready");
+    if (!Why.empty() && Why != "-")
+      std::cout << " (" << Why << ")";
+    std::cout << "\n";
+  }
+}
+
+} // namespace
+
+ExitCode runStatus(const Options &Wanted) {
+  Platform Services(Wanted);
+  const Result<Reports> Seen = collectReports(Services);
+  if (!Seen.has_value())
+    return fail(Wanted, Seen.error());
+  if (Wanted.Json) {
+    json Hosts = json::array();
+    for (const auto &[Host, Report] : Seen.value().Hosts)
+      Hosts.push_back(hostJson(Host, Report));
+    printJson({{"hosts", std::move(Hosts)}, {"entries", Seen.value().Entries}});
+  } else {
+    printHosts(Seen.value());
+    printEntries(Seen.value());
+  }
+  if (!Seen.value().Entries.empty())
+    return ExitCode::Ok;
+  return fail(Wanted, Error{ErrorKind::Unavailable, "no entry answers",
+                            "see whether entries run, and whether this host "
+                            "reaches them"});
+}
+
+ExitCode runDrain(const Options &Wanted) {
+  const std::string &Host = Wanted.Arguments.front();
+  Platform Services(Wanted);
+  const Result<std::vector<HostEntry>> Hosts = Services.hosts();
+  bool Listed = !Hosts.has_value();
+  if (Hosts.has_value())
+    for (const HostEntry &Entry : Hosts.value())
+      Listed |= Entry.Host.Value == Host;
+  if (!Listed && !Wanted.Cancel)
+    return fail(Wanted, Error{ErrorKind::NotFound,
+                              concat("no host \"", Host, "\" is listed"),
+                              "see `camphornotch status` for the names"});
+  LogFold Fold;
+  const Result<LogOffset> End = Services.foldAll(Fold);
+  if (!End.has_value())
+    return fail(Wanted, End.error());
+  wire::DrainRecord Order;
+  Order.Host = Host;
+  Order.Leave = !Wanted.Cancel;
+  Order.Author = Wanted.Author;
+  wire::LogRecord Record;
+  Record.__set_Drain(Order);
+  const auto Changes = Services.append(Record, Fold);
+  if (!Changes.has_value())
+    return fail(Wanted, Changes.error());
+  if (Wanted.Json)
+    printJson({{"host", Host},
+               {"leave", Order.Leave},
+               {"offset", Fold.applied().Value}});
+  else
+    std::cout << Host
+              << (Order.Leave ? " is ordered to leave\n"
+                              : " may stay: the order was taken back\n");
+  return ExitCode::Ok;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/ctl/platform_base.cpp
@@ -0,0 +1,225 @@
+/// @file
+/// Blocking calls to the log, the host list and entries.
+
+#include "ctl/platform_base.h"
+
+#include "base/clock_func.h"
+#include "base/text_func.h"
+#include "wire/codec_func.h"
+
+#include <absl/strings/escaping.h>
+#include <optional>
+#include <random>
+
+namespace camphornotch {
+
+namespace {
+
+using nlohmann::json;
+
+/// Records of one read.
+constexpr int64_t PageRecords = 1000;
+/// Time for one call beyond what it is asked to wait.
+constexpr Millis CallTimeout{2000};
+/// How long one read for the own record waits.
+constexpr Millis ReadBackWait{500};
+/// Wait before a refused or unanswered append is sent again.
+constexpr Millis AppendRetry{100};
+
+/// @param Text an answer.
+/// @return it as JSON; discarded if it is none.
+json parseJson(std::string_view Text) {
+  return json::parse(Text.begin(), Text.end(), nullptr, false);
+}
+
+/// @param Where a service.
+/// @param What its name.
+/// @param Flag the flag that names it.
+/// @return the error of a service that does not answer.
+Error noAnswer(const HttpTarget &Where, std::string_view What,
+               std::string_view Flag) {
+  return Error{ErrorKind::Unavailable,
+               concat("the ", What, " at ", Where.Address, ":", Where.Port,
+                      " does not answer"),
+               concat("try again later, or correct ", Flag)};
+}
+
+/// @param Value a JSON object.
+/// @param Name a member.
+/// @return the number; -1 if there is none.
+int64_t numberIn(const json &Value, const char *Name) {
+  const auto Found = Value.find(Name);
+  if (Found == Value.end() || !Found->is_number_integer())
+    return -1;
+  return Found->get<int64_t>();
+}
+
+/// @param Entry one record of the log's answer.
+/// @return the record; an empty one if it cannot be decoded.
+LoggedRecord loggedRecord(const json &Entry) {
+  LoggedRecord Out;
+  Out.Offset = LogOffset{numberIn(Entry, "offset")};
+  const auto Data = Entry.find("data");
+  std::string Bytes;
+  if (Data == Entry.end() || !Data->is_string() ||
+      !absl::Base64Unescape(Data->get_ref<const std::string &>(), &Bytes))
+    return Out;
+  Result<wire::LogRecord> Record = decodeRecord(Bytes);
+  if (Record.has_value())
+    Out.Record = std::move(Record.value());
+  return Out;
+}
+
+/// @return a boot id for the record of this command.
+int64_t freshBoot() {
+  std::random_device Device;
+  const uint64_t Bits = (uint64_t{Device()} << 32) | Device();
+  return static_cast<int64_t>(Bits >> 1) | 1;
+}
+
+} // namespace
+
+Platform::Platform(const Options &Options)
+    : Http(this->Events), Wanted(Options),
+      Deadline(steadyNow() + Options.Timeout) {}
+
+bool Platform::timeIsOver() { return steadyNow() >= this->Deadline; }
+
+void Platform::pause(Millis Span) {
+  const Millis Until = steadyNow() + Span;
+  while (steadyNow() < Until)
+    this->Events.runOnce(Until - steadyNow());
+}
+
+Result<HttpResponse> Platform::call(HttpCall Call) {
+  std::optional<Result<HttpResponse>> Answer;
+  HttpEvents Tell;
+  Tell.Finished = [&](HttpResponse Response) { Answer = std::move(Response); };
+  Tell.Failed = [&](const HttpFailure &Failure) { Answer = Failure.Cause; };
+  this->Http.start(std::move(Call), std::move(Tell));
+  while (!Answer.has_value())
+    this->Events.runOnce(CallTimeout);
+  return *Answer;
+}
+
+Result<LogPage> Platform::readPage(LogOffset From, Millis Wait) {
+  HttpCall Call;
+  Call.Target = this->Wanted.Log;
+  Call.Path = concat("/v1/records?from=", From.Value, "&limit=", PageRecords,
+                     "&wait_ms=", Wait.Count);
+  Call.Timeout = CallTimeout + Wait;
+  const Result<HttpResponse> Answer = this->call(std::move(Call));
+  if (!Answer.has_value() || Answer.value().Status != 200)
+    return noAnswer(this->Wanted.Log, "log", "--log");
+  const json Body = parseJson(Answer.value().Body);
+  const auto Records = Body.find("records");
+  if (!Body.is_object() || Records == Body.end() || !Records->is_array())
+    return noAnswer(this->Wanted.Log, "log", "--log");
+  LogPage Page;
+  Page.Oldest = LogOffset{numberIn(Body, "oldest")};
+  Page.Next = LogOffset{numberIn(Body, "next")};
+  for (const json &Entry : *Records)
+    Page.Records.push_back(loggedRecord(Entry));
+  return Page;
+}
+
+Result<LogOffset> Platform::foldAll(LogFold &Fold) {
+  for (;;) {
+    const LogOffset From{Fold.applied().Value + 1};
+    Result<LogPage> Page = this->readPage(From, Millis{0});
+    if (!Page.has_value())
+      return Page.error();
+    if (Page.value().Oldest > From)
+      Fold.startAt(Page.value().Oldest);
+    for (const LoggedRecord &One : Page.value().Records)
+      Fold.apply(One.Offset, One.Record);
+    if (Page.value().Records.empty())
+      break;
+  }
+  if (!Fold.known())
+    return Error{ErrorKind::Unavailable,
+                 "the log has lost its start and holds no snapshot yet",
+                 "start an entry, which writes one, and try again"};
+  return Fold.applied();
+}
+
+void Platform::sendAppend(const std::string &Encoded) {
+  HttpCall Call;
+  Call.Target = this->Wanted.Log;
+  Call.Method = "POST";
+  Call.Path = "/v1/records";
+  Call.Headers.push_back({"Content-Type", "application/json"});
+  Call.Body =
+      json{{"records", json::array({absl::Base64Escape(Encoded)})}}.dump();
+  Call.Timeout = CallTimeout;
+  Call.Reuse = false;
+  // Whatever the answer, only reading the record back tells its fate.
+  (void)this->call(std::move(Call));
+}
+
+bool Platform::readBack(int64_t Boot, LogFold &Fold,
+                        std::vector<FoldChange> &Changes) {
+  const LogOffset From{Fold.applied().Value + 1};
+  Result<LogPage> Page = this->readPage(From, ReadBackWait);
+  if (!Page.has_value())
+    return false;
+  if (Page.value().Oldest > From)
+    Fold.startAt(Page.value().Oldest);
+  bool Found = false;
+  for (const LoggedRecord &One : Page.value().Records) {
+    std::vector<FoldChange> Now = Fold.apply(One.Offset, One.Record);
+    if (Found || One.Record.WriterBoot != Boot)
+      continue;
+    Found = true;
+    Changes = std::move(Now);
+  }
+  return Found;
+}
+
+Result<std::vector<FoldChange>> Platform::append(wire::LogRecord Record,
+                                                 LogFold &Fold) {
+  Record.WriterBoot = freshBoot();
+  Record.Sequence = 1;
+  const std::string Encoded = encodeRecord(Record);
+  std::vector<FoldChange> Changes;
+  do {
+    this->sendAppend(Encoded);
+    if (this->readBack(Record.WriterBoot, Fold, Changes))
+      return Changes;
+    this->pause(AppendRetry);
+  } while (!this->timeIsOver());
+  return Error{ErrorKind::Unavailable,
+               "the record was sent, but could not be read back in time",
+               "look at `camphornotch log` once the log answers: the record "
+               "may have taken effect"};
+}
+
+Result<std::vector<HostEntry>> Platform::hosts() {
+  HttpCall Call;
+  Call.Target = this->Wanted.HostList;
+  Call.Path = "/v1/hosts?from=";
+  Call.Timeout = CallTimeout;
+  const Result<HttpResponse> Answer = this->call(std::move(Call));
+  if (!Answer.has_value() || Answer.value().Status != 200)
+    return noAnswer(this->Wanted.HostList, "host list", "--host_list");
+  Result<HostList> List = parseHostList(Answer.value().Body);
+  if (!List.has_value())
+    return List.error();
+  return std::move(List.value().Hosts);
+}
+
+Result<json> Platform::status(const HttpTarget &Entry) {
+  HttpCall Call;
+  Call.Target = Entry;
+  Call.Path = "/admin/status";
+  Call.Timeout = CallTimeout;
+  const Result<HttpResponse> Answer = this->call(std::move(Call));
+  if (!Answer.has_value() || Answer.value().Status != 200)
+    return noAnswer(Entry, "entry", "--host_list");
+  json Body = parseJson(Answer.value().Body);
+  if (!Body.is_object())
+    return noAnswer(Entry, "entry", "--host_list");
+  return Body;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/ctl/publish_command.cpp
@@ -0,0 +1,265 @@
+/// @file
+/// The subcommand publish: append, read back, wait until it is in force.
+
+#include "base/clock_func.h"
+#include "base/ini_func.h"
+#include "base/text_func.h"
+#include "ctl/command_func.h"
+#include "ctl/output_func.h"
+#include "ctl/platform_base.h"
+#include "ctl/reports_func.h"
+#include "rules/delta_func.h"
+#include "rules/diff_func.h"
+#include "rules/parse_func.h"
+
+#include <absl/strings/numbers.h>
+#include <iostream>
+#include <random>
+
+namespace camphornotch {
+
+namespace {
+
+using nlohmann::json;
+
+/// The mark of the line that tells what a file is based on.
+constexpr std::string_view BaseMark = "; base ";
+/// No base was given.
+constexpr int64_t NoBase = -2;
+/// Time between two looks at the hosts.
+constexpr Millis LookInterval{100};
+
+/// What one publication works with.
+struct Publication {
+  /// The file's name.
+  std::string Path;
+  /// Its text, without a base line.
+  std::string Text;
+  /// Its rules.
+  RuleSet Rules;
+  /// The offset it is based on.
+  LogOffset Base = NoOffset;
+  /// The id that tells this publication from others.
+  std::string Id;
+};
+
+/// How far a published configuration has come.
+struct Reach {
+  /// Live hosts that report it, or a later one.
+  size_t InForce = 0;
+  /// Live hosts that do not.
+  std::vector<std::string> Lagging;
+};
+
+/// Takes the base line off a file.
+/// @param Text the file; loses the line.
+/// @return the base; NoBase if there is no such line.
+int64_t takeBaseLine(std::string &Text) {
+  if (!Text.starts_with(BaseMark))
+    return NoBase;
+  const size_t End = std::min(Text.find('\n'), Text.size());
+  const std::string_view Number = trimSpace(
+      std::string_view(Text).substr(BaseMark.size(), End - BaseMark.size()));
+  int64_t Base = NoBase;
+  if (!absl::SimpleAtoi(toAbsl(Number), &Base))
+    return NoBase;
+  Text.erase(0, std::min(End + 1, Text.size()));
+  return Base;
+}
+
+/// @return an id that no other publication has.
+std::string freshId() {
+  std::random_device Device;
+  return concat(Device(), "-", Device());
+}
+
+/// Reads the file to publish.
+/// @param Wanted the command line.
+/// @param Out takes it.
+/// @return the exit code.
+ExitCode loadFile(const Options &Wanted, Publication &Out) {
+  Out.Path = Wanted.Arguments.front();
+  Result<std::string> Text = readFile(Out.Path);
+  if (!Text.has_value())
+    return fail(Wanted, Text.error());
+  RuleResult Rules = parseRules(Out.Path, Text.value());
+  if (!Rules.has_value())
+    return fail(Wanted, Rules.error(), ExitCode::BadRules);
+  Out.Rules = std::move(Rules.value());
+  Out.Text = std::move(Text.value());
+  const int64_t Line = takeBaseLine(Out.Text);
+  Out.Base = LogOffset{Wanted.Base == NoBase ? Line : Wanted.Base};
+  Out.Id = freshId();
+  return ExitCode::Ok;
+}
+
+/// Reports a lost race, with the difference to what was accepted instead.
+/// @param Wanted the command line.
+/// @param Accepted what is accepted now.
+/// @param File what was to be published.
+/// @return the exit code.
+ExitCode lostRace(const Options &Wanted, const AcceptedConfig &Accepted,
+                  const Publication &File) {
+  const auto Changes = diffRules(*Accepted.Rules, File.Rules);
+  if (Wanted.Json) {
+    printJson({{"published", false},
+               {"base", File.Base.Value},
+               {"accepted", Accepted.Offset.Value},
+               {"changes", diffJson(Changes)},
+               {"exit_code", int(ExitCode::Conflict)}});
+    return ExitCode::Conflict;
+  }
+  std::cerr << File.Path << ": based on " << File.Base.Value << ", but "
+            << Accepted.Offset.Value
+            << " was accepted first; nothing was changed\n"
+            << renderDiff(Changes)
+            << "merge the difference from the accepted file (`camphornotch "
+               "show`), then publish again\n";
+  return ExitCode::Conflict;
+}
+
+/// @param File what is published.
+/// @param Author who publishes.
+/// @param Accepted what is accepted now.
+/// @return the record: the change if that is smaller, else the whole file.
+wire::LogRecord makeRecord(const Publication &File, const std::string &Author,
+                           const AcceptedConfig &Accepted) {
+  wire::ConfigRecord Config;
+  Config.BaseOffset = File.Base.Value;
+  Config.PublishId = File.Id;
+  Config.Author = Author;
+  const std::string Delta = encodeDelta(Accepted.Text, File.Text);
+  if (Accepted.Offset != NoOffset && Delta.size() < File.Text.size())
+    Config.__set_Delta(Delta);
+  else
+    Config.__set_Text(File.Text);
+  wire::LogRecord Record;
+  Record.__set_Config(Config);
+  return Record;
+}
+
+/// @param Changes what the own record changed.
+/// @return the faults for which it was refused; empty if it was accepted.
+std::vector<Error> refusalOf(const std::vector<FoldChange> &Changes) {
+  for (const FoldChange &Change : Changes)
+    if (const auto *Refused = std::get_if<ConfigRefused>(&Change))
+      return Refused->Faults;
+  return {};
+}
+
+/// @param Services the platform.
+/// @param Offset the published offset.
+/// @return how far it has come; the error if the host list does not answer.
+Result<Reach> lookAtHosts(Platform &Services, LogOffset Offset) {
+  const Result<Reports> Seen = collectReports(Services);
+  if (!Seen.has_value())
+    return Seen.error();
+  Reach Out;
+  for (const auto &[Host, Report] : Seen.value().Hosts) {
+    if (Report.ConfigOffset >= Offset.Value)
+      ++Out.InForce;
+    else if (Report.Listed == "live")
+      Out.Lagging.push_back(Host);
+  }
+  return Out;
+}
+
+/// Prints the end of a publication.
+/// @param Wanted the command line.
+/// @param Offset the published offset.
+/// @param Last how far it has come.
+/// @param Took since the record was read back.
+/// @return the exit code.
+ExitCode finish(const Options &Wanted, LogOffset Offset, const Reach &Last,
+                Millis Took) {
+  const ExitCode Code = Last.Lagging.empty() ? ExitCode::Ok : ExitCode::Lagging;
+  if (Wanted.Json) {
+    printJson({{"published", true},
+               {"offset", Offset.Value},
+               {"in_force", Last.InForce},
+               {"lagging", Last.Lagging},
+               {"took_ms", Took.Count},
+               {"exit_code", int(Code)}});
+    return Code;
+  }
+  if (Code == ExitCode::Ok) {
+    std::cout << "in force on all " << Last.InForce << " hosts after "
+              << Took.Count << " ms\n";
+    return Code;
+  }
+  std::cerr << "published as " << Offset.Value << ", but "
+            << Last.Lagging.size() << " live hosts have not reported it:";
+  for (const std::string &Host : Last.Lagging)
+    std::cerr << " " << Host;
+  std::cerr << "\nlook at `camphornotch status`; they take it once they can be "
+               "reached\n";
+  return Code;
+}
+
+/// Waits until every live host reports the offset.
+/// @param Wanted the command line.
+/// @param Services the platform.
+/// @param Offset the published offset.
+/// @return the exit code.
+ExitCode awaitInForce(const Options &Wanted, Platform &Services,
+                      LogOffset Offset) {
+  const Millis Start = steadyNow();
+  size_t Told = SIZE_MAX;
+  for (;;) {
+    Result<Reach> Now = lookAtHosts(Services, Offset);
+    if (!Now.has_value() && Services.timeIsOver())
+      return fail(Wanted, Now.error());
+    if (Now.has_value()) {
+      const Reach &Seen = Now.value();
+      if (!Wanted.Json && Seen.InForce != Told)
+        std::cout << "in force on " << Seen.InForce << " of "
+                  << Seen.InForce + Seen.Lagging.size() << " hosts"
+                  << std::endl;
+      Told = Seen.InForce;
+      if (Seen.Lagging.empty() || Services.timeIsOver())
+        return finish(Wanted, Offset, Seen, steadyNow() - Start);
+    }
+    Services.pause(LookInterval);
+  }
+}
+
+} // namespace
+
+ExitCode runPublish(const Options &Wanted) {
+  Publication File;
+  const ExitCode Loaded = loadFile(Wanted, File);
+  if (Loaded != ExitCode::Ok)
+    return Loaded;
+  Platform Services(Wanted);
+  LogFold Fold;
+  const Result<LogOffset> End = Services.foldAll(Fold);
+  if (!End.has_value())
+    return fail(Wanted, End.error());
+  const AcceptedConfig Before = Fold.config();
+  if (File.Base == LogOffset{NoBase})
+    File.Base = Before.Offset;
+  const bool First = Before.Offset == NoOffset && File.Base <= LogOffset{0};
+  if (!First && File.Base != Before.Offset)
+    return lostRace(Wanted, Before, File);
+  if (!First && Before.Text == File.Text) {
+    if (!Wanted.Json)
+      std::cout << "no change against " << Before.Offset.Value << "\n";
+    return awaitInForce(Wanted, Services, Before.Offset);
+  }
+  const Result<std::vector<FoldChange>> Changes =
+      Services.append(makeRecord(File, Wanted.Author, Before), Fold);
+  if (!Changes.has_value())
+    return fail(Wanted, Changes.error());
+  const std::vector<Error> Faults = refusalOf(Changes.value());
+  if (!Faults.empty() && Faults.front().Kind == ErrorKind::Conflict)
+    return lostRace(Wanted, Fold.config(), File);
+  if (!Faults.empty())
+    return fail(Wanted, Faults, ExitCode::BadRules);
+  const LogOffset Offset = Fold.config().Offset;
+  if (!Wanted.Json)
+    std::cout << renderDiff(diffRules(*Before.Rules, File.Rules))
+              << "accepted as " << Offset.Value << std::endl;
+  return awaitInForce(Wanted, Services, Offset);
+}
+
+} // namespace camphornotch
