--- a/packages/ctl/publish_command.cpp
+++ b/packages/ctl/publish_command.cpp
@@ -172,7 +172,8 @@
 /// @return the exit code.
 ExitCode finish(const Options &Wanted, LogOffset Offset, const Reach &Last,
                 Millis Took) {
-  const ExitCode Code = Last.Lagging.empty() ? ExitCode::Ok : ExitCode::Lagging;
+  const bool Everywhere = Last.Lagging.empty() && Last.InForce > 0;
+  const ExitCode Code = Everywhere ? ExitCode::Ok : ExitCode::Lagging;
   if (Wanted.Json) {
     printJson({{"published", true},
                {"offset", Offset.Value},
@@ -187,6 +188,11 @@
               << Took.Count << " ms\n";
     return Code;
   }
+  if (Last.Lagging.empty()) {
+    std::cerr << "published as " << Offset.Value
+              << ", but no host is listed; look at the host list\n";
+    return Code;
+  }
   std::cerr << "published as " << Offset.Value << ", but "
             << Last.Lagging.size() << " live hosts have not reported it:";
   for (const std::string &Host : Last.Lagging)
@@ -216,7 +222,8 @@
                   << Seen.InForce + Seen.Lagging.size() << " hosts"
                   << std::endl;
       Told = Seen.InForce;
-      if (Seen.Lagging.empty() || Services.timeIsOver())
+      const bool Everywhere = Seen.Lagging.empty() && Seen.InForce > 0;
+      if (Everywhere || Services.timeIsOver())
         return finish(Wanted, Offset, Seen, steadyNow() - Start);
     }
     Services.pause(LookInterval);
