Fix: [Calls] The service got the scoped idempotency key, with line ends in it

Cause: the agent sent the recorded key, whose parts stand apart by line ends, as the header Idempotency-Key. Change: callersKey() takes the scope off before the header is made. Conclusion: the header carries the caller's own key.

--- a/packages/daemon/agent_endpoint_base.cpp
+++ b/packages/daemon/agent_endpoint_base.cpp
@@ -4,6 +4,7 @@
 #include "daemon/agent_endpoint_base.h"
 
 #include "base/log_func.h"
+#include "core/calls/key_scope_func.h"
 
 #include <utility>
 
@@ -84,7 +85,8 @@
     Call.Headers.push_back({"Content-Type", Work.ContentType});
   Call.Headers.push_back({"X-Request-Id", Work.RequestId});
   if (!Work.IdempotencyKey.empty())
-    Call.Headers.push_back({"Idempotency-Key", Work.IdempotencyKey});
+    Call.Headers.push_back(
+        {"Idempotency-Key", std::string(callersKey(Work.IdempotencyKey))});
   const bool Intent = Work.Kind == wire::WorkKind::IntentCall;
   Call.Reuse = !Intent;
   Call.Timeout = Intent ? IntentTimeout : Millis{Work.DeadlineMs};
--- a/packages/daemon/call_task_base.cpp
+++ b/packages/daemon/call_task_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/clock_func.h"
 #include "base/text_func.h"
+#include "core/calls/key_scope_func.h"
 
 namespace camphornotch {
 
@@ -17,7 +18,7 @@
 ///         no part of the scope.
 std::string scopedKey(const RequestContext &Context,
                       const std::string &Service) {
-  return concat(Service, "\n", Context.CallerHeader, "\n", Context.KeyHeader);
+  return scopeKey(Service, Context.CallerHeader, Context.KeyHeader);
 }
 
 } // namespace
