Fix: [Routing] Rollouts ignored which engines a trainer may draw on

Change: a slot carries the patterns of its rule, queues are kept by model and patterns, and the choice of endpoint, of the next slot and of moves honours them; the next pool at an endpoint is that whose trainer has the fewest running. A test names the fault.

--- a/packages/core/routing/choice_func.cpp
+++ b/packages/core/routing/choice_func.cpp
@@ -5,6 +5,7 @@
 
 #include "base/hash_func.h"
 #include "base/text_func.h"
+#include "rules/lookup_func.h"
 
 #include <algorithm>
 #include <limits>
@@ -54,6 +55,9 @@
   if (Excluded &&
       std::find(Excluded->begin(), Excluded->end(), Index) != Excluded->end())
     return false;
+  const auto *Engines = Context.Request.Engines;
+  if (Engines && !allowsEndpoint(*Engines, Context.Table.at(Index)))
+    return false;
   return !Context.Request.NeedsFreePlace ||
          freePlaces(Context.Table, Index) > 0;
 }
@@ -245,6 +249,16 @@
 
 } // namespace
 
+bool allowsEndpoint(std::span<const std::string> Patterns,
+                    const EndpointState &Endpoint) {
+  if (Patterns.empty())
+    return true;
+  return std::any_of(
+      Patterns.begin(), Patterns.end(), [&](const std::string &Pattern) {
+        return matchesPattern(Pattern, Endpoint.Info.Endpoint.Value);
+      });
+}
+
 std::optional<EndpointIndex> chooseEndpoint(ChoicePolicy &Policy,
                                             const EndpointTable &Table,
                                             const ChoiceRequest &Request,
--- a/packages/core/routing/choice_func.h
+++ b/packages/core/routing/choice_func.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <random>
+#include <span>
 
 namespace camphornotch {
 
@@ -28,6 +29,12 @@
                                             const ChoiceRequest &Request,
                                             Millis Now, RandomSource &Random);
 
+/// @param Patterns patterns of endpoint names; none: all are allowed.
+/// @param Endpoint an endpoint.
+/// @return whether the patterns allow it.
+bool allowsEndpoint(std::span<const std::string> Patterns,
+                    const EndpointState &Endpoint);
+
 /// @param Table the endpoints.
 /// @param Index one of them.
 /// @param Request the work.
--- a/packages/core/routing/choice_type.h
+++ b/packages/core/routing/choice_type.h
@@ -55,6 +55,8 @@
   std::string_view Affinity;
   /// Endpoints not to use again.
   const std::vector<EndpointIndex> *Excluded = nullptr;
+  /// Patterns of the endpoints that may be used; empty or absent: all.
+  const std::vector<std::string> *Engines = nullptr;
   /// Whether the narrow link's budget allows another region.
   bool OtherRegionAllowed = true;
   /// Only endpoints with a place free now.
--- a/packages/core/routing/pending_base.cpp
+++ b/packages/core/routing/pending_base.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// The slots of one model that wait for an endpoint.
+/// The slots of one pool that wait for an endpoint.
 
 #include "core/routing/pending_base.h"
 
@@ -43,6 +43,19 @@
   return Slot;
 }
 
+int64_t PendingSlots::turn(Millis Now,
+                           const std::map<TrainerId, int64_t> &Running) const {
+  assert(this->hasReady(Now));
+  if (this->nextRetry() <= Now)
+    return -1;
+  int64_t Fewest = INT64_MAX;
+  for (const auto &Row : this->Fresh) {
+    const auto Found = Running.find(Row.first);
+    Fewest = std::min(Fewest, Found == Running.end() ? 0 : Found->second);
+  }
+  return Fewest;
+}
+
 bool PendingSlots::hasReady(Millis Now) const {
   return !this->Fresh.empty() || this->nextRetry() <= Now;
 }
--- a/packages/core/routing/pending_base.h
+++ b/packages/core/routing/pending_base.h
@@ -1,5 +1,5 @@
 /// @file
-/// The slots of one model that wait for an endpoint, in the order to send.
+/// The slots of one pool that wait for an endpoint, in the order to send.
 
 #ifndef CAMPHORNOTCH_CORE_ROUTING_PENDING_BASE_H
 #define CAMPHORNOTCH_CORE_ROUTING_PENDING_BASE_H
@@ -35,6 +35,13 @@
   std::optional<SlotRef> take(EndpointIndex Endpoint, Millis Now,
                               const std::map<TrainerId, int64_t> &Running);
 
+  /// @param Now the time.
+  /// @param Running attempts of each trainer.
+  /// @return attempts of the trainer whose turn it is; -1 if a slot that is
+  ///         to be sent again goes first.
+  /// @pre hasReady().
+  int64_t turn(Millis Now, const std::map<TrainerId, int64_t> &Running) const;
+
   /// @return whether no slot waits.
   bool empty() const { return this->Count == 0; }
 
--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -97,8 +97,9 @@
   auto &[Open, Total] = this->OpenOf[{Event.Spec.Trainer, Event.Spec.Step}];
   ++Open;
   ++Total;
-  this->Pending[Event.Spec.Model].add(Event.Spec);
-  this->sendWaiting(Event.Spec.Model, Now, Out);
+  const Pool Wanted = poolOf(Event.Spec);
+  this->Pending[Wanted].add(Event.Spec);
+  this->sendWaiting(Wanted, Now, Out);
 }
 
 void RolloutScheduler::on(const SlotDropped &Event, Millis /*Now*/,
@@ -183,13 +184,17 @@
              this->Settings.Tail);
 }
 
-void RolloutScheduler::sendWaiting(const std::string &Model, Millis Now,
+RolloutScheduler::Pool RolloutScheduler::poolOf(const RolloutSpec &Spec) {
+  return Pool{Spec.Model, Spec.Engines};
+}
+
+void RolloutScheduler::sendWaiting(const Pool &Wanted, Millis Now,
                                    Actions &Out) {
-  PendingSlots &Waiting = this->Pending[Model];
+  PendingSlots &Waiting = this->Pending[Wanted];
   const bool Late =
       std::holds_alternative<LateDispatch>(this->Settings.Dispatch);
   while (Waiting.hasReady(Now)) {
-    const auto Index = this->chooseFor(Model, Late, nullptr, Now);
+    const auto Index = this->chooseFor(Wanted, Late, nullptr, Now);
     if (!Index)
       return;
     const auto Ref = Waiting.take(*Index, Now, this->RunningOf);
@@ -200,26 +205,40 @@
 
 void RolloutScheduler::fillEndpoint(EndpointIndex Index, Millis Now,
                                     Actions &Out) {
-  const std::string &Model = this->Table.at(Index).Info.Serves;
-  const auto Found = this->Pending.find(Model);
-  if (Found == this->Pending.end())
-    return;
-  while (Found->second.hasReady(Now) && this->Table.isEligible(Index, Now) &&
+  while (this->Table.isEligible(Index, Now) &&
          freePlaces(this->Table, Index) > 0) {
-    const auto Ref = Found->second.take(Index, Now, this->RunningOf);
+    PendingSlots *Next = this->nextPool(Index, Now);
+    if (Next == nullptr)
+      return;
+    const auto Ref = Next->take(Index, Now, this->RunningOf);
     if (Ref)
       this->send(*Ref, Index, Now, Out);
   }
 }
 
+PendingSlots *RolloutScheduler::nextPool(EndpointIndex Index, Millis Now) {
+  const EndpointState &Endpoint = this->Table.at(Index);
+  PendingSlots *Next = nullptr;
+  for (auto &[Wanted, Slots] : this->Pending) {
+    if (Wanted.Model != Endpoint.Info.Serves || !Slots.hasReady(Now) ||
+        !allowsEndpoint(Wanted.Engines, Endpoint))
+      continue;
+    if (Next == nullptr ||
+        Slots.turn(Now, this->RunningOf) < Next->turn(Now, this->RunningOf))
+      Next = &Slots;
+  }
+  return Next;
+}
+
 std::optional<EndpointIndex>
-RolloutScheduler::chooseFor(const std::string &Model, bool NeedsFreePlace,
+RolloutScheduler::chooseFor(const Pool &Wanted, bool NeedsFreePlace,
                             const std::vector<EndpointIndex> *Excluded,
                             Millis Now) {
   ChoiceRequest Request;
-  Request.Serves = Model;
+  Request.Serves = Wanted.Model;
+  Request.Engines = &Wanted.Engines;
   Request.Class = wire::WorkClass::Rollout;
-  Request.ExpectedTokens = this->expectedTokens(Model);
+  Request.ExpectedTokens = this->expectedTokens(Wanted.Model);
   Request.Excluded = Excluded;
   Request.NeedsFreePlace = NeedsFreePlace;
   Request.OtherRegionAllowed =
@@ -302,8 +321,9 @@
       NotBefore = std::max(NotBefore, Now + BudgetWait);
   }
   Slot.Waiting = true;
-  this->Pending[Slot.Spec.Model].addAgain(Slot.Spec, NotBefore);
-  this->sendWaiting(Slot.Spec.Model, Now, Out);
+  const Pool Wanted = poolOf(Slot.Spec);
+  this->Pending[Wanted].addAgain(Slot.Spec, NotBefore);
+  this->sendWaiting(Wanted, Now, Out);
 }
 
 Millis RolloutScheduler::backoff(int32_t Refusals) {
--- a/packages/core/routing/rollout_scheduler_base.h
+++ b/packages/core/routing/rollout_scheduler_base.h
@@ -100,6 +100,16 @@
 
   /// Actions under construction.
   using Actions = std::vector<RolloutAction>;
+  /// The endpoints that some slots may use.
+  struct Pool {
+    /// The model.
+    std::string Model;
+    /// Patterns of endpoint names; empty: all that serve the model.
+    std::vector<std::string> Engines;
+
+    /// Orders by model, then patterns.
+    auto operator<=>(const Pool &) const = default;
+  };
   /// A trainer's step.
   using StepKey = std::pair<TrainerId, int64_t>;
 
@@ -114,18 +124,24 @@
   void on(const RolloutTick &Event, Millis Now, Actions &Out);
   /// @}
 
-  /// Sends waiting slots of a model while an endpoint has a place.
-  /// @param Model the model.
-  void sendWaiting(const std::string &Model, Millis Now, Actions &Out);
+  /// @param Spec a slot's needs.
+  /// @return the pool that it may use.
+  static Pool poolOf(const RolloutSpec &Spec);
+  /// Sends waiting slots of a pool while an endpoint of it has a place.
+  /// @param Wanted the pool.
+  void sendWaiting(const Pool &Wanted, Millis Now, Actions &Out);
+  /// @param Index an endpoint.
+  /// @return the slots whose turn it is there; nothing if none may go.
+  PendingSlots *nextPool(EndpointIndex Index, Millis Now);
   /// Sends waiting slots to one endpoint while it has a place.
   /// @param Index the endpoint.
   void fillEndpoint(EndpointIndex Index, Millis Now, Actions &Out);
-  /// @param Model a model.
+  /// @param Wanted a pool.
   /// @param NeedsFreePlace whether only endpoints with a place count.
   /// @param Excluded endpoints not to use.
   /// @return the endpoint to use next.
   std::optional<EndpointIndex>
-  chooseFor(const std::string &Model, bool NeedsFreePlace,
+  chooseFor(const Pool &Wanted, bool NeedsFreePlace,
             const std::vector<EndpointIndex> *Excluded, Millis Now);
   /// Sends one attempt of a slot.
   /// @param Ref the slot.
@@ -181,8 +197,8 @@
   std::map<WorkId, Attempt> Attempts;
   /// Attempts out at each endpoint.
   std::map<EndpointIndex, std::set<WorkId>> ByEndpoint;
-  /// Waiting slots by model.
-  std::map<std::string, PendingSlots> Pending;
+  /// Waiting slots by pool.
+  std::map<Pool, PendingSlots> Pending;
   /// Attempts out of each trainer.
   std::map<TrainerId, int64_t> RunningOf;
   /// Open slots of each step, and how many it had.
--- a/packages/core/routing/rollout_tail.cpp
+++ b/packages/core/routing/rollout_tail.cpp
@@ -15,11 +15,11 @@
   Works.reserve(this->Attempts.size());
   for (const auto &Row : this->Attempts)
     Works.push_back(Row.first);
-  std::map<std::string, std::vector<EndpointIndex>> Used;
+  std::map<Pool, std::vector<EndpointIndex>> Used;
   for (const WorkId Work : Works) {
     const Attempt &Late = this->Attempts.at(Work);
-    const std::string &Model = this->Slots.at(Late.Slot).Spec.Model;
-    if (this->Pending[Model].hasReady(Now))
+    const Pool Wanted = poolOf(this->Slots.at(Late.Slot).Spec);
+    if (this->Pending[Wanted].hasReady(Now))
       continue;
     const bool Reachable = this->Table.at(Late.Endpoint).Reachable;
     const bool StopOverdue =
@@ -28,9 +28,9 @@
       this->hedgeAttempt(Work, Now, Out);
       continue;
     }
-    const auto Best = this->chooseFor(Model, true, &Used[Model], Now);
+    const auto Best = this->chooseFor(Wanted, true, &Used[Wanted], Now);
     if (Best && this->moveAttempt(Policy, Work, *Best, Now, Out))
-      Used[Model].push_back(*Best);
+      Used[Wanted].push_back(*Best);
   }
 }
 
@@ -58,8 +58,8 @@
     return;
   const SlotRef Ref = Silent.Slot;
   const std::vector<EndpointIndex> Excluded{Silent.Endpoint};
-  const std::string &Model = this->Slots.at(Ref).Spec.Model;
-  const auto Index = this->chooseFor(Model, true, &Excluded, Now);
+  const Pool Wanted = poolOf(this->Slots.at(Ref).Spec);
+  const auto Index = this->chooseFor(Wanted, true, &Excluded, Now);
   if (!Index || !this->HedgeBudget.take(1, Now))
     return;
   Silent.Hedged = true;
--- a/packages/core/routing/rollout_type.h
+++ b/packages/core/routing/rollout_type.h
@@ -43,6 +43,8 @@
   int64_t MaxTokens = 0;
   /// Bytes of prompt and answer, for the link between regions.
   int64_t Bytes = 0;
+  /// Patterns of the endpoints that it may use; empty: all.
+  std::vector<std::string> Engines;
 };
 
 /// Slots wait here until an endpoint has a place free (default).
--- a/packages/daemon/sample_rollouts.cpp
+++ b/packages/daemon/sample_rollouts.cpp
@@ -7,6 +7,7 @@
 #include "base/text_func.h"
 #include "daemon/sample_answer_func.h"
 #include "daemon/sample_task_base.h"
+#include "rules/lookup_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -70,6 +71,8 @@
   Spec.Group = Action.Group;
   Spec.MaxTokens = Action.MaxTokens;
   Spec.Bytes = static_cast<int64_t>(New.Body.size());
+  Spec.Engines =
+      trainerRule(*this->Log.fold().config().Rules, Name.Value).Engines;
   this->schedule(SlotNeeded{Spec});
 }
 
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -13,7 +13,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-BUILD = ROOT / "build"
+BUILD = pathlib.Path(os.environ.get("CAMPHORNOTCH_BUILD", ROOT / "build"))
 
 NORTH, SOUTH = "north", "south"
 REGIONS = {"dc1": NORTH, "dc2": NORTH, "dc3": SOUTH}
--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -244,9 +244,9 @@
 
     # Platform
 
-    def platform(self, kind, **what):
+    def platform(self, part, /, **what):
         """Injects a fault into a part of the platform."""
-        return fault(self.cluster.platform[kind], **what)
+        return fault(self.cluster.platform[part], **what)
 
     def log_outage(self):
         """The log refuses everything for a while."""
--- a/tests/routing/rollout_scheduler_test.cpp
+++ b/tests/routing/rollout_scheduler_test.cpp
@@ -15,6 +15,8 @@
 struct SchedulerFixture : RoutingFixture {
   /// The scheduler under test.
   RolloutScheduler Scheduler{RolloutSettings{}, this->Table, this->WorkIds, 1};
+  /// Patterns of the endpoints that new slots may use; empty: all.
+  std::vector<std::string> Engines;
 
   /// @param Slot a slot number.
   /// @param Group its group.
@@ -26,6 +28,7 @@
     Spec.Model = "m";
     Spec.Group = Group;
     Spec.MaxTokens = 1000;
+    Spec.Engines = this->Engines;
     return actionsOf<SendAttempt>(
         this->Scheduler.handle(SlotNeeded{Spec}, this->Now));
   }
@@ -63,6 +66,28 @@
   cr_assert(Next[0].Slot.Value == 2);
 }
 
+Test(rolloutScheduler, slots_go_only_to_engines_that_are_allowed) {
+  SchedulerFixture Fixture;
+  const EndpointIndex A = Fixture.addEngine("grind-1", "dc1", 1000, 1);
+  const EndpointIndex B = Fixture.addEngine("review-1", "dc1", 90000, 1);
+  Fixture.Engines = {"review-*", "grind-9"};
+  const auto First = Fixture.need(1);
+  cr_assert(First.size() == 1);
+  cr_assert(First[0].Endpoint == B);
+  cr_assert(Fixture.need(2).empty());
+  Fixture.report(A, 1000, 1);
+  cr_assert(Fixture.Scheduler.handle(EndpointReported{A}, Fixture.Now).empty());
+  Fixture.Engines = {};
+  const auto Anywhere = Fixture.need(3);
+  cr_assert(Anywhere.size() == 1);
+  cr_assert(Anywhere[0].Endpoint == A);
+  Fixture.report(B, 90000, 1);
+  const auto Next = actionsOf<SendAttempt>(Fixture.Scheduler.handle(
+      AttemptFinished{First[0].Work, 100}, Fixture.Now));
+  cr_assert(Next.size() == 1);
+  cr_assert(Next[0].Slot.Value == 2);
+}
+
 Test(rolloutScheduler, group_members_follow_their_prompt) {
   SchedulerFixture Fixture;
   const EndpointIndex A = Fixture.addEngine("a", "dc1", 10000, 1);
