Fix: [Stand-ins] A crash of the engine answered 500 in place of breaking off

Cause: answers not begun were dropped at a crash, which answers them with 500, and kept connections of the closed server went on answering 500; a crash is to close every connection. Change: the engine breaks every open answer off; a closed server breaks off requests that still come over kept connections.

--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -289,7 +289,10 @@
   this->Inner->closeListener();
   this->Inner->Events.cancel(this->Inner->GoneCheck);
   // h2o's connections still point at the state: it lives on with them.
-  this->Inner->Handle = [](const std::shared_ptr<HttpExchange> &) {};
+  this->Inner->Handle = [](const std::shared_ptr<HttpExchange> &Late) {
+    Late->start(HttpResponse{});
+    Late->abort();
+  };
   this->Inner->Requests.OnEmpty = nullptr;
   (void)this->Inner.release();
 }
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -85,7 +85,7 @@
            [this] {
              ++this->Crashes;
              this->State.crash();
-             this->Open.clear();
+             this->cutAll();
            }}) {
   this->tick();
 }
@@ -137,7 +137,6 @@
   if (!this->Poison.empty() &&
       Request.Prompt.find(this->Poison) != std::string::npos) {
     this->Server.crashSoon(Millis{this->PoisonDownMs});
-    return;
   }
   Answering &Answer = this->Open[Run];
   Answer.Waiting = Waiting;
@@ -153,6 +152,15 @@
   });
 }
 
+void EngineServer::cutAll() {
+  const auto Cut = std::move(this->Open);
+  this->Open.clear();
+  for (const auto &[Run, Answer] : Cut) {
+    Answer.Waiting->onGone({});
+    cutAnswer(Answer.Waiting);
+  }
+}
+
 void EngineServer::order(const Exchange &Waiting) {
   const nlohmann::json Body = parseJson(Waiting->request().Body);
   const int64_t Given = intOf(Body, "fence");
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -61,6 +61,8 @@
   /// @param Waiting a completion.
   /// @param Chat whether it has the form of a chat.
   void complete(const Exchange &Waiting, bool Chat);
+  /// Breaks every answer off, as a crash does.
+  void cutAll();
   /// @param Waiting an order.
   void order(const Exchange &Waiting);
   /// Fetches the weights, if they have a location, then swaps.
