Add: [Agent] Crash reports, standings and leave orders at the entry

Cause: agents have no connection to the log or the host list. Change: the entry counts crash reports of all endpoints, lets suspects run alone and quarantines a digest that was alone at its last crash; it answers which boot of an endpoint stands; it tells agents that their host leaves, by the host list or an order in the log; announcements of weights carry the engine's rank. MinVersion 0 means any version also while it is in doubt. Conclusion: the entry's part of crash attribution, fencing and leaving.

--- a/packages/core/agent/agent_work.cpp
+++ b/packages/core/agent/agent_work.cpp
@@ -69,6 +69,7 @@
   const auto Version = this->Weights.confirmed();
   const int64_t Serving = Version ? Version->Value : -1;
   const bool TooOld = Action.Work.Kind == wire::WorkKind::Completion &&
+                      Action.Work.MinVersion > 0 &&
                       Action.Work.MinVersion > Serving;
   LiveRun Run;
   Run.Key = Action.Key;
--- a/packages/core/agent/crash_base.h
+++ b/packages/core/agent/crash_base.h
@@ -40,6 +40,9 @@
   /// @param Settings the limits.
   explicit CrashAttribution(CrashSettings Settings);
 
+  /// @param NewSettings the limits from now on.
+  void change(CrashSettings NewSettings) { this->Settings = NewSettings; }
+
   /// The endpoint crashed.
   /// @param InFlight digests that it was running.
   /// @param Now when.
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -31,7 +31,7 @@
       Works(this->Events, this->Links.hub(), this->Counters),
       Routes(this->Events, this->Works, this->Table, this->WorkIds,
              this->Counters),
-      Pushes(this->Links, this->Log),
+      Pushes(this->Links, this->Log), Agents(this->Links, this->Log),
       Front(
           this->Events, Settings, this->Log, this->Counters,
           [this](const std::shared_ptr<CallerExchange> &Exchange) {
@@ -60,6 +60,7 @@
   Tell.Up = [this](const LinkUp &Up) {
     this->Works.linkUp(Up);
     this->Pushes.linkUp(Up);
+    this->Agents.linkUp(Up);
   };
   Tell.Down = [this](const HostId &Peer) { this->Works.linkDown(Peer); };
   Tell.Message = [this](const HostId &Peer, const wire::PeerMessage &Message) {
@@ -69,6 +70,7 @@
     this->Routes.endpointLost(Endpoint);
   };
   Tell.Members = [](const std::vector<EntryView> &) {};
+  Tell.Listed = [this] { this->Agents.listed(); };
   return Tell;
 }
 
@@ -77,6 +79,7 @@
   Tell.Committed = [](const RecordCommitted &) {};
   Tell.Changed = [this](const std::vector<FoldChange> &Changes) {
     this->Pushes.changed(Changes);
+    this->Agents.changed(Changes);
   };
   Tell.Status = [](const LogStatus &) {};
   Tell.Reply = [this](const HostId &Peer, const wire::AppendReply &Reply) {
@@ -92,7 +95,7 @@
     this->Links.noteLoad(Peer, Message.WorkFinishedMsg.Load);
   if (Message.__isset.WorkRefusedMsg)
     this->Links.noteLoad(Peer, Message.WorkRefusedMsg.Load);
-  if (this->Works.take(Peer, Message))
+  if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
   if (Message.__isset.ConfigPullMsg)
     this->Pushes.pulled(Peer, Message.ConfigPullMsg);
--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_DAEMON_ENTRY_BASE_H
 #define CAMPHORNOTCH_DAEMON_ENTRY_BASE_H
 
+#include "daemon/agent_services_base.h"
 #include "daemon/http_front_base.h"
 #include "daemon/link_task_base.h"
 #include "daemon/log_task_base.h"
@@ -91,6 +92,8 @@
   RouteTask Routes;
   /// What agents are told of the log.
   PushTask Pushes;
+  /// What agents ask and report.
+  AgentServices Agents;
   /// HTTP towards callers.
   HttpFront Front;
   /// Whether the process is stopping.
--- a/packages/daemon/link_task_base.cpp
+++ b/packages/daemon/link_task_base.cpp
@@ -132,6 +132,7 @@
   }
   this->dropAbsent();
   this->tellMembers();
+  this->Tell.Listed();
 }
 
 void LinkTask::keepHost(const HostEntry &Host) {
--- a/packages/daemon/link_task_base.h
+++ b/packages/daemon/link_task_base.h
@@ -30,6 +30,8 @@
   std::function<void(EndpointIndex)> EndpointLost;
   /// The entries present have changed.
   std::function<void(std::vector<EntryView>)> Members;
+  /// A new host list arrived.
+  std::function<void()> Listed;
 };
 
 /// What is known of a linked peer.
@@ -62,6 +64,9 @@
   /// @return what is known of the linked peers.
   const std::map<HostId, PeerView> &peers() const { return this->Peers; }
 
+  /// @return the last host list, by host.
+  const std::map<HostId, HostEntry> &listed() const { return this->Listed; }
+
   /// @param Host a host.
   /// @return its endpoint's index, if it has one.
   std::optional<EndpointIndex> endpointOf(const HostId &Host) const;
--- a/packages/daemon/push_task_base.cpp
+++ b/packages/daemon/push_task_base.cpp
@@ -4,6 +4,7 @@
 #include "daemon/push_task_base.h"
 
 #include "base/clock_func.h"
+#include "core/agent/weight_base.h"
 
 namespace camphornotch {
 
@@ -80,11 +81,27 @@
   Announce.Version = Version->Version.Value;
   Announce.Location = Version->Location;
   Announce.Offset = Version->Offset.Value;
+  this->addRank(Peer, Announce);
   wire::PeerMessage Message;
   Message.__set_WeightsAnnounceMsg(Announce);
   this->Links.hub().send(Peer, Message);
 }
 
+void PushTask::addRank(const HostId &Peer,
+                       wire::WeightsAnnounce &Announce) const {
+  std::vector<EndpointId> Engines;
+  for (const auto &[Host, Entry] : this->Links.listed()) {
+    if (Entry.IsAgent && Entry.Serves == Announce.Model)
+      Engines.push_back(Entry.Endpoint);
+  }
+  const EndpointId Own{this->Links.peers().at(Peer).Hello.Endpoint};
+  const int Rank = swapRank(Engines, Own, WeightVersion{Announce.Version});
+  // An engine that is not listed yet swaps in a wave by its hash alone.
+  Announce.__set_Engines(static_cast<int32_t>(Engines.size()));
+  if (Rank >= 0)
+    Announce.__set_Rank(Rank);
+}
+
 void PushTask::sendQuarantine(const HostId &Peer) {
   wire::QuarantinePush Push;
   Push.Offset = this->Log.fold().applied().Value;
--- a/packages/daemon/push_task_base.h
+++ b/packages/daemon/push_task_base.h
@@ -44,6 +44,10 @@
   void sendVersion(const HostId &Peer, const std::string &Model);
   /// @param Peer an agent.
   void sendQuarantine(const HostId &Peer);
+  /// Says how many engines swap and which place the agent's has.
+  /// @param Peer an agent.
+  /// @param Announce the announcement to complete.
+  void addRank(const HostId &Peer, wire::WeightsAnnounce &Announce) const;
   /// @return the hosts of the linked agents.
   std::vector<HostId> agents() const;
 
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -107,7 +107,7 @@
   11: string RequestId,    // runs through the logs
   12: i64 Digest,          // hash of the request, for crash attribution
   13: string Affinity,     // prefix or group key; may be empty
-  14: i64 MinVersion,      // refuse if the endpoint would use an older one
+  14: i64 MinVersion,      // refuse if the endpoint would use an older one; 0: any
   15: string KeptText,     // output already kept, to resume after
   16: i64 KeptTokens,
   17: list<LabelSegment> KeptSegments,
