--- a/packages/daemon/push_task_base.cpp
+++ b/packages/daemon/push_task_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/clock_func.h"
 #include "core/agent/weight_base.h"
+#include "daemon/config_note_func.h"
 
 namespace camphornotch {
 
@@ -37,6 +38,8 @@
     if (const auto *Version = std::get_if<VersionAnnounced>(&Change))
       Models.push_back(Version->Model);
   }
+  if (Config)
+    noteConfigInForce(this->Log.fold().config().Offset);
   for (const HostId &Agent : this->agents()) {
     if (Config)
       this->sendConfig(Agent);
