--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -41,7 +41,7 @@
             this->WorkIds),
       Owners(this->Events, this->Links, this->Log, Settings.Common, this->Boot,
              this->Counters),
-      Pushes(this->Links, this->Log),
+      Pushes(this->Links, this->Log), Agents(this->Links, this->Log),
       Front(
           this->Events, Settings, this->Log, this->Counters,
           [this](const std::shared_ptr<CallerExchange> &Exchange) {
@@ -93,12 +93,14 @@
   Tell.Members = [this](std::vector<EntryView> Entries) {
     this->Owners.handle(MembersChanged{std::move(Entries)});
   };
+  Tell.Listed = [this] { this->Agents.listed(); };
   return Tell;
 }
 
 void Entry::onUp(const LinkUp &Up) {
   this->Works.linkUp(Up);
   this->Pushes.linkUp(Up);
+  this->Agents.linkUp(Up);
   this->Owners.linkUp(Up);
   const auto Endpoint = this->Links.endpointOf(Up.Peer);
   if (!Endpoint)
@@ -142,6 +144,7 @@
   }
   this->Samples.changed(Changes);
   this->Pushes.changed(Changes);
+  this->Agents.changed(Changes);
 }
 
 void Entry::onPeer(const HostId &Peer, const wire::PeerMessage &Message) {
@@ -152,7 +155,7 @@
   const auto Endpoint = this->Links.endpointOf(Peer);
   if (Message.__isset.HeartbeatMsg && Endpoint)
     this->Samples.endpointReported(*Endpoint);
-  if (this->Works.take(Peer, Message))
+  if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
   if (Message.__isset.ConfigPullMsg)
     this->Pushes.pulled(Peer, Message.ConfigPullMsg);
