--- a/bench/programs/config_fanout/prune_func.cpp
+++ b/bench/programs/config_fanout/prune_func.cpp
@@ -92,6 +92,8 @@
           named(Audience.Host), true);
   Out.add(std::get<RuleKind<WeightRule>>(RuleKinds), Rules.Weights,
           named(Audience.Serves), true);
+  Out.add(std::get<RuleKind<AdmissionRule>>(RuleKinds), Rules.Admission,
+          named(Audience.Serves), true);
   Out.add(std::get<RuleKind<QuarantineRule>>(RuleKinds), Rules.Quarantine,
           named(Audience.Serves), true);
   return Out.take();
--- a/packages/core/agent/agent_base.cpp
+++ b/packages/core/agent/agent_base.cpp
@@ -26,6 +26,37 @@
   return Record;
 }
 
+/// @param Rule the rule for the engine's model.
+/// @return when the engine swaps.
+SwapPolicy swapPolicyOf(const WeightRule &Rule) {
+  if (!Rule.Staggered)
+    return SwapAllAtOnce{};
+  SwapStaggered Staggered;
+  Staggered.MaxSwappingPercent = PerCent - Rule.MinCapacityPercent;
+  Staggered.MaxSwapping = Rule.ConcurrentSwaps;
+  return Staggered;
+}
+
+/// @param Rule the rule for the endpoint.
+/// @param Given the agent's own settings.
+/// @return the settings in force.
+AdmissionSettings admissionBy(const AdmissionRule &Rule,
+                              AdmissionSettings Given) {
+  Given.MaxLongWait = Rule.MaxLongWait;
+  Given.MaxShortWait = Rule.MaxShortWait;
+  if (!Rule.ByClass) {
+    Given.Policy = FirstComeFirstServed{};
+    return Given;
+  }
+  auto *Classes = std::get_if<ClassedAdmission>(&Given.Policy);
+  if (Classes == nullptr)
+    Classes = &Given.Policy.emplace<ClassedAdmission>();
+  Classes->Preempt = Rule.Preempt;
+  if (Rule.ShortReserve >= 0)
+    Classes->ShortReserve = static_cast<int>(Rule.ShortReserve);
+  return Given;
+}
+
 } // namespace
 
 AgentController::AgentController(AgentControllerSettings Given)
@@ -228,14 +259,10 @@
   const HostRule &Host = hostRule(Rules, this->Settings.Host.Value);
   this->Settings.Leaving.KeepWork = Host.LeaveGrace;
   this->Leaving.change(this->Settings.Leaving);
-  const WeightRule &Weight = weightRule(Rules, this->Settings.Serves);
-  if (auto *Staggered =
-          std::get_if<SwapStaggered>(&this->Settings.Weights.Policy)) {
-    Staggered->MaxSwappingPercent = PerCent - Weight.MinCapacityPercent;
-    Staggered->MaxSwapping = Weight.ConcurrentSwaps;
-  }
-  this->Weights.change(this->Settings.Weights.Policy);
-  this->admit(ChangeAdmission{this->Settings.Admission}, Now, Out);
+  this->Weights.change(swapPolicyOf(weightRule(Rules, this->Settings.Serves)));
+  const AdmissionRule &Rule = admissionRule(Rules, this->Settings.Serves);
+  this->admit(ChangeAdmission{admissionBy(Rule, this->Settings.Admission)}, Now,
+              Out);
 }
 
 } // namespace camphornotch
--- a/packages/core/agent/weight_base.cpp
+++ b/packages/core/agent/weight_base.cpp
@@ -135,8 +135,11 @@
   if (this->Wanted && Event.Version <= this->Wanted->Version)
     return;
   this->Wanted = Event;
-  this->Turn =
-      Now + swapDelay(this->Settings.Policy, this->Settings.Endpoint, Event);
+  SwapPolicy Policy = this->Settings.Policy;
+  auto *Staggered = std::get_if<SwapStaggered>(&Policy);
+  if (Staggered != nullptr && this->Duration > Millis{0})
+    Staggered->ExpectedSwap = this->Duration;
+  this->Turn = Now + swapDelay(Policy, this->Settings.Endpoint, Event);
 }
 
 void WeightController::on(const OrdersAllowed &Event, Millis /*Now*/,
@@ -157,6 +160,7 @@
     return;
   }
   ++this->Counts.Swapped;
+  this->learnDuration(Now - this->OrderedAt);
   this->Failures = 0;
   this->Pending.reset();
   this->settle(Event.Version, Out);
@@ -235,6 +239,7 @@
 void WeightController::order(Millis Now, Actions &Out) {
   assert(this->Fence && this->Wanted);
   this->State = Phase::Swapping;
+  this->OrderedAt = Now;
   this->GiveUpAt = Now + this->Settings.OrderTimeout;
   this->Ordered = this->Wanted->Version;
   Out.emplace_back(SendOrder{++this->LastNumber, this->Ordered,
@@ -266,6 +271,12 @@
   this->ask(Now, Out);
 }
 
+void WeightController::learnDuration(Millis Took) {
+  const bool First = this->Duration == Millis{0};
+  const int64_t Before = First ? Took.Count : this->Duration.Count;
+  this->Duration = Millis{(Before + Took.Count) / 2};
+}
+
 void WeightController::backOff(Millis Now) {
   const int Doublings = std::min(this->Failures, MaxDoublings);
   const Millis Wait = std::min(this->Settings.FirstBackoff * (1LL << Doublings),
--- a/packages/core/agent/weight_base.h
+++ b/packages/core/agent/weight_base.h
@@ -98,6 +98,8 @@
   void doubt(Actions &Out);
   /// Gives the outstanding order up without an answer.
   void loseOrder(Millis Now, Actions &Out);
+  /// Takes the duration of a swap into the average.
+  void learnDuration(Millis Took);
   /// Puts the next try off after a failure.
   void backOff(Millis Now);
 
@@ -115,6 +117,10 @@
   Millis RetryAt;
   /// When the outstanding order or question counts as unanswered.
   Millis GiveUpAt = Never;
+  /// When the outstanding order was sent.
+  Millis OrderedAt;
+  /// How long swaps take here; zero: none was seen.
+  Millis Duration;
   /// Failures in a row.
   int Failures = 0;
   /// The number of the last order or question.
--- a/packages/core/agent/weight_type.h
+++ b/packages/core/agent/weight_type.h
@@ -21,12 +21,12 @@
 /// rendezvous rank for the version gives it.
 struct SwapStaggered {
   /// Share of a model's engines that swap at once at most, in percent.
-  int64_t MaxSwappingPercent = 25;
+  int64_t MaxSwappingPercent = 50;
   /// Engines that swap at once at most; 0: no bound but the share.
   int64_t MaxSwapping = 0;
   /// Time within which all engines must have begun.
   Millis Spread = seconds(10);
-  /// How long one swap is expected to take.
+  /// How long one swap is expected to take, until the engine has seen one.
   Millis ExpectedSwap = seconds(2);
 };
 
@@ -46,9 +46,9 @@
   /// Silence after which a question for the version is asked again.
   Millis QueryTimeout = seconds(1);
   /// Wait after the first failure; doubles with each further one.
-  Millis FirstBackoff = Millis{250};
+  Millis FirstBackoff = Millis{100};
   /// Longest wait after a failure.
-  Millis MaxBackoff = seconds(4);
+  Millis MaxBackoff = seconds(1);
 };
 
 /// A version was announced.
--- a/packages/rules/explain_func.cpp
+++ b/packages/rules/explain_func.cpp
@@ -57,6 +57,8 @@
       decide("choice of endpoint", routingRule(Rules, Serves).Source, Serves));
   Out.push_back(
       decide("quarantine", quarantineRule(Rules, Serves).Source, Serves));
+  Out.push_back(
+      decide("admission", admissionRule(Rules, Serves).Source, Serves));
   Out.push_back(
       decide("weight changes", weightRule(Rules, Serves).Source, Serves));
   if (Question.Path.empty())
--- a/packages/rules/lookup_func.cpp
+++ b/packages/rules/lookup_func.cpp
@@ -107,6 +107,11 @@
   return firstByName(Rules.Weights, Model);
 }
 
+const AdmissionRule &admissionRule(const RuleSet &Rules,
+                                   std::string_view Serves) {
+  return firstByName(Rules.Admission, Serves);
+}
+
 const QuarantineRule &quarantineRule(const RuleSet &Rules,
                                      std::string_view Serves) {
   return firstByName(Rules.Quarantine, Serves);
--- a/packages/rules/lookup_func.h
+++ b/packages/rules/lookup_func.h
@@ -59,6 +59,12 @@
 /// @return the rule that decides.
 const WeightRule &weightRule(const RuleSet &Rules, std::string_view Model);
 
+/// @param Rules the rules in force.
+/// @param Serves a model or service.
+/// @return the rule that decides.
+const AdmissionRule &admissionRule(const RuleSet &Rules,
+                                   std::string_view Serves);
+
 /// @param Rules the rules in force.
 /// @param Serves a model or service.
 /// @return the rule that decides.
--- a/packages/rules/rule_set_type.h
+++ b/packages/rules/rule_set_type.h
@@ -125,6 +125,23 @@
   int64_t ConcurrentSwaps = 0;
   /// What the store is asked for, over all engines.
   int64_t StoreBytesPerSecond = 0;
+  /// In waves; else every engine swaps as soon as it hears of a version.
+  bool Staggered = true;
+};
+
+/// [admission]: what runs at an endpoint, and what waits.
+struct AdmissionRule {
+  RuleSource Source;
+  /// By class and fair among callers; else in the order of arrival.
+  bool ByClass = true;
+  /// Waiting short work may stop the longest rollout.
+  bool Preempt = true;
+  /// Places that only short work may take; negative: the agent's setting.
+  int64_t ShortReserve = -1;
+  /// Long work expected to wait longer is refused.
+  Millis MaxLongWait;
+  /// Short work expected to wait longer is refused.
+  Millis MaxShortWait;
 };
 
 /// [quarantine]: requests that crash endpoints.
@@ -146,6 +163,7 @@
   std::vector<PriorityRule> Priorities;
   std::vector<RoutingRule> Routing;
   std::vector<WeightRule> Weights;
+  std::vector<AdmissionRule> Admission;
   std::vector<QuarantineRule> Quarantine;
 };
 
--- a/packages/rules/table/rule_kinds.h
+++ b/packages/rules/table/rule_kinds.h
@@ -141,6 +141,23 @@
     RuleField<WeightRule>{"store_bytes_per_second",
         &WeightRule::StoreBytesPerSecond, "50000000", 1, 1000000000000,
         "what the weight store is asked for, over all engines"},
+    RuleField<WeightRule>{"staggered", &WeightRule::Staggered, "yes", 0, 0,
+        "whether engines swap in waves; no: all at once"},
+};
+
+/// Fields of [admission].
+inline constexpr std::array AdmissionFields{
+    RuleField<AdmissionRule>{"by_class", &AdmissionRule::ByClass, "yes", 0, 0,
+        "short work first and fair among callers; no: in order of arrival"},
+    RuleField<AdmissionRule>{"preempt", &AdmissionRule::Preempt, "yes", 0, 0,
+        "whether waiting short work may stop the longest rollout"},
+    RuleField<AdmissionRule>{"short_reserve", &AdmissionRule::ShortReserve,
+        "-1", -1, 4096, "places for short work alone; -1: the agent's setting"},
+    RuleField<AdmissionRule>{"max_long_wait_ms", &AdmissionRule::MaxLongWait,
+        "60000", 0, MaxRuleMs, "longest expected wait of long work"},
+    RuleField<AdmissionRule>{"max_short_wait_ms",
+        &AdmissionRule::MaxShortWait, "10000", 0, MaxRuleMs,
+        "longest expected wait of short work"},
 };
 
 /// Fields of [quarantine].
@@ -167,6 +184,8 @@
                           &RuleSet::Routing, RoutingFields},
     RuleKind<WeightRule>{"weights", "pattern of models", &RuleSet::Weights,
                          WeightFields},
+    RuleKind<AdmissionRule>{"admission", "pattern of models and services",
+                            &RuleSet::Admission, AdmissionFields},
     RuleKind<QuarantineRule>{"quarantine", "pattern of models and services",
                              &RuleSet::Quarantine, QuarantineFields},
 };
--- a/tests/agent/agent_test.cpp
+++ b/tests/agent/agent_test.cpp
@@ -34,6 +34,18 @@
   return Message;
 }
 
+/// @param Offset the offset of the rules.
+/// @param Text the rules.
+/// @return the push of them.
+wire::PeerMessage rules(int64_t Offset, const std::string &Text) {
+  wire::ConfigPush Push;
+  Push.Offset = Offset;
+  Push.__set_Text(Text);
+  wire::PeerMessage Message;
+  Message.__set_ConfigPushMsg(Push);
+  return Message;
+}
+
 /// @param Works works to ask for.
 /// @param Have bytes of the first that arrived.
 /// @return the question.
@@ -361,6 +373,22 @@
   cr_assert(Answers[1].first == Fix.Entry && Answers[1].second == "one");
 }
 
+Test(agent, rule_in_order_of_arrival_takes_force_and_never_reverts) {
+  AgentFixture Fix;
+  Fix.say(
+      rules(100, "[admission]\ngrind = by_class=no ; asked by desk: trial\n"));
+  cr_assert(Fix.Agent.configOffset() == LogOffset{100});
+  for (int Index = 0; Index < 5; ++Index)
+    Fix.start(Fix.makeWork(Rollout));
+  Fix.start(Fix.makeWork(Short));
+  cr_assert(Fix.all<StartAtEndpoint>().size() == 4);
+  cr_assert(Fix.all<StopAtEndpoint>().empty());
+  Fix.say(rules(99, "[admission]\n"));
+  cr_assert(Fix.Agent.configOffset() == LogOffset{100});
+  Fix.say(rules(101, "no rule"));
+  cr_assert(Fix.Agent.configOffset() == LogOffset{100});
+}
+
 Test(agent, intent_repeated_by_another_entry_joins_the_run) {
   AgentControllerSettings Settings = AgentFixture::settings();
   Settings.IsEngine = false;
--- a/tests/agent/weight_test.cpp
+++ b/tests/agent/weight_test.cpp
@@ -113,7 +113,7 @@
     LastGap = Fix.Now - FailedAt;
   }
   cr_assert(Fix.Orders.size() == 7);
-  cr_assert(LastGap <= seconds(4));
+  cr_assert(LastGap <= seconds(1));
 }
 
 Test(weights, unanswered_swap_leaves_label_in_doubt_until_confirmed) {
