--- a/packages/core/agent/admission_base.cpp
+++ b/packages/core/agent/admission_base.cpp
@@ -144,7 +144,12 @@
                                     const RunEnded &Event, Actions &Out) {
   const RefusalReason Reason =
       Ended.Stopping ? Ended.StopReason : RefusalReason::EndpointFailed;
-  const RunState State = Event.NeverSent ? RunState::NotRun : RunState::Unknown;
+#ifdef CAMPHORNOTCH_MUTATION_BROKEN_SAYS_NOT_RUN
+  const bool NotRun = Event.Outcome != RunOutcome::Finished;
+#else
+  const bool NotRun = Event.NeverSent;
+#endif
+  const RunState State = NotRun ? RunState::NotRun : RunState::Unknown;
   Out.push_back(
       RefuseWork{Ended.Key, {Reason, State, ElsewhereRetryAfterMs, {}}, Id});
 }
--- a/packages/core/agent/weight_base.cpp
+++ b/packages/core/agent/weight_base.cpp
@@ -250,8 +250,10 @@
   this->State = Phase::Settled;
   this->Version = Version;
   this->GiveUpAt = Never;
+#ifndef CAMPHORNOTCH_MUTATION_IGNORE_LOST_ORDER
   if (this->Pending && *this->Pending != Version)
     return;
+#endif
   this->Pending.reset();
   this->Doubt = false;
   Out.emplace_back(LabelConfirmed{Version});
@@ -266,7 +268,9 @@
 void WeightController::loseOrder(Millis Now, Actions &Out) {
   ++this->Counts.Unanswered;
   this->Pending = this->Ordered;
+#ifndef CAMPHORNOTCH_MUTATION_LABEL_IN_DOUBT
   this->doubt(Out);
+#endif
   this->backOff(Now);
   this->ask(Now, Out);
 }
