Change: [Entry] Configuration spreads as changes, and survives a log outage

The entry pushed the whole file to every agent at each change, took rules from the fold alone and wrote no reset. It now runs the configuration controller: the responsible entry pushes the change, others step in after 700 ms, agents apply changes and answer pulls, and a fresh entry in a log outage takes the file from its agents before it is ready.

--- a/packages/core/agent/agent_base.h
+++ b/packages/core/agent/agent_base.h
@@ -141,6 +141,8 @@
             Actions &Out);
   void said(const HostId &Peer, const wire::ConfigPush &Message, Millis Now,
             Actions &Out);
+  void said(const HostId &Peer, const wire::ConfigPull &Message, Millis Now,
+            Actions &Out);
   void said(const HostId &Peer, const wire::Heartbeat &Message, Millis Now,
             Actions &Out);
   void said(const HostId &Peer, const wire::WeightsAnnounce &Message,
@@ -289,6 +291,9 @@
   LogOffset ConfigOffset = NoOffset;
   /// Hash of the rules in force.
   int64_t ConfigHash = 0;
+  /// The rules in force as text: the base of changes, and what a fresh entry
+  /// gets while the log is down.
+  std::string ConfigText;
   /// What the leave controller was told of.
   HoldingsChanged ToldHoldings;
   /// Counts since the boot.
--- a/packages/core/agent/agent_links.cpp
+++ b/packages/core/agent/agent_links.cpp
@@ -3,6 +3,7 @@
 
 #include "core/agent/agent_base.h"
 
+#include "rules/delta_func.h"
 #include "rules/parse_func.h"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
     Visit(Message.AckWorkMsg);
   else if (Set.ConfigPushMsg)
     Visit(Message.ConfigPushMsg);
+  else if (Set.ConfigPullMsg)
+    Visit(Message.ConfigPullMsg);
   else if (Set.HeartbeatMsg)
     Visit(Message.HeartbeatMsg);
   else if (Set.WeightsAnnounceMsg)
@@ -146,20 +149,39 @@
                            Millis Now, Actions &Out) {
   if (LogOffset{Message.Offset} <= this->ConfigOffset)
     return;
-  if (!Message.__isset.Text) {
-    // A change to rules that the agent does not keep: ask for the whole.
+  const bool Fits = Message.BaseOffset == this->ConfigOffset.Value;
+  Result<std::string> Text = Message.Text;
+  if (!Message.__isset.Text)
+    Text = applyDelta(this->ConfigText, Message.Delta);
+  if (!Message.__isset.Text &&
+      (!Fits || !Text.has_value() || ruleHash(Text.value()) != Message.Hash)) {
+    // A change to other rules than the agent has: ask for the whole.
     Out.emplace_back(TellPeer{Peer, makePull(NoOffset)});
     return;
   }
-  const RuleResult Parsed = parseRules("rules", Message.Text);
+  const RuleResult Parsed = parseRules("rules", Text.value());
   if (!Parsed.has_value())
     return;
   this->ConfigOffset = LogOffset{Message.Offset};
   this->ConfigHash = Message.Hash;
+  this->ConfigText = std::move(Text.value());
   this->applyRules(Parsed.value(), Now, Out);
   Out.emplace_back(BeatAll{});
 }
 
+void AgentController::said(const HostId &Peer, const wire::ConfigPull &Message,
+                           Millis /*Now*/, Actions &Out) {
+  if (LogOffset{Message.HaveOffset} >= this->ConfigOffset)
+    return;
+  wire::ConfigPush Push;
+  Push.Offset = this->ConfigOffset.Value;
+  Push.Hash = this->ConfigHash;
+  Push.__set_Text(this->ConfigText);
+  wire::PeerMessage Answer;
+  Answer.__set_ConfigPushMsg(Push);
+  Out.emplace_back(TellPeer{Peer, Answer});
+}
+
 void AgentController::said(const HostId &Peer, const wire::Heartbeat &Message,
                            Millis /*Now*/, Actions &Out) {
   if (LogOffset{Message.ConfigOffset} > this->ConfigOffset)
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -32,8 +32,9 @@
       Routes(this->Events, this->Works, this->Table, this->WorkIds,
              this->Counters),
       Pushes(this->Links, this->Log), Agents(this->Links, this->Log),
+      Configs(this->Events, this->Links, this->Log, Settings.Common),
       Front(
-          this->Events, Settings, this->Log, this->Counters,
+          this->Events, Settings, this->Log, this->Configs, this->Counters,
           [this](const std::shared_ptr<CallerExchange> &Exchange) {
             this->dispatch(Exchange);
           },
@@ -45,10 +46,11 @@
   if (!Port)
     return Port.error();
   this->Links.hub().onHeartbeat(
-      [this](wire::Heartbeat &Beat) { this->Pushes.fill(Beat); });
+      [this](wire::Heartbeat &Beat) { this->Configs.fill(Beat); });
   this->Works.onAnswer(
       [this](const WorkEvent &Event) { this->onAnswer(Event); });
   this->Log.start(this->logEvents());
+  this->Configs.start();
   this->Events.takeSignals([this](int) { this->beginStop(); });
   return this->Front.listen();
 }
@@ -60,9 +62,13 @@
   Tell.Up = [this](const LinkUp &Up) {
     this->Works.linkUp(Up);
     this->Pushes.linkUp(Up);
+    this->Configs.linkUp(Up);
     this->Agents.linkUp(Up);
   };
-  Tell.Down = [this](const HostId &Peer) { this->Works.linkDown(Peer); };
+  Tell.Down = [this](const HostId &Peer) {
+    this->Works.linkDown(Peer);
+    this->Configs.linkDown(Peer);
+  };
   Tell.Message = [this](const HostId &Peer, const wire::PeerMessage &Message) {
     this->onPeer(Peer, Message);
   };
@@ -78,6 +84,7 @@
   LogTaskEvents Tell;
   Tell.Committed = [](const RecordCommitted &) {};
   Tell.Changed = [this](const std::vector<FoldChange> &Changes) {
+    this->Configs.changed(Changes);
     this->Pushes.changed(Changes);
     this->Agents.changed(Changes);
   };
@@ -97,8 +104,7 @@
     this->Links.noteLoad(Peer, Message.WorkRefusedMsg.Load);
   if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
-  if (Message.__isset.ConfigPullMsg)
-    this->Pushes.pulled(Peer, Message.ConfigPullMsg);
+  this->Configs.take(Peer, Message);
   if (Message.__isset.AppendRequestMsg)
     this->Log.appendFor(Peer, Message.AppendRequestMsg);
 }
@@ -167,11 +173,11 @@
   Exchange->refuse(notRun(RefusalReason::UnknownPath, "not served yet"));
 }
 
-std::string Entry::whyNotReady() const {
+std::string Entry::whyNotReady() {
   if (this->Stopping)
     return "stopping";
-  if (!this->Log.caughtUp())
-    return "the log was not read yet";
+  if (!this->Configs.ready())
+    return "the newest configuration is not known yet";
   return {};
 }
 
@@ -195,7 +201,7 @@
   Set("work_open", "Work at agents without an answer",
       static_cast<double>(this->Works.open()));
   Set("config_offset", "Offset of the configuration in force",
-      static_cast<double>(this->Log.fold().config().Offset.Value));
+      static_cast<double>(this->Configs.inForce().Offset.Value));
   Set("log_applied", "Offset of the last record applied",
       static_cast<double>(this->Log.fold().applied().Value));
 }
--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_DAEMON_ENTRY_BASE_H
 
 #include "daemon/agent_services_base.h"
+#include "daemon/config_task_base.h"
 #include "daemon/http_front_base.h"
 #include "daemon/link_task_base.h"
 #include "daemon/log_task_base.h"
@@ -62,7 +63,7 @@
   /// @param Event the answer.
   void onAnswer(const WorkEvent &Event);
   /// @return why the process cannot serve; empty if it can.
-  std::string whyNotReady() const;
+  std::string whyNotReady();
   /// Brings gauges up to date.
   void updateGauges();
   /// Begins to stop.
@@ -94,6 +95,8 @@
   PushTask Pushes;
   /// What agents ask and report.
   AgentServices Agents;
+  /// The configuration in force.
+  ConfigTask Configs;
   /// HTTP towards callers.
   HttpFront Front;
   /// Whether the process is stopping.
--- a/packages/daemon/http_front_base.cpp
+++ b/packages/daemon/http_front_base.cpp
@@ -23,10 +23,12 @@
 } // namespace
 
 HttpFront::HttpFront(Loop &Events, const EntrySettings &Settings,
-                     const LogTask &Log, Metrics &Counters, RequestSink Sink,
+                     const LogTask &Log, const ConfigTask &Configs,
+                     Metrics &Counters, RequestSink Sink,
                      FrontQuestions Questions)
-    : Events(Events), Settings(Settings), Log(Log), Counters(Counters),
-      Sink(std::move(Sink)), Questions(std::move(Questions)),
+    : Events(Events), Settings(Settings), Log(Log), Configs(Configs),
+      Counters(Counters), Sink(std::move(Sink)),
+      Questions(std::move(Questions)),
       IdPrefix(concat(Settings.Common.Host, "-",
                       drawBoot().Value % 1'000'000'000, "-")),
       Answered(Counters.counter("requests_answered_total",
@@ -93,7 +95,7 @@
   Exchange->onEnded([this](const ExchangeEnd &End) { this->note(End); });
   const std::string FreshId = concat(this->IdPrefix, ++this->LastId);
   const FilterWorld World{
-      *this->Log.fold().config().Rules,
+      *this->Configs.inForce().Rules,
       this->Log.fold().quarantined(),
       steadyNow(),
       wallNow(),
--- a/packages/daemon/http_front_base.h
+++ b/packages/daemon/http_front_base.h
@@ -6,6 +6,7 @@
 
 #include "core/filters/filter_chain_base.h"
 #include "daemon/caller_exchange_base.h"
+#include "daemon/config_task_base.h"
 #include "daemon/log_task_base.h"
 #include "net/metrics_base.h"
 
@@ -31,11 +32,13 @@
   /// @param Events the loop.
   /// @param Settings the entry's settings.
   /// @param Log holds the rules and the quarantine.
+  /// @param Configs holds the rules in force.
   /// @param Counters the process's metrics.
   /// @param Sink takes requests that passed.
   /// @param Questions what the front asks.
   HttpFront(Loop &Events, const EntrySettings &Settings, const LogTask &Log,
-            Metrics &Counters, RequestSink Sink, FrontQuestions Questions);
+            const ConfigTask &Configs, Metrics &Counters, RequestSink Sink,
+            FrontQuestions Questions);
 
   /// Opens the socket.
   /// @return the port, or why the address cannot be had.
@@ -70,6 +73,8 @@
   const EntrySettings &Settings;
   /// Holds the rules and the quarantine.
   const LogTask &Log;
+  /// Holds the rules in force.
+  const ConfigTask &Configs;
   /// The process's metrics.
   Metrics &Counters;
   /// Takes requests that passed.
--- a/packages/daemon/log_task_base.cpp
+++ b/packages/daemon/log_task_base.cpp
@@ -19,9 +19,10 @@
 constexpr size_t MaxRecent = 16'384;
 /// How often the age of the snapshot is looked at.
 constexpr Millis CarryForwardCheck = seconds(1);
-/// Entries wait up to this share of the retention beyond the half, so that
-/// one of them writes the snapshot and the others see it.
-constexpr int64_t CarryForwardSpread = 8;
+/// Turns among which entries that wait for a snapshot are spread.
+constexpr uint64_t CarryForwardTurns = 16;
+/// Time between two turns.
+constexpr Millis CarryForwardTurn = seconds(2);
 
 } // namespace
 
@@ -51,11 +52,11 @@
                    logLine(LogLevel::Warn,
                            Up ? "log answers" : "log does not answer");
                    this->Tell.Status(LogStatus{Up});
-                 }}) {}
+                 }}),
+      Carry(CarrySettings{Settings.LogRetention, CarryForwardTurn}) {}
 
 void LogTask::start(LogTaskEvents Tell) {
   this->Tell = std::move(Tell);
-  this->SnapshotAt = steadyNow();
   this->Reader.start(LogOffset{1});
   this->carryForward();
 }
@@ -78,8 +79,6 @@
       std::any_of(Changes.begin(), Changes.end(), [](const FoldChange &One) {
         return std::holds_alternative<DuplicateDropped>(One);
       });
-  if (Record.__isset.Snapshot)
-    this->SnapshotAt = steadyNow();
   if (!Duplicate) {
     this->remember(Key, Offset);
     this->Tell.Committed(RecordCommitted{Offset, Record});
@@ -158,17 +157,16 @@
 }
 
 void LogTask::carryForward() {
-  const Millis Age = steadyNow() - this->SnapshotAt;
-  const int64_t Half = this->Settings.LogRetention.Count / 2;
-  const int64_t Spread = std::max<int64_t>(
-      1, this->Settings.LogRetention.Count / CarryForwardSpread);
-  const auto Offset = static_cast<int64_t>(hashBytes(this->Settings.Host) %
-                                           static_cast<uint64_t>(Spread));
-  if (this->caughtUp() && Age.Count > Half + Offset) {
+  CarryView View;
+  View.Now = steadyNow();
+  View.Wall = wallNow();
+  View.Rank =
+      static_cast<int64_t>(hashBytes(this->Settings.Host) % CarryForwardTurns);
+  View.CaughtUp = this->ReadOnce && this->Reader.reachable();
+  if (const auto Snapshot = this->Carry.due(this->Fold, View)) {
     wire::LogRecord Record;
-    Record.__set_Snapshot(this->Fold.exportSnapshot());
+    Record.__set_Snapshot(*Snapshot);
     this->append(Record);
-    this->SnapshotAt = steadyNow();
   }
   this->Events.callAfter(CarryForwardCheck, [this] { this->carryForward(); });
 }
--- a/packages/daemon/log_task_base.h
+++ b/packages/daemon/log_task_base.h
@@ -6,6 +6,7 @@
 
 #include "base/settings_type.h"
 #include "core/claims/log_type.h"
+#include "core/fold/carry_forward_base.h"
 #include "core/fold/log_fold_base.h"
 #include "net/log_client_base.h"
 #include "net/metrics_base.h"
@@ -99,7 +100,7 @@
   /// @param Position the record's place in it.
   /// @param Offset where it stands.
   void settleOne(uint64_t Id, size_t Position, LogOffset Offset);
-  /// Appends a snapshot if the last one has grown old.
+  /// Appends a snapshot when it is this entry's turn.
   void carryForward();
 
   /// The loop.
@@ -128,8 +129,8 @@
   std::deque<WriterKey> RecentOrder;
   /// The last number of an agent's append.
   uint64_t LastAppend = 0;
-  /// When the last snapshot was seen.
-  Millis SnapshotAt;
+  /// Decides when to append a snapshot.
+  CarryForward Carry;
 };
 
 } // namespace camphornotch
--- a/packages/daemon/push_task_base.cpp
+++ b/packages/daemon/push_task_base.cpp
@@ -1,11 +1,10 @@
 /// @file
-/// Pushes configuration, versions and quarantine to the agents.
+/// Pushes versions and quarantine to the agents.
 
 #include "daemon/push_task_base.h"
 
 #include "base/clock_func.h"
 #include "core/agent/weight_base.h"
-#include "daemon/config_note_func.h"
 
 namespace camphornotch {
 
@@ -20,29 +19,21 @@
 void PushTask::linkUp(const LinkUp &Up) {
   if (Up.Hello.Role != "agent")
     return;
-  if (Up.Hello.ConfigOffset < this->Log.fold().config().Offset.Value)
-    this->sendConfig(Up.Peer);
   this->sendVersion(Up.Peer, Up.Hello.Serves);
   this->sendQuarantine(Up.Peer);
 }
 
 void PushTask::changed(const std::vector<FoldChange> &Changes) {
-  bool Config = false;
   bool Quarantine = false;
   std::vector<std::string> Models;
   for (const FoldChange &Change : Changes) {
     const auto *Snapshot = std::get_if<SnapshotSeen>(&Change);
     const bool Restored = Snapshot != nullptr && Snapshot->Restored;
-    Config |= Restored || std::holds_alternative<ConfigAccepted>(Change);
     Quarantine |= Restored || std::holds_alternative<QuarantineChanged>(Change);
     if (const auto *Version = std::get_if<VersionAnnounced>(&Change))
       Models.push_back(Version->Model);
   }
-  if (Config)
-    noteConfigInForce(this->Log.fold().config().Offset);
   for (const HostId &Agent : this->agents()) {
-    if (Config)
-      this->sendConfig(Agent);
     if (Quarantine)
       this->sendQuarantine(Agent);
     for (const std::string &Model : Models)
@@ -51,30 +42,6 @@
   }
 }
 
-void PushTask::pulled(const HostId &Peer, const wire::ConfigPull &Pull) {
-  if (Pull.HaveOffset < this->Log.fold().config().Offset.Value)
-    this->sendConfig(Peer);
-}
-
-void PushTask::fill(wire::Heartbeat &Beat) const {
-  const AcceptedConfig &Config = this->Log.fold().config();
-  Beat.ConfigOffset = Config.Offset.Value;
-  Beat.ConfigHash = Config.Hash;
-}
-
-void PushTask::sendConfig(const HostId &Peer) {
-  const AcceptedConfig &Config = this->Log.fold().config();
-  if (Config.Offset == NoOffset)
-    return;
-  wire::ConfigPush Push;
-  Push.Offset = Config.Offset.Value;
-  Push.Hash = Config.Hash;
-  Push.__set_Text(Config.Text);
-  wire::PeerMessage Message;
-  Message.__set_ConfigPushMsg(Push);
-  this->Links.hub().send(Peer, Message);
-}
-
 void PushTask::sendVersion(const HostId &Peer, const std::string &Model) {
   const VersionState *Version = this->Log.fold().version(Model);
   if (Version == nullptr)
--- a/packages/daemon/push_task_base.h
+++ b/packages/daemon/push_task_base.h
@@ -1,5 +1,5 @@
 /// @file
-/// Pushes configuration, versions and quarantine to the agents.
+/// Pushes versions and quarantine to the agents.
 
 #ifndef CAMPHORNOTCH_DAEMON_PUSH_TASK_BASE_H
 #define CAMPHORNOTCH_DAEMON_PUSH_TASK_BASE_H
@@ -27,18 +27,7 @@
   /// @param Changes what changed.
   void changed(const std::vector<FoldChange> &Changes);
 
-  /// A peer is behind.
-  /// @param Peer its host.
-  /// @param Pull what it has.
-  void pulled(const HostId &Peer, const wire::ConfigPull &Pull);
-
-  /// Fills the heartbeats of this entry.
-  /// @param Beat the heartbeat.
-  void fill(wire::Heartbeat &Beat) const;
-
 private:
-  /// @param Peer an agent.
-  void sendConfig(const HostId &Peer);
   /// @param Peer an agent.
   /// @param Model the model whose version is told.
   void sendVersion(const HostId &Peer, const std::string &Model);
