--- a/packages/daemon/admin_func.cpp
+++ b/packages/daemon/admin_func.cpp
@@ -103,7 +103,7 @@
 } // namespace
 
 std::string renderStatus(const StatusView &View) {
-  const AcceptedConfig &Config = View.Fold.config();
+  const AcceptedConfig &Config = View.Config;
   json Versions = json::object();
   for (const auto &[Model, Version] : View.Fold.versions())
     Versions[Model] = Version.Version.Value;
