--- a/packages/daemon/admin_func.h
+++ b/packages/daemon/admin_func.h
@@ -27,6 +27,8 @@
   bool LogReachable = false;
   /// The folded state.
   const LogFold &Fold;
+  /// The configuration in force.
+  const AcceptedConfig &Config;
   /// The linked peers.
   const std::map<HostId, PeerView> &Peers;
   /// The endpoints.
