Fix: [Entry] Keys go to services as sent; requests follow their shard

Change: the scope is stripped for the service; the HTTP client refuses heads with line ends; steps and pulls whose shard moved are brought to its next owner.

--- a/packages/daemon/call_task_base.cpp
+++ b/packages/daemon/call_task_base.cpp
@@ -4,12 +4,14 @@
 #include "daemon/call_task_base.h"
 
 #include "base/clock_func.h"
-#include "base/text_func.h"
 
 namespace camphornotch {
 
 namespace {
 
+/// Ends each part of a key's scope; no header can hold it.
+constexpr char ScopeEnd = '\n';
+
 /// @param Context a call.
 /// @param Service the service.
 /// @return the key with the scope in which it is unique. A caller without a
@@ -17,7 +19,12 @@
 ///         no part of the scope.
 std::string scopedKey(const RequestContext &Context,
                       const std::string &Service) {
-  return concat(Service, "\n", Context.CallerHeader, "\n", Context.KeyHeader);
+  std::string Key = Service;
+  Key += ScopeEnd;
+  Key += Context.CallerHeader;
+  Key += ScopeEnd;
+  Key += Context.KeyHeader;
+  return Key;
 }
 
 } // namespace
@@ -81,7 +88,10 @@
 }
 
 void CallTask::act(const SendIntent &Action) {
-  this->Works.start(Action.Agent, Action.Message, WorkOwner::Intent);
+  wire::StartWork Work = Action.Message;
+  // The service gets the key as the caller sent it.
+  Work.IdempotencyKey.erase(0, Work.IdempotencyKey.rfind(ScopeEnd) + 1);
+  this->Works.start(Action.Agent, Work, WorkOwner::Intent);
 }
 
 void CallTask::act(const AckIntent &Action) {
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -60,6 +60,11 @@
       }});
   this->Samples.onEpoch(
       [this](const EpochSeen &Event) { this->Owners.handle(Event); });
+  this->Samples.onMisplaced(
+      [this](const std::shared_ptr<CallerExchange> &Exchange) {
+        this->Counters.countRetry(RetryReason::OwnerMoved);
+        this->dispatch(Exchange);
+      });
   this->Works.onAnswer([this](const HostId &Agent, const WorkEvent &Event) {
     this->onAnswer(Agent, Event);
   });
--- a/packages/daemon/sample_task_base.cpp
+++ b/packages/daemon/sample_task_base.cpp
@@ -18,6 +18,8 @@
 
 /// Calls to a scorer for one sample, with waits between them.
 constexpr int MaxScoreTries = 10;
+/// Time for the news of another owner to be read.
+constexpr Millis MisplacedWait{50};
 /// First wait after a scorer failed; doubles each time.
 constexpr Millis ScoreRetryMin{100};
 /// Longest wait after a scorer failed.
@@ -169,8 +171,16 @@
 }
 
 void SampleTask::act(const TrainerId & /*Name*/, const RefuseRequest &Action) {
-  if (const auto Exchange = this->Waiting.take(Action.Request))
+  const auto Exchange = this->Waiting.take(Action.Request);
+  if (Exchange == nullptr)
+    return;
+  if (Action.Why.Reason != RefusalReason::WrongOwner) {
     Exchange->refuse(Action.Why);
+    return;
+  }
+  // Submissions and pulls are idempotent: the next owner takes them.
+  this->Events.callAfter(MisplacedWait,
+                         [this, Exchange] { this->TellMisplaced(Exchange); });
 }
 
 void SampleTask::act(const TrainerId & /*Name*/, const EpochSeen &Action) {
--- a/packages/daemon/sample_task_base.h
+++ b/packages/daemon/sample_task_base.h
@@ -38,6 +38,13 @@
   /// @param Tell told of epochs in cursors.
   void onEpoch(EpochShown Tell) { this->TellEpoch = std::move(Tell); }
 
+  /// Told a request whose shard this entry does not own any more.
+  using Misplaced =
+      std::function<void(const std::shared_ptr<CallerExchange> &)>;
+
+  /// @param Tell told of requests to be brought to another owner.
+  void onMisplaced(Misplaced Tell) { this->TellMisplaced = std::move(Tell); }
+
   /// Takes a submission for a shard that this entry owns.
   /// @param Exchange the request.
   /// @param Wanted its typed form.
@@ -199,6 +206,8 @@
   Metrics &Counters;
   /// Told of epochs in cursors.
   EpochShown TellEpoch;
+  /// Told of requests to be brought to another owner.
+  Misplaced TellMisplaced;
   /// Decides which attempt goes where.
   RolloutScheduler Scheduler;
   /// Trainers by name.
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -38,6 +38,23 @@
   return Head;
 }
 
+/// @param Text a part of a request's head.
+/// @return whether it would end its line, and so change the request.
+bool breaksLine(std::string_view Text) {
+  constexpr std::string_view LineEnds("\r\n\0", 3);
+  return Text.find_first_of(LineEnds) != std::string_view::npos;
+}
+
+/// @param Call a request.
+/// @return whether its head can be sent as it is.
+bool isSendable(const HttpCall &Call) {
+  for (const HttpHeader &Header : Call.Headers)
+    if (breaksLine(Header.Name) || breaksLine(Header.Value))
+      return false;
+  const bool Spaced = Call.Path.find(' ') != std::string::npos;
+  return !breaksLine(Call.Method) && !breaksLine(Call.Path) && !Spaced;
+}
+
 /// @param Call a request.
 /// @param Cause what h2o says.
 /// @return the error for the caller.
@@ -299,7 +316,10 @@
   if (New.Call.Timeout > Millis{0})
     New.Timer = Self.Events.callAfter(New.Call.Timeout,
                                       [&Self, Id] { Self.onTimeout(Id); });
-  Self.connect(New);
+  if (isSendable(New.Call))
+    Self.connect(New);
+  else
+    Self.fail(New, "the head holds an end of line");
   return HttpCallId{Id};
 }
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -291,6 +291,20 @@
   cr_assert(turnUntil(Events, [&] { return NotSent; }));
 }
 
+Test(httpClient, headerWithLineEnd_isNeverSent) {
+  HttpFixture Net;
+  bool Handled = false;
+  Net.Handler = [&](const std::shared_ptr<HttpExchange> &One) {
+    Handled = true;
+    echo(One);
+  };
+  HttpCall Call = callOf("GET", "/", "");
+  Call.Headers = {{"x-key", "a\r\nx-injected: b"}};
+  cr_assert_eq(Net.ask(Call).Status, 0);
+  cr_assert_eq(Net.ask(callOf("GET", "/a HTTP/1.1\r\nx: y", "")).Status, 0);
+  cr_assert_not(Handled);
+}
+
 Test(target, badAddresses_areRefused) {
   cr_assert(parseTarget("127.0.0.1:80").has_value());
   cr_assert_not(parseTarget("localhost:80").has_value());
