--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -6,6 +6,7 @@
 
 #include "daemon/agent_services_base.h"
 #include "daemon/call_task_base.h"
+#include "daemon/config_task_base.h"
 #include "daemon/http_front_base.h"
 #include "daemon/link_task_base.h"
 #include "daemon/log_task_base.h"
@@ -75,7 +76,7 @@
   /// @param Changes what changed.
   void onChanged(const std::vector<FoldChange> &Changes);
   /// @return why the process cannot serve; empty if it can.
-  std::string whyNotReady() const;
+  std::string whyNotReady();
   /// Brings gauges up to date.
   void updateGauges();
   /// Begins to stop.
@@ -115,6 +116,8 @@
   PushTask Pushes;
   /// What agents ask and report.
   AgentServices Agents;
+  /// The configuration in force.
+  ConfigTask Configs;
   /// HTTP towards callers.
   HttpFront Front;
   /// Whether the process is stopping.
