--- a/packages/core/membership/membership_type.h
+++ b/packages/core/membership/membership_type.h
@@ -71,7 +71,7 @@
   HostId Self;
   DataCentreId DataCentre;
   /// Entries that link to each agent of their data centre.
-  int64_t EntriesPerAgent = 4;
+  int64_t EntriesPerAgent = 3;
   /// Entries of each other data centre that an entry links to.
   int64_t RemoteLinks = 2;
   /// An unlisted host that does not answer is gone after this.
