--- a/packages/core/calls/call_base.cpp
+++ b/packages/core/calls/call_base.cpp
@@ -219,12 +219,18 @@
   appendOutcome(Outcome, Out);
 }
 
-void CallController::on(const CallRefused &Event, Millis /*Now*/,
-                        Actions &Out) {
+void CallController::on(const CallRefused &Event, Millis Now, Actions &Out) {
   KeyState *State = this->findWork(Event.Answer.Work);
   if (!State)
     return;
   const wire::RefusalMessage &Told = Event.Answer.Refusal;
+  if (refusalFromWire(Told.Reason) == RefusalReason::PeerLost) {
+    // The agent misses this message, which says nothing of the intent: another
+    // entry may have started it. The guard is asked under a new number.
+    this->forgetWork(*State);
+    this->proceed(*State, Now, Out);
+    return;
+  }
   Refusal Why{refusalFromWire(Told.Reason), RunState::Unknown,
               Told.RetryAfterMs, Told.Detail};
   if (Told.RunState == static_cast<int32_t>(RunState::NotRun)) {
--- a/packages/core/samples/sample_pull.cpp
+++ b/packages/core/samples/sample_pull.cpp
@@ -9,8 +9,13 @@
 namespace camphornotch {
 
 Result<Cursor> SampleController::readCursor(const PullReceived &Event) const {
+  // An owner may not have seen what the trainer took from the one before: only
+  // the trainer's own cursor tells.
   if (Event.Resume)
-    return Cursor{this->Trainer, Epoch{-1}, this->AckedBatch, {}};
+    return Error{ErrorKind::BadInput,
+                 "cursor: a trainer without its last one goes on under a new "
+                 "name",
+                 "keep the cursor together with the samples"};
   if (Event.Cursor.empty())
     return Cursor{this->Trainer, Epoch{-1}, 0, {}};
   return parseCursor(Event.Cursor, this->Trainer);
@@ -39,7 +44,7 @@
   if (Shown.value().Batch < this->AckedBatch) {
     Out.emplace_back(refusal(Event.Request, RefusalReason::BadCursor,
                              RunState::NotRun,
-                             "cursor: a later one was shown; resume instead"));
+                             "cursor: a later one was shown"));
     return;
   }
   if (Event.TrainerVersion.Value > this->TrainerVersion) {
--- a/packages/core/samples/sample_type.h
+++ b/packages/core/samples/sample_type.h
@@ -95,7 +95,8 @@
   RequestHandle Request;
   /// The cursor of the last answer; empty for the first pull.
   std::string Cursor;
-  /// The trainer lost its cursor: repeat what it has not acknowledged.
+  /// The trainer lost its cursor. Refused, since nobody else knows for sure
+  /// what it holds.
   bool Resume = false;
   /// The version that the trainer has reached; -1: not told.
   WeightVersion TrainerVersion{-1};
--- a/spec/calls.pml
+++ b/spec/calls.pml
@@ -171,6 +171,14 @@
   e[n].read++
 }
 
+/* Reading a part is the same as reading all when only that part was there. */
+inline readAll(n) {
+  do
+  :: e[n].read < used -> readOne(n)
+  :: else -> break
+  od
+}
+
 /* The agent handles a message that names intent m (place + 1). */
 inline admit(n, m) {
   x = records[m - 1].agent;
@@ -238,7 +246,7 @@
   if
   :: flight[n].kind != 0 && used < LOG_MAX -> land(flight[n])
   :: closing[n].kind != 0 && used < LOG_MAX -> land(closing[n])
-  :: e[n].read < used -> readOne(n)
+  :: e[n].read < used -> readAll(n)
   /* Dispatch: the standing intent is known and somebody waits. */
   :: e[n].waiter != 0 && e[n].stands != 0 && !e[n].done && link[n] == 0 ->
 #ifdef MUT_SECOND_INTENT
