--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -27,8 +27,10 @@
 /// @param Event an attempt's output.
 /// @return whether its segments name the version of every token.
 bool labelComplete(const SlotFinished &Event) {
+#ifndef CAMPHORNOTCH_MUTATION_ACCEPT_UNKNOWN_LABEL
   if (!Event.LabelKnown || Event.Segments.empty())
     return false;
+#endif
   if (Event.Segments.front().FirstToken != 0)
     return false;
   int64_t Before = -1;
@@ -99,18 +101,14 @@
     return;
   }
   SlotState &State = Found->second;
-#ifndef CAMPHORNOTCH_MUTATION_REFILL_SLOT
   if (State.Stage != Phase::Running) {
     Out.emplace_back(SampleDropped{Event.Slot, DropReason::Duplicate});
     return;
   }
-#endif
-#ifndef CAMPHORNOTCH_MUTATION_ACCEPT_UNKNOWN_LABEL
   if (!labelComplete(Event)) {
     this->retry(Event.Slot, DropReason::LabelUnknown, Out);
     return;
   }
-#endif
   const std::string &Model = this->Table.steps().at(Event.Slot.Step).Model;
   for (const wire::LabelSegment &Segment : Event.Segments)
     this->noteVersion(Model, Segment.Version, Now);
