--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -42,8 +42,9 @@
       Owners(this->Events, this->Links, this->Log, Settings.Common, this->Boot,
              this->Counters),
       Pushes(this->Links, this->Log), Agents(this->Links, this->Log),
+      Configs(this->Events, this->Links, this->Log, Settings.Common),
       Front(
-          this->Events, Settings, this->Log, this->Counters,
+          this->Events, Settings, this->Log, this->Configs, this->Counters,
           [this](const std::shared_ptr<CallerExchange> &Exchange) {
             this->dispatch(Exchange);
           },
@@ -60,15 +61,21 @@
       }});
   this->Samples.onEpoch(
       [this](const EpochSeen &Event) { this->Owners.handle(Event); });
+  this->Samples.onMisplaced(
+      [this](const std::shared_ptr<CallerExchange> &Exchange) {
+        this->Counters.countRetry(RetryReason::OwnerMoved);
+        this->dispatch(Exchange);
+      });
   this->Works.onAnswer([this](const HostId &Agent, const WorkEvent &Event) {
     this->onAnswer(Agent, Event);
   });
   this->Links.hub().onHeartbeat(
-      [this](wire::Heartbeat &Beat) { this->Pushes.fill(Beat); });
+      [this](wire::Heartbeat &Beat) { this->Configs.fill(Beat); });
   auto Port = this->Links.start(this->linkEvents());
   if (!Port)
     return Port.error();
   this->Log.start(this->logEvents());
+  this->Configs.start();
   this->Events.takeSignals([this](int) { this->beginStop(); });
   return this->Front.listen();
 }
@@ -80,6 +87,7 @@
   Tell.Up = [this](const LinkUp &Up) { this->onUp(Up); };
   Tell.Down = [this](const HostId &Peer) {
     this->Works.linkDown(Peer);
+    this->Configs.linkDown(Peer);
     this->Owners.linkDown(Peer);
     this->Calls.handle(AgentLost{Peer});
   };
@@ -100,6 +108,7 @@
 void Entry::onUp(const LinkUp &Up) {
   this->Works.linkUp(Up);
   this->Pushes.linkUp(Up);
+  this->Configs.linkUp(Up);
   this->Agents.linkUp(Up);
   this->Owners.linkUp(Up);
   const auto Endpoint = this->Links.endpointOf(Up.Peer);
@@ -143,6 +152,7 @@
       this->Owners.reload();
   }
   this->Samples.changed(Changes);
+  this->Configs.changed(Changes);
   this->Pushes.changed(Changes);
   this->Agents.changed(Changes);
 }
@@ -157,8 +167,7 @@
     this->Samples.endpointReported(*Endpoint);
   if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
-  if (Message.__isset.ConfigPullMsg)
-    this->Pushes.pulled(Peer, Message.ConfigPullMsg);
+  this->Configs.take(Peer, Message);
   if (Message.__isset.AppendRequestMsg)
     this->Log.appendFor(Peer, Message.AppendRequestMsg);
   if (Message.__isset.ForwardRequestMsg)
@@ -245,10 +254,10 @@
 
 void Entry::serve(const std::shared_ptr<CallerExchange> &Exchange,
                   const StatusRequest & /*Wanted*/) {
-  const StatusView View{this->Settings.Common, this->Boot,
-                        this->whyNotReady(),   this->Log.reachable(),
-                        this->Log.fold(),      this->Links.peers(),
-                        this->Table,           this->Samples.counts()};
+  const StatusView View{
+      this->Settings.Common, this->Boot,       this->whyNotReady(),
+      this->Log.reachable(), this->Log.fold(), this->Configs.inForce(),
+      this->Links.peers(),   this->Table,      this->Samples.counts()};
   Exchange->answer(
       CallerAnswer{200, "application/json", renderStatus(View), 0});
 }
@@ -257,14 +266,14 @@
                   const ExplainRequest &Wanted) {
   Exchange->answer(
       CallerAnswer{200, "application/json",
-                   renderExplain(*this->Log.fold().config().Rules, Wanted), 0});
+                   renderExplain(*this->Configs.inForce().Rules, Wanted), 0});
 }
 
-std::string Entry::whyNotReady() const {
+std::string Entry::whyNotReady() {
   if (this->Stopping)
     return "stopping";
-  if (!this->Log.caughtUp())
-    return "the log was not read yet";
+  if (!this->Configs.ready())
+    return "the newest configuration is not known yet";
   return {};
 }
 
@@ -288,7 +297,7 @@
   Set("work_open", "Work at agents without an answer",
       static_cast<double>(this->Works.open()));
   Set("config_offset", "Offset of the configuration in force",
-      static_cast<double>(this->Log.fold().config().Offset.Value));
+      static_cast<double>(this->Configs.inForce().Offset.Value));
   Set("log_applied", "Offset of the last record applied",
       static_cast<double>(this->Log.fold().applied().Value));
 }
