--- a/bench/programs/policies/agent_node.cpp
+++ b/bench/programs/policies/agent_node.cpp
@@ -95,7 +95,7 @@
 void AgentNode::announce(int64_t Version) {
   if (this->Lost)
     return;
-  VersionAnnounced Announced;
+  WeightsAnnounced Announced;
   Announced.Version.Value = Version;
   Announced.Engines = this->Spec.SwapEngines;
   Announced.Rank = this->Spec.SwapRank;
--- a/bench/programs/policies/step_draw.cpp
+++ b/bench/programs/policies/step_draw.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <queue>
 #include <random>
 
@@ -57,26 +58,37 @@
   bool operator<(const PackedEvent &Other) const { return At > Other.At; }
 };
 
-} // namespace
+/// Whether the first trainer's next sample starts after the second's.
+using PackedOrder =
+    std::function<bool(const PackedTrainer &, const PackedTrainer &)>;
 
-std::vector<int64_t> drawStep(const TrainerLoadSpec &Spec, uint64_t Seed,
-                              int Trainer, int64_t Step) {
-  std::mt19937_64 Random(Seed * 1000003 +
-                         static_cast<uint64_t>(Trainer) * 7919 +
-                         static_cast<uint64_t>(Step));
-  std::vector<int64_t> Tokens;
-  const int Samples = Spec.Groups * Spec.GroupSize;
-  for (int Sample = 0; Sample < Samples; ++Sample) {
-    double Length = Spec.MedianTokens * std::exp(Spec.Spread * normal(Random));
-    if (uniform(Random) <= Spec.LongShare)
-      Length = Spec.MedianTokens * Spec.LongFactor;
-    Tokens.push_back(static_cast<int64_t>(std::max(FewestTokens, Length)));
-  }
-  return Tokens;
+/// @param Left a trainer.
+/// @param Right another.
+/// @return whether the other one's next sample is longer.
+bool isShorter(const PackedTrainer &Left, const PackedTrainer &Right) {
+  const int64_t LeftTokens = Left.Waiting.empty() ? 0 : Left.Waiting.back();
+  const int64_t RightTokens = Right.Waiting.empty() ? 0 : Right.Waiting.back();
+  return LeftTokens < RightTokens;
 }
 
-double clairvoyantIdle(const Scenario &Run, uint64_t Seed, int Slots,
-                       double TokenMs) {
+/// @param Left a trainer.
+/// @param Right another.
+/// @return whether the other one submitted earlier and has samples waiting.
+bool isLater(const PackedTrainer &Left, const PackedTrainer &Right) {
+  if (Left.Waiting.empty() != Right.Waiting.empty())
+    return Left.Waiting.empty();
+  return Left.Submitted > Right.Submitted;
+}
+
+/// Packs all steps, the longest samples of a step first.
+/// @param Run the scenario.
+/// @param Seed of the run.
+/// @param Slots places of all engines.
+/// @param TokenMs milliseconds a token.
+/// @param GoesAfter which trainer's sample starts next.
+/// @return seconds that a trainer waits for a step, on average.
+double packedIdle(const Scenario &Run, uint64_t Seed, int Slots, double TokenMs,
+                  const PackedOrder &GoesAfter) {
   std::vector<PackedTrainer> Trainers(TrainerCount);
   std::priority_queue<PackedEvent> Events;
   for (int Trainer = 0; Trainer < TrainerCount; ++Trainer)
@@ -102,12 +114,8 @@
       Own.Open = Own.Waiting.size();
     }
     while (Free > 0) {
-      const auto Longest = std::max_element(
-          Trainers.begin(), Trainers.end(), [](const auto &L, const auto &R) {
-            const int64_t Left = L.Waiting.empty() ? 0 : L.Waiting.back();
-            const int64_t Right = R.Waiting.empty() ? 0 : R.Waiting.back();
-            return Left < Right;
-          });
+      const auto Longest =
+          std::max_element(Trainers.begin(), Trainers.end(), GoesAfter);
       if (Longest->Waiting.empty())
         break;
       const double Span =
@@ -127,4 +135,28 @@
   return Steps == 0 ? 0 : Idle / static_cast<double>(Steps) / 1000;
 }
 
+} // namespace
+
+std::vector<int64_t> drawStep(const TrainerLoadSpec &Spec, uint64_t Seed,
+                              int Trainer, int64_t Step) {
+  std::mt19937_64 Random(Seed * 1000003 +
+                         static_cast<uint64_t>(Trainer) * 7919 +
+                         static_cast<uint64_t>(Step));
+  std::vector<int64_t> Tokens;
+  const int Samples = Spec.Groups * Spec.GroupSize;
+  for (int Sample = 0; Sample < Samples; ++Sample) {
+    double Length = Spec.MedianTokens * std::exp(Spec.Spread * normal(Random));
+    if (uniform(Random) <= Spec.LongShare)
+      Length = Spec.MedianTokens * Spec.LongFactor;
+    Tokens.push_back(static_cast<int64_t>(std::max(FewestTokens, Length)));
+  }
+  return Tokens;
+}
+
+double clairvoyantIdle(const Scenario &Run, uint64_t Seed, int Slots,
+                       double TokenMs) {
+  return std::min(packedIdle(Run, Seed, Slots, TokenMs, isShorter),
+                  packedIdle(Run, Seed, Slots, TokenMs, isLater));
+}
+
 } // namespace camphornotch::bench
--- a/bench/programs/policies/step_draw.h
+++ b/bench/programs/policies/step_draw.h
@@ -21,7 +21,8 @@
                               int Trainer, int64_t Step);
 
 /// Packs the same work with all lengths known, on engines that never fail or
-/// slow down, without network or prompt reading: a lower bound in practice.
+/// slow down, without network or prompt reading; the better of two orders:
+/// the longest sample first over all trainers, or the oldest step first.
 /// @param Run the scenario.
 /// @param Seed of the run.
 /// @param Slots places of all engines.
