Change: [Routing] Steps of trainers that share engines finish one by one

Change: work carries the tokens that its step still needs, the fair queue charges a caller by their square; an entry lets two slots wait at an agent so that the agent can choose; entries collect crash evidence over all agents and mark suspects to run alone.

--- a/bench/programs/policies/agent_node.cpp
+++ b/bench/programs/policies/agent_node.cpp
@@ -59,13 +59,13 @@
 
 AgentNode::AgentNode(EventQueue &Queue, const AgentSpec &Spec,
                      const PolicySet &Policies, uint64_t Seed,
-                     ReplySender Sender)
+                     ReplySender Sender, CrashReporter Reporter)
     : Queue(Queue), Spec(Spec),
       Engine(Queue, Spec.Engine,
              [this](const EngineOutput &Output) { this->onOutput(Output); }),
       Admission(admissionSettings(Spec, Policies)),
       Weights(weightSettings(Spec, Policies)), Sender(std::move(Sender)),
-      Random(Seed) {
+      Reporter(std::move(Reporter)), Random(Seed) {
   this->tellWeights(OrdersAllowed{LogOffset{1}});
 }
 
@@ -74,12 +74,9 @@
     return;
   const WorkKey Key{BootId{static_cast<int64_t>(Work.Entry)},
                     WorkId{Work.Start.Work}};
-  const DigestStanding Standing =
-      this->Attribution.standing(Work.Start.Digest, this->Queue.now());
   this->RealTokens[Key] = Work.RealTokens;
-  const bool Alone = Standing == DigestStanding::Suspect;
-  this->apply(this->Admission.handle(SubmitWork{Key, Work.Start, Alone},
-                                     this->Queue.now()));
+  this->apply(this->Admission.handle(
+      SubmitWork{Key, Work.Start, Work.Start.Alone}, this->Queue.now()));
   this->planTick();
 }
 
@@ -108,9 +105,10 @@
   ++this->Crashes;
   const std::vector<RunId> LostRuns = this->Engine.crash();
   std::vector<int64_t> Digests;
+  Digests.reserve(LostRuns.size());
   for (const RunId Run : LostRuns)
     Digests.push_back(this->Runs[Run].Digest);
-  this->Attribution.onCrash(Digests, this->Crashes, this->Queue.now());
+  this->Reporter(Digests);
   this->apply(this->Admission.handle(HoldStarts{true}, this->Queue.now()));
   for (const RunId Run : LostRuns)
     this->endRun(Run, RunOutcome::Failed);
@@ -142,8 +140,9 @@
   this->tellWeights(EndpointRestarted{});
 }
 
-wire::LoadFigure AgentNode::load() const {
-  wire::LoadFigure Load = this->Admission.load(this->Queue.now());
+wire::LoadFigure AgentNode::load(size_t Entry) const {
+  const BootId Reader{static_cast<int64_t>(Entry)};
+  wire::LoadFigure Load = this->Admission.loadFor(this->Queue.now(), Reader);
   Load.Leaving = this->Leaving;
   Load.Swapping = this->Weights.swapping();
   Load.Version = this->Engine.version();
@@ -189,9 +188,10 @@
     Reply.Output = Kept->second;
     this->Stopped.erase(Kept);
   }
-  Reply.Load = this->load();
+  const auto Entry = static_cast<size_t>(Action.Key.Sender.Value);
+  Reply.Load = this->load(Entry);
   this->RealTokens.erase(Action.Key);
-  this->Sender(static_cast<size_t>(Action.Key.Sender.Value), Reply);
+  this->Sender(Entry, Reply);
 }
 
 void AgentNode::apply(const std::vector<WeightAction> &Actions) {
@@ -244,14 +244,14 @@
       this->Admission.handle(RunEnded{Run, Outcome}, this->Queue.now()));
   if (Outcome != RunOutcome::Finished)
     return;
-  this->Attribution.onFinished(Ended.Digest);
   this->RealTokens.erase(Ended.Key);
   AgentReply Reply;
   Reply.Work = Ended.Key.Work;
   Reply.Finished = true;
   Reply.Output = Ended.Output;
-  Reply.Load = this->load();
-  this->Sender(static_cast<size_t>(Ended.Key.Sender.Value), Reply);
+  const auto Entry = static_cast<size_t>(Ended.Key.Sender.Value);
+  Reply.Load = this->load(Entry);
+  this->Sender(Entry, Reply);
 }
 
 void AgentNode::planTick() {
--- a/bench/programs/policies/agent_node.h
+++ b/bench/programs/policies/agent_node.h
@@ -6,7 +6,6 @@
 #define CAMPHORNOTCH_BENCH_POLICIES_AGENT_NODE_H
 
 #include "core/agent/admission_base.h"
-#include "core/agent/crash_base.h"
 #include "core/agent/weight_base.h"
 #include "core/routing/endpoint_type.h"
 #include "core/routing/rollout_type.h"
@@ -48,6 +47,9 @@
 /// Sends a reply to an entry.
 using ReplySender = std::function<void(size_t Entry, AgentReply Reply)>;
 
+/// Reports the digests that were at a crash, alone or together.
+using CrashReporter = std::function<void(const std::vector<int64_t> &Digests)>;
+
 /// What an agent is built from.
 struct AgentSpec {
   /// The endpoint beside it.
@@ -72,8 +74,9 @@
   /// @param Policies of admission and swaps.
   /// @param Seed of its random faults.
   /// @param Sender sends replies.
+  /// @param Reporter reports crashes.
   AgentNode(EventQueue &Queue, const AgentSpec &Spec, const PolicySet &Policies,
-            uint64_t Seed, ReplySender Sender);
+            uint64_t Seed, ReplySender Sender, CrashReporter Reporter);
 
   /// Takes work from an entry.
   /// @param Work the work.
@@ -100,8 +103,9 @@
   /// @param Lost whether it is lost.
   void setLost(bool Lost);
 
+  /// @param Entry who reads it.
   /// @return what it would say of its load now.
-  wire::LoadFigure load() const;
+  wire::LoadFigure load(size_t Entry) const;
 
   /// @return the endpoint beside it.
   const EndpointInfo &info() const { return this->Spec.Info; }
@@ -166,10 +170,10 @@
   AdmissionController Admission;
   /// Decides when to swap.
   WeightController Weights;
-  /// Which digests crash the engine.
-  CrashAttribution Attribution{CrashSettings{}};
   /// Sends replies.
   ReplySender Sender;
+  /// Reports crashes.
+  CrashReporter Reporter;
   /// Random faults.
   std::mt19937_64 Random;
   /// Attempts at the engine.
--- a/bench/programs/policies/cluster.cpp
+++ b/bench/programs/policies/cluster.cpp
@@ -30,8 +30,6 @@
 constexpr int64_t TokenBytes = 4;
 /// Bytes of a desk's prompt.
 constexpr int64_t DeskPromptBytes = 200;
-/// How often the poisonous call is repeated by its caller.
-constexpr Millis PoisonRepeat = seconds(2);
 /// The entries that trainers use.
 constexpr size_t TrainerEntry[] = {0, 2};
 
@@ -118,6 +116,10 @@
       this->Queue, Spec, this->Policies, this->Seed * 1000 + Agent,
       [this, Agent](size_t Entry, const AgentReply &Reply) {
         this->deliver(Entry, Agent, Reply);
+      },
+      [this](const std::vector<int64_t> &Digests) {
+        for (const auto &Entry : this->Entries)
+          Entry->onCrash(Digests);
       }));
 }
 
@@ -183,8 +185,8 @@
   for (size_t Agent = 0; Agent < this->Agents.size(); ++Agent) {
     if (!this->Agents[Agent]->alive())
       continue;
-    const wire::LoadFigure Load = this->Agents[Agent]->load();
     for (size_t Entry = 0; Entry < CentreCount; ++Entry) {
+      const wire::LoadFigure Load = this->Agents[Agent]->load(Entry);
       if (this->isCut(Entry, Agent))
         continue;
       this->countBytes(Entry, Agent, BeatBytes);
--- a/bench/programs/policies/entry_node.cpp
+++ b/bench/programs/policies/entry_node.cpp
@@ -22,7 +22,8 @@
     : Queue(Queue), Number(Number), Ports(std::move(Ports)),
       Table(std::move(Centre), std::move(Region)),
       Scheduler(Policies.Rollouts, this->Table, this->WorkIds, Seed),
-      Router(Policies.Routes, this->Table, this->WorkIds, Seed + 1) {}
+      Router(Policies.Routes, this->Table, this->WorkIds, Seed + 1),
+      Quarantine(Policies.Quarantine) {}
 
 void EntryNode::addAgent(size_t Agent, const EndpointInfo &Info) {
   const EndpointIndex Index = this->Table.upsert(Info);
@@ -37,6 +38,10 @@
 }
 
 void EntryNode::call(const DeskNeed &Need) {
+  if (this->Quarantined.contains(Need.Digest)) {
+    this->Ports.OnAnswer(Need.Spec.Request, false);
+    return;
+  }
   this->Calls[Need.Spec.Request] = Need;
   this->apply(
       this->Router.handle(RouteRequested{Need.Spec}, this->Queue.now()));
@@ -78,6 +83,20 @@
       this->Scheduler.handle(EndpointReported{Index}, this->Queue.now()));
 }
 
+void EntryNode::onCrash(const std::vector<int64_t> &Digests) {
+  if (!this->Quarantine)
+    return;
+  const bool WasSuspect = Digests.size() == 1 && this->runsAlone(Digests[0]);
+  this->Evidence.onCrash(Digests, 0, this->Queue.now());
+  if (WasSuspect)
+    this->Quarantined.insert(Digests[0]);
+}
+
+bool EntryNode::runsAlone(int64_t Digest) const {
+  return this->Evidence.standing(Digest, this->Queue.now()) ==
+         DigestStanding::Suspect;
+}
+
 void EntryNode::onNewBoot(size_t Agent) {
   const EndpointIndex Index = this->IndexOf.at(Agent);
   this->apply(this->Scheduler.handle(EndpointGone{Index}, this->Queue.now()));
@@ -125,6 +144,8 @@
   Work.Start.Digest = 1000 + Action.Slot.Value;
   Work.Start.KeptTokens = Action.Kept.Tokens;
   Work.Start.KeptSegments = Action.Kept.Segments;
+  Work.Start.StepRemaining = Action.StepRemaining;
+  Work.Start.Alone = this->runsAlone(Work.Start.Digest);
   this->Ports.SendWork(this->AgentOf.at(Action.Endpoint), Work);
 }
 
@@ -144,6 +165,7 @@
   Work.Start.Caller = "desk";
   Work.Start.Affinity = "desk";
   Work.Start.Digest = Need.Digest;
+  Work.Start.Alone = this->runsAlone(Need.Digest);
   this->Ports.SendWork(this->AgentOf.at(Action.Endpoint), Work);
 }
 
--- a/bench/programs/policies/entry_node.h
+++ b/bench/programs/policies/entry_node.h
@@ -6,11 +6,13 @@
 #define CAMPHORNOTCH_BENCH_POLICIES_ENTRY_NODE_H
 
 #include "agent_node.h"
+#include "core/agent/crash_base.h"
 #include "core/routing/rollout_scheduler_base.h"
 #include "core/routing/route_controller_base.h"
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace camphornotch::bench {
@@ -80,6 +82,10 @@
   /// @param Load its figure.
   void onHeartbeat(size_t Agent, const wire::LoadFigure &Load);
 
+  /// An engine crashed somewhere.
+  /// @param Digests what it was running.
+  void onCrash(const std::vector<int64_t> &Digests);
+
   /// An agent has a new boot: what it ran before is lost.
   /// @param Agent which agent.
   void onNewBoot(size_t Agent);
@@ -110,6 +116,9 @@
   void act(const RefuseRequest &Action);
   void act(const CountRouteRetry &) {}
   /// @}
+  /// @param Digest of a request.
+  /// @return whether it may only run alone.
+  bool runsAlone(int64_t Digest) const;
   /// Notes that an agent was heard.
   /// @param Agent which agent.
   void hear(size_t Agent);
@@ -138,6 +147,12 @@
   std::map<size_t, Millis> HeardAt;
   /// Agents whose work was given up.
   std::map<size_t, bool> GivenUp;
+  /// Whether requests suspected of crashes are told apart.
+  bool Quarantine;
+  /// Evidence against requests.
+  CrashAttribution Evidence{CrashSettings{}};
+  /// Requests that are not run any more.
+  std::set<int64_t> Quarantined;
   /// Samples that are needed.
   std::map<SlotRef, SampleNeed> Needs;
   /// Desk calls that are open.
--- a/bench/programs/policies/scenario_type.h
+++ b/bench/programs/policies/scenario_type.h
@@ -26,6 +26,8 @@
   AdmissionPolicy Admission;
   /// Swaps of weights at the agents.
   SwapPolicy Swaps;
+  /// Whether requests suspected of crashes run alone, then not at all.
+  bool Quarantine = true;
 };
 
 /// The trainers' load.
--- a/bench/programs/policies/scenarios.cpp
+++ b/bench/programs/policies/scenarios.cpp
@@ -25,6 +25,7 @@
   Set.Routes.OtherRegionBytesPerSecond = Unlimited;
   Set.Admission = FirstComeFirstServed{};
   Set.Swaps = SwapAllAtOnce{};
+  Set.Quarantine = false;
   return Set;
 }
 
--- a/packages/core/agent/admission_base.cpp
+++ b/packages/core/agent/admission_base.cpp
@@ -72,7 +72,8 @@
   const QueueIndex Index = Event.Alone ? AloneQueue : this->queueOf(Event.Work);
   this->Waiting.emplace(Event.Key, Item);
   this->Queues[Index].push(Event.Work.Caller, Event.Key,
-                           this->tokensOf(Event.Work));
+                           this->tokensOf(Event.Work),
+                           this->costOf(Event.Work));
   if (Deadline != Never)
     this->Deadlines.emplace(Deadline, Event.Key);
 }
@@ -197,7 +198,8 @@
   for (const auto &[Arrived, Key] : Order) {
     const WaitingWork &Item = this->Waiting.at(Key);
     const QueueIndex Index = Item.Alone ? AloneQueue : this->queueOf(Item.Work);
-    this->Queues[Index].push(Item.Work.Caller, Key, this->tokensOf(Item.Work));
+    this->Queues[Index].push(Item.Work.Caller, Key, this->tokensOf(Item.Work),
+                             this->costOf(Item.Work));
   }
 }
 
--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -47,6 +47,11 @@
   ///         for others to fill.
   [[nodiscard]] wire::LoadFigure load(Millis Now) const;
 
+  /// @param Now the present.
+  /// @param Reader the boot of the entry that the figure is for.
+  /// @return load(), with the reader's own waiting work counted.
+  [[nodiscard]] wire::LoadFigure loadFor(Millis Now, BootId Reader) const;
+
   /// @param Work new work.
   /// @param Now the present.
   /// @return the time until it would start.
@@ -165,6 +170,10 @@
   /// @param Work the work.
   /// @return tokens that it will still generate.
   [[nodiscard]] int64_t tokensOf(const wire::StartWork &Work) const;
+  /// @param Work the work.
+  /// @return what its caller is charged: its tokens, more while the caller's
+  ///         step is far from whole, so that steps finish one after another.
+  [[nodiscard]] int64_t costOf(const wire::StartWork &Work) const;
   /// @param Now the present.
   /// @return microseconds a token, raised while nothing is produced.
   [[nodiscard]] int64_t tokenMicros(Millis Now) const;
--- a/packages/core/agent/fair_queue_base.cpp
+++ b/packages/core/agent/fair_queue_base.cpp
@@ -15,12 +15,13 @@
 
 } // namespace
 
-void FairQueue::push(std::string_view Caller, WorkKey Key, int64_t Tokens) {
-  assert(Tokens > 0);
+void FairQueue::push(std::string_view Caller, WorkKey Key, int64_t Tokens,
+                     int64_t Cost) {
+  assert(Tokens > 0 && Cost > 0);
   assert(!this->Places.contains(Key));
   int64_t &CallerEnd = this->CallerEnds[std::string(Caller)];
   const int64_t Start = std::max(this->VirtualNow, CallerEnd);
-  CallerEnd = Start + Tokens;
+  CallerEnd = Start + Cost;
   const Tag Place{Start, ++this->Arrivals};
   this->Order.emplace(Place, Item{Key, Tokens});
   this->Places.emplace(Key, Place);
--- a/packages/core/agent/fair_queue_base.h
+++ b/packages/core/agent/fair_queue_base.h
@@ -24,8 +24,9 @@
   /// Adds work at the end of its caller's line.
   /// @param Caller whom the tokens are counted for.
   /// @param Key the work.
-  /// @param Tokens its cost.
-  void push(std::string_view Caller, WorkKey Key, int64_t Tokens);
+  /// @param Tokens that it will generate.
+  /// @param Cost what the caller is charged, its tokens by its weight.
+  void push(std::string_view Caller, WorkKey Key, int64_t Tokens, int64_t Cost);
 
   /// @return the work that goes next, if any.
   [[nodiscard]] std::optional<WorkKey> front() const;
@@ -54,7 +55,7 @@
   struct Item {
     /// The work.
     WorkKey Key;
-    /// Its cost.
+    /// Tokens that it will generate.
     int64_t Tokens = 0;
   };
 
--- a/packages/core/routing/choice_func.cpp
+++ b/packages/core/routing/choice_func.cpp
@@ -54,8 +54,8 @@
   if (Excluded &&
       std::find(Excluded->begin(), Excluded->end(), Index) != Excluded->end())
     return false;
-  return !Context.Request.NeedsFreePlace ||
-         freePlaces(Context.Table, Index) > 0;
+  return !Context.Request.NeedsPlace ||
+         hasPlace(Context.Table, Index, Context.Request.Lookahead);
 }
 
 /// @param State an endpoint.
@@ -282,6 +282,22 @@
   return slotsOf(State) - State.Load.ShortReserve - Table.outstanding(Index);
 }
 
+bool hasPlace(const EndpointTable &Table, EndpointIndex Index,
+              int32_t Lookahead) {
+  if (freePlaces(Table, Index) > 0)
+    return true;
+  const EndpointState &State = Table.at(Index);
+  if (State.Load.Swapping)
+    return false;
+  // What was sent since the figure takes the places that were free then.
+  const int32_t FreeThen =
+      std::max(0, slotsOf(State) - State.Load.ShortReserve -
+                      State.Load.Running - State.Load.Queued);
+  const int32_t Waiting =
+      State.Load.OwnQueued + std::max(0, State.SentSince - FreeThen);
+  return Waiting < Lookahead;
+}
+
 Result<ChoicePolicy> parseChoicePolicy(std::string_view Name) {
   if (Name == "probing")
     return ChoicePolicy{ProbingPolicy{}};
--- a/packages/core/routing/choice_func.h
+++ b/packages/core/routing/choice_func.h
@@ -41,6 +41,13 @@
 ///         below zero when work waits.
 int32_t freePlaces(const EndpointTable &Table, EndpointIndex Index);
 
+/// @param Table the endpoints.
+/// @param Index one of them.
+/// @param Lookahead how much own work may wait there.
+/// @return whether a rollout may be sent there now.
+bool hasPlace(const EndpointTable &Table, EndpointIndex Index,
+              int32_t Lookahead);
+
 /// @param Name a policy's name in the rules: `probing`, `round_robin` or
 ///        `least_outstanding`.
 /// @return the policy, or an error that lists the names.
--- a/packages/core/routing/choice_type.h
+++ b/packages/core/routing/choice_type.h
@@ -57,8 +57,11 @@
   const std::vector<EndpointIndex> *Excluded = nullptr;
   /// Whether the narrow link's budget allows another region.
   bool OtherRegionAllowed = true;
-  /// Only endpoints with a place free now.
-  bool NeedsFreePlace = false;
+  /// Only endpoints with a place free now, or with less than Lookahead of
+  /// this entry's own work waiting.
+  bool NeedsPlace = false;
+  /// See NeedsPlace.
+  int32_t Lookahead = 0;
 };
 
 } // namespace camphornotch
--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -186,10 +186,8 @@
 void RolloutScheduler::sendWaiting(const std::string &Model, Millis Now,
                                    Actions &Out) {
   PendingSlots &Waiting = this->Pending[Model];
-  const bool Late =
-      std::holds_alternative<LateDispatch>(this->Settings.Dispatch);
   while (Waiting.hasReady(Now)) {
-    const auto Index = this->chooseFor(Model, Late, nullptr, Now);
+    const auto Index = this->chooseFor(Model, this->lookahead(), nullptr, Now);
     if (!Index)
       return;
     const auto Ref = Waiting.take(*Index, Now, this->RunningOf);
@@ -205,23 +203,23 @@
   if (Found == this->Pending.end())
     return;
   while (Found->second.hasReady(Now) && this->Table.isEligible(Index, Now) &&
-         freePlaces(this->Table, Index) > 0) {
+         hasPlace(this->Table, Index, this->lookahead().value_or(0))) {
     const auto Ref = Found->second.take(Index, Now, this->RunningOf);
     if (Ref)
       this->send(*Ref, Index, Now, Out);
   }
 }
 
-std::optional<EndpointIndex>
-RolloutScheduler::chooseFor(const std::string &Model, bool NeedsFreePlace,
-                            const std::vector<EndpointIndex> *Excluded,
-                            Millis Now) {
+std::optional<EndpointIndex> RolloutScheduler::chooseFor(
+    const std::string &Model, std::optional<int32_t> Lookahead,
+    const std::vector<EndpointIndex> *Excluded, Millis Now) {
   ChoiceRequest Request;
   Request.Serves = Model;
   Request.Class = wire::WorkClass::Rollout;
   Request.ExpectedTokens = this->expectedTokens(Model);
   Request.Excluded = Excluded;
-  Request.NeedsFreePlace = NeedsFreePlace;
+  Request.NeedsPlace = Lookahead.has_value();
+  Request.Lookahead = Lookahead.value_or(0);
   Request.OtherRegionAllowed =
       this->RegionBudget.holds(RegionMinimumBytes, Now);
   return chooseEndpoint(this->Settings.Choice, this->Table, Request, Now,
@@ -252,7 +250,8 @@
   if (const auto *Move = std::get_if<MoveTail>(&this->Settings.Tail))
     this->HedgeBudget.deposit(Move->HedgeShare);
   Out.emplace_back(SendAttempt{Work, Ref, Index, this->classOf(Slot.Spec),
-                               Slot.Tries, Expected, Slot.Kept});
+                               Slot.Tries, Expected, Slot.Kept,
+                               this->stepRemaining(Slot.Spec)});
   ++Slot.Tries;
   Slot.Attempts.push_back(Work);
 }
@@ -311,6 +310,17 @@
   return std::min(FirstBackoff * (int64_t{1} << Doublings), LongestBackoff);
 }
 
+std::optional<int32_t> RolloutScheduler::lookahead() const {
+  const auto *Late = std::get_if<LateDispatch>(&this->Settings.Dispatch);
+  return Late ? std::optional(Late->Lookahead) : std::nullopt;
+}
+
+int64_t RolloutScheduler::stepRemaining(const RolloutSpec &Spec) const {
+  const auto Found = this->OpenOf.find({Spec.Trainer, Spec.Step});
+  assert(Found != this->OpenOf.end());
+  return Found->second.first * this->expectedTokens(Spec.Model);
+}
+
 wire::WorkClass::type RolloutScheduler::classOf(const RolloutSpec &Spec) const {
   const auto Found = this->OpenOf.find({Spec.Trainer, Spec.Step});
   assert(Found != this->OpenOf.end());
--- a/packages/core/routing/rollout_scheduler_base.h
+++ b/packages/core/routing/rollout_scheduler_base.h
@@ -121,11 +121,12 @@
   /// @param Index the endpoint.
   void fillEndpoint(EndpointIndex Index, Millis Now, Actions &Out);
   /// @param Model a model.
-  /// @param NeedsFreePlace whether only endpoints with a place count.
+  /// @param Lookahead own work that may wait there; nothing: any endpoint
+  ///        will do, however loaded.
   /// @param Excluded endpoints not to use.
   /// @return the endpoint to use next.
   std::optional<EndpointIndex>
-  chooseFor(const std::string &Model, bool NeedsFreePlace,
+  chooseFor(const std::string &Model, std::optional<int32_t> Lookahead,
             const std::vector<EndpointIndex> *Excluded, Millis Now);
   /// Sends one attempt of a slot.
   /// @param Ref the slot.
@@ -165,6 +166,11 @@
   /// @param Index an endpoint.
   /// @return its microseconds per token; 0: unknown.
   double tokenMicros(EndpointIndex Index) const;
+  /// @return how much own work may wait at an agent; nothing: any amount.
+  std::optional<int32_t> lookahead() const;
+  /// @param Spec a slot's needs.
+  /// @return tokens expected until its step is whole.
+  int64_t stepRemaining(const RolloutSpec &Spec) const;
   /// @param Spec a slot's needs.
   /// @return the class that its attempts have now.
   wire::WorkClass::type classOf(const RolloutSpec &Spec) const;
--- a/packages/core/routing/rollout_tail.cpp
+++ b/packages/core/routing/rollout_tail.cpp
@@ -28,7 +28,7 @@
       this->hedgeAttempt(Work, Now, Out);
       continue;
     }
-    const auto Best = this->chooseFor(Model, true, &Used[Model], Now);
+    const auto Best = this->chooseFor(Model, 0, &Used[Model], Now);
     if (Best && this->moveAttempt(Policy, Work, *Best, Now, Out))
       Used[Model].push_back(*Best);
   }
@@ -59,7 +59,7 @@
   const SlotRef Ref = Silent.Slot;
   const std::vector<EndpointIndex> Excluded{Silent.Endpoint};
   const std::string &Model = this->Slots.at(Ref).Spec.Model;
-  const auto Index = this->chooseFor(Model, true, &Excluded, Now);
+  const auto Index = this->chooseFor(Model, 0, &Excluded, Now);
   if (!Index || !this->HedgeBudget.take(1, Now))
     return;
   Silent.Hedged = true;
--- a/packages/core/routing/rollout_type.h
+++ b/packages/core/routing/rollout_type.h
@@ -46,7 +46,11 @@
 };
 
 /// Slots wait here until an endpoint has a place free (default).
-struct LateDispatch {};
+struct LateDispatch {
+  /// Own slots that may wait at an agent, so that it can choose among
+  /// trainers and its engine is never without work.
+  int32_t Lookahead = 2;
+};
 /// Baseline: slots are sent at once and wait at the agents.
 struct EagerDispatch {};
 /// When slots are sent.
@@ -157,6 +161,8 @@
   int64_t ExpectedTokens = 0;
   /// Where to resume.
   KeptOutput Kept;
+  /// Tokens expected until the step is whole.
+  int64_t StepRemaining = 0;
 };
 
 /// Stop an attempt.
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -28,6 +28,7 @@
   9: bool Swapping,        // a weight swap is under way
   10: i32 ShortReserve,    // free places kept for short work
   11: i64 ShortWaitMs,     // time until new short work would start
+  12: i32 OwnQueued,       // work of the reader of this figure that waits
 }
 
 /** Why work was refused; Reason is a row of the refusal table. */
@@ -116,6 +117,8 @@
   20: i64 AgentBoot,           // IntentCall only: the boot it was meant for
   21: i64 Attempt,             // 0 for the first, counts retries and hedges
   22: string ContentType,
+  23: i64 StepRemaining,       // tokens until the step is whole; 0: no step
+  24: bool Alone,              // suspected of crashes: run it alone
 }
 
 /** Agent to entry: a part of the output. Offsets let a new link resume.
