--- a/bench/programs/policies/scenario_type.h
+++ b/bench/programs/policies/scenario_type.h
@@ -40,8 +40,10 @@
   int GroupSize = 8;
   /// Median tokens of a sample.
   double MedianTokens = 200;
-  /// Spread of the logarithm of the tokens.
-  double Spread = 0.4;
+  /// Spread of the logarithm of the tokens between groups.
+  double GroupSpread = 0.4;
+  /// Spread of the logarithm of the tokens within a group.
+  double MemberSpread = 0.2;
   /// Share of samples that are LongFactor times the median.
   double LongShare = 0;
   /// Length of the long samples in medians.
--- a/bench/programs/policies/scenarios.cpp
+++ b/bench/programs/policies/scenarios.cpp
@@ -105,6 +105,9 @@
 PolicySet defaultPolicies() {
   PolicySet Set;
   Set.Name = "default";
+  ClassedAdmission Adm;
+  Adm.ShortReserve = 0;
+  Set.Admission = Adm;
   return Set;
 }
 
--- a/bench/programs/policies/step_draw.cpp
+++ b/bench/programs/policies/step_draw.cpp
@@ -144,8 +144,12 @@
                          static_cast<uint64_t>(Step));
   std::vector<int64_t> Tokens;
   const int Samples = Spec.Groups * Spec.GroupSize;
+  double GroupMedian = Spec.MedianTokens;
   for (int Sample = 0; Sample < Samples; ++Sample) {
-    double Length = Spec.MedianTokens * std::exp(Spec.Spread * normal(Random));
+    if (Sample % Spec.GroupSize == 0)
+      GroupMedian =
+          Spec.MedianTokens * std::exp(Spec.GroupSpread * normal(Random));
+    double Length = GroupMedian * std::exp(Spec.MemberSpread * normal(Random));
     if (uniform(Random) <= Spec.LongShare)
       Length = Spec.MedianTokens * Spec.LongFactor;
     Tokens.push_back(static_cast<int64_t>(std::max(FewestTokens, Length)));
--- a/packages/core/routing/pending_base.cpp
+++ b/packages/core/routing/pending_base.cpp
@@ -8,11 +8,42 @@
 
 namespace camphornotch {
 
+namespace {
+
+/// Mean length of a group of which no member is whole: those that take
+/// longest to show any result are likely to be long.
+constexpr double UnknownLength = 1e12;
+/// An endpoint keeps its group down to this share of the longest one's mean.
+constexpr double HomeShare = 0.9;
+
+} // namespace
+
+double PendingSlots::PendingGroup::meanLength() const {
+  if (this->Whole == 0)
+    return UnknownLength;
+  return static_cast<double>(this->WholeTokens) /
+         static_cast<double>(this->Whole);
+}
+
+void PendingSlots::noteLength(const RolloutSpec &Spec, int64_t Tokens) {
+  const auto Trainer = this->Fresh.find(Spec.Trainer);
+  if (Trainer == this->Fresh.end())
+    return;
+  const auto Step = Trainer->second.find(Spec.Step);
+  if (Step == Trainer->second.end())
+    return;
+  const auto Group = Step->second.Groups.find(Spec.Group);
+  if (Group == Step->second.Groups.end())
+    return;
+  ++Group->second.Whole;
+  Group->second.WholeTokens += Tokens;
+}
+
 void PendingSlots::add(const RolloutSpec &Spec) {
   PendingStep &Step = this->Fresh[Spec.Trainer][Spec.Step];
   const auto [Found, IsNew] = Step.Groups.try_emplace(Spec.Group);
   if (IsNew)
-    Step.Homeless.push_back(Spec.Group);
+    Step.Unsent.push_back(Spec.Group);
   Found->second.Slots.push_back(Spec.Slot);
   ++this->Count;
 }
@@ -72,6 +103,7 @@
   assert(Group != Step.Groups.end() && !Group->second.Slots.empty());
   const SlotRef Slot = Group->second.Slots.back();
   Group->second.Slots.pop_back();
+  ++Group->second.Sent;
   Step.Homes[Endpoint] = Name;
   if (Group->second.Slots.empty())
     Step.Groups.erase(Group);
@@ -80,23 +112,35 @@
 
 std::string PendingSlots::chooseGroup(PendingStep &Step,
                                       EndpointIndex Endpoint) {
-  const auto Home = Step.Homes.find(Endpoint);
-  if (Home != Step.Homes.end() && Step.Groups.contains(Home->second))
-    return Home->second;
-  while (!Step.Homeless.empty()) {
-    std::string Name = Step.Homeless.front();
-    Step.Homeless.pop_front();
+  while (!Step.Unsent.empty()) {
+    std::string Name = Step.Unsent.front();
+    Step.Unsent.pop_front();
     if (Step.Groups.contains(Name))
       return Name;
   }
-  // All groups have an endpoint: help the one with the most slots left.
-  const auto Largest = std::max_element(
-      Step.Groups.begin(), Step.Groups.end(),
-      [](const auto &Left, const auto &Right) {
-        return Left.second.Slots.size() < Right.second.Slots.size();
-      });
-  assert(Largest != Step.Groups.end());
-  return Largest->first;
+  const std::string &Longest = longestGroup(Step);
+  const auto Home = Step.Homes.find(Endpoint);
+  if (Home == Step.Homes.end())
+    return Longest;
+  const auto HomeGroup = Step.Groups.find(Home->second);
+  if (HomeGroup == Step.Groups.end())
+    return Longest;
+  const double Enough = HomeShare * Step.Groups.at(Longest).meanLength();
+  return HomeGroup->second.meanLength() >= Enough ? Home->second : Longest;
+}
+
+const std::string &PendingSlots::longestGroup(const PendingStep &Step) {
+  assert(!Step.Groups.empty());
+  // Of like groups the one of which the fewest are out goes first.
+  const auto IsBefore = [](const auto &Left, const auto &Right) {
+    const double LeftMean = Left.second.meanLength();
+    const double RightMean = Right.second.meanLength();
+    if (LeftMean != RightMean)
+      return LeftMean < RightMean;
+    return Left.second.Sent > Right.second.Sent;
+  };
+  return std::max_element(Step.Groups.begin(), Step.Groups.end(), IsBefore)
+      ->first;
 }
 
 } // namespace camphornotch
--- a/packages/core/routing/pending_base.h
+++ b/packages/core/routing/pending_base.h
@@ -15,7 +15,10 @@
 namespace camphornotch {
 
 /// Waiting slots: trainers in turn by what they have running, older steps
-/// first, members of a group to the endpoint that has their prompt cached.
+/// first. Of each group one member goes first; what it turns out to need
+/// orders the rest, the longest groups first, since members of a group have
+/// like lengths and a long sample that starts last makes the step late.
+/// Among groups of like length an endpoint gets the one whose prompt it has.
 class PendingSlots {
 public:
   /// Adds a slot that was not sent yet.
@@ -27,6 +30,12 @@
   /// @param NotBefore when.
   void addAgain(const RolloutSpec &Spec, Millis NotBefore);
 
+  /// A sample of a group is whole: what is left of the group is expected to
+  /// be like it.
+  /// @param Spec its slot.
+  /// @param Tokens its length.
+  void noteLength(const RolloutSpec &Spec, int64_t Tokens);
+
   /// Takes the slot to send next.
   /// @param Endpoint where a place is free.
   /// @param Now the time.
@@ -54,14 +63,24 @@
   struct PendingGroup {
     /// The slots, last one first.
     std::vector<SlotRef> Slots;
+    /// Members that were sent.
+    int64_t Sent = 0;
+    /// Members that are whole.
+    int64_t Whole = 0;
+    /// Tokens of the members that are whole.
+    int64_t WholeTokens = 0;
+
+    /// @return the mean length of the members that are whole; if there are
+    ///         none, Unknown.
+    double meanLength() const;
   };
 
   /// The waiting slots of one step.
   struct PendingStep {
     /// Groups by name that still have slots.
     std::map<std::string, PendingGroup> Groups;
-    /// Groups without an endpoint, in the order of arrival.
-    std::deque<std::string> Homeless;
+    /// Groups of which none was sent, in the order of arrival.
+    std::deque<std::string> Unsent;
     /// The group whose prompt an endpoint got last.
     std::map<EndpointIndex, std::string> Homes;
   };
@@ -91,6 +110,10 @@
   /// @return the slot.
   static SlotRef takeFromStep(PendingStep &Step, EndpointIndex Endpoint);
 
+  /// @param Step the step.
+  /// @return the group expected to have the longest samples.
+  static const std::string &longestGroup(const PendingStep &Step);
+
   /// Chooses the group to send from.
   /// @param Step the step.
   /// @param Endpoint where a place is free.
--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -120,6 +120,7 @@
     auto &Tokens =
         this->TokensOf.try_emplace(Model, FirstExpectedTokens).first->second;
     Tokens += LengthWeight * (static_cast<double>(Event.Tokens) - Tokens);
+    this->Pending[Model].noteLength(Found->second.Spec, Event.Tokens);
     this->forgetSlot(Done->Slot, Out);
   }
   this->fillEndpoint(Done->Endpoint, Now, Out);
