--- a/bench/programs/policies/entry_node.cpp
+++ b/bench/programs/policies/entry_node.cpp
@@ -108,8 +108,10 @@
   for (const auto &[Agent, HeardAt] : this->HeardAt) {
     const EndpointIndex Index = this->IndexOf.at(Agent);
     const Millis Silence = Now - HeardAt;
-    if (Silence > SuspectAfter && this->Table.at(Index).Reachable)
+    if (Silence > SuspectAfter && this->Table.at(Index).Reachable) {
       this->Table.setReachable(Index, false);
+      this->apply(this->Router.handle(RouteEndpointSilent{Index}, Now));
+    }
     if (Silence > GoneAfter && !this->GivenUp[Agent]) {
       this->GivenUp[Agent] = true;
       this->onNewBoot(Agent);
--- a/bench/programs/policies/scenarios.cpp
+++ b/bench/programs/policies/scenarios.cpp
@@ -105,9 +105,7 @@
 PolicySet defaultPolicies() {
   PolicySet Set;
   Set.Name = "default";
-  ClassedAdmission Adm;
-  Adm.ShortReserve = 0;
-  Set.Admission = Adm;
+
   return Set;
 }
 
--- a/packages/core/agent/admission_base.cpp
+++ b/packages/core/agent/admission_base.cpp
@@ -44,6 +44,7 @@
 std::vector<AdmissionAction>
 AdmissionController::handle(const AdmissionEvent &Event, Millis Now) {
   Actions Out;
+  this->Present = Now;
   this->expire(Now, Out);
   std::visit([&](const auto &Each) { this->on(Each, Now, Out); }, Event);
   this->fillSlots(Now, Out);
@@ -67,13 +68,13 @@
     Out.push_back(RefuseWork{Event.Key, *std::move(Why), RunId{}});
     return;
   }
+  if (!isLong(Event.Work))
+    this->LastShortAt = Now;
   const Millis Deadline = deadlineOf(Event.Work, Now);
   const WaitingWork Item{Event.Work, Now, Deadline, Event.Alone};
   const QueueIndex Index = Event.Alone ? AloneQueue : this->queueOf(Event.Work);
   this->Waiting.emplace(Event.Key, Item);
-  this->Queues[Index].push(Event.Work.Caller, Event.Key,
-                           this->tokensOf(Event.Work),
-                           this->costOf(Event.Work));
+  this->enqueue(Index, Event.Key, Event.Work);
   if (Deadline != Never)
     this->Deadlines.emplace(Deadline, Event.Key);
 }
@@ -198,8 +199,7 @@
   for (const auto &[Arrived, Key] : Order) {
     const WaitingWork &Item = this->Waiting.at(Key);
     const QueueIndex Index = Item.Alone ? AloneQueue : this->queueOf(Item.Work);
-    this->Queues[Index].push(Item.Work.Caller, Key, this->tokensOf(Item.Work),
-                             this->costOf(Item.Work));
+    this->enqueue(Index, Key, Item.Work);
   }
 }
 
--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -160,6 +160,11 @@
   void stopRun(RunId Id, RefusalReason Reason, Actions &Out);
   /// Refuses waiting work and forgets it.
   void refuseWaiting(WorkKey Key, Refusal Why, Actions &Out);
+  /// Puts waiting work into a queue; without classes all callers are one.
+  /// @param Index the queue.
+  /// @param Key the work.
+  /// @param Work what the entry sent.
+  void enqueue(QueueIndex Index, WorkKey Key, const wire::StartWork &Work);
   /// Takes waiting work out of its queue and the deadlines.
   void removeWaiting(WorkKey Key);
   /// Refuses or stops what is over its deadline.
@@ -170,10 +175,6 @@
   /// @param Work the work.
   /// @return tokens that it will still generate.
   [[nodiscard]] int64_t tokensOf(const wire::StartWork &Work) const;
-  /// @param Work the work.
-  /// @return what its caller is charged: its tokens, more while the caller's
-  ///         step is far from whole, so that steps finish one after another.
-  [[nodiscard]] int64_t costOf(const wire::StartWork &Work) const;
   /// @param Now the present.
   /// @return microseconds a token, raised while nothing is produced.
   [[nodiscard]] int64_t tokenMicros(Millis Now) const;
@@ -242,6 +243,10 @@
   bool Held = false;
   /// Why new work is refused, if it is.
   std::optional<RefusalReason> Closed;
+  /// The time of the newest event.
+  Millis Present;
+  /// When short work last arrived.
+  Millis LastShortAt = Millis{-Never.Count};
   /// Counts since the boot.
   AdmissionCounts Counts;
 };
--- a/packages/core/agent/admission_choice.cpp
+++ b/packages/core/agent/admission_choice.cpp
@@ -39,6 +39,8 @@
   const ClassedAdmission *Classes = this->classes();
   if (Classes == nullptr)
     return 0;
+  if (this->Present - this->LastShortAt > Classes->ReserveMemory)
+    return 0;
   return std::min(Classes->ShortReserve, this->Settings.Slots - 1);
 }
 
@@ -79,6 +81,15 @@
   return Work.Class == wire::WorkClass::Urgent ? UrgentQueue : RolloutQueue;
 }
 
+void AdmissionController::enqueue(QueueIndex Index, WorkKey Key,
+                                  const wire::StartWork &Work) {
+  const int64_t Tokens = this->tokensOf(Work);
+  if (this->classes() == nullptr)
+    this->Queues[Index].push({}, Key, Tokens, 0);
+  else
+    this->Queues[Index].push(Work.Caller, Key, Tokens, Work.StepRemaining);
+}
+
 bool AdmissionController::hasPlace(QueueIndex Index) const {
   const int Free = this->freePlaces();
   if (Free <= 0 || this->classes() == nullptr)
--- a/packages/core/agent/admission_load.cpp
+++ b/packages/core/agent/admission_load.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// Tokens of a step's remaining work that count as one unit of weight.
-constexpr int64_t StepUnitTokens = 1000;
-/// Most units, so that costs stay far from overflow.
-constexpr int64_t MaxStepUnits = 100'000;
-
 /// Tokens after which half of the average speed is new, about.
 constexpr double SpeedMemoryTokens = 256;
 /// Largest weight of one measurement of speed.
@@ -133,13 +128,4 @@
   return Figure;
 }
 
-int64_t AdmissionController::costOf(const wire::StartWork &Work) const {
-  const int64_t Tokens = this->tokensOf(Work);
-  if (this->classes() == nullptr || Work.StepRemaining <= 0)
-    return Tokens;
-  const int64_t Remaining =
-      std::clamp(Work.StepRemaining / StepUnitTokens, int64_t{1}, MaxStepUnits);
-  return Tokens * Remaining * Remaining;
-}
-
 } // namespace camphornotch
--- a/packages/core/agent/admission_type.h
+++ b/packages/core/agent/admission_type.h
@@ -19,8 +19,10 @@
 /// Default policy: short work first, then urgent, then rollouts; fair among
 /// the callers of a class.
 struct ClassedAdmission {
-  /// Places that only short work may take.
+  /// Places that only short work may take, while there is any.
   int ShortReserve = 2;
+  /// How long after the last short work the places stay reserved.
+  Millis ReserveMemory = seconds(5);
   /// Places that short work leaves to long work that waits.
   int LongFloor = 1;
   /// Whether waiting short work may stop the longest rollout.
--- a/packages/core/routing/route_controller_base.cpp
+++ b/packages/core/routing/route_controller_base.cpp
@@ -146,12 +146,31 @@
   this->refuse(Done->Request, Event.Why, Out);
 }
 
-void RouteController::on(const RouteEndpointGone &Event, Millis Now,
+void RouteController::on(const RouteEndpointSilent &Event, Millis Now,
                          Actions &Out) {
-  std::vector<WorkId> Lost;
+  for (const WorkId Work : this->attemptsAt(Event.Endpoint)) {
+    const RequestRef Ref = this->Attempts.at(Work).Request;
+    const Request &Open = this->Requests.at(Ref);
+    if (!Open.Spec.Repeatable || Open.Answered || Open.Attempts.size() != 1)
+      continue;
+    if (!this->RetryBudget.take(1, Now) || !this->send(Ref, Now, Out))
+      continue;
+    ++this->Counts.Retried;
+    Out.emplace_back(CountRouteRetry{RetryReason::PeerLost});
+  }
+}
+
+std::vector<WorkId> RouteController::attemptsAt(EndpointIndex Endpoint) const {
+  std::vector<WorkId> Found;
   for (const auto &[Work, Attempt] : this->Attempts)
-    if (Attempt.Endpoint == Event.Endpoint)
-      Lost.push_back(Work);
+    if (Attempt.Endpoint == Endpoint)
+      Found.push_back(Work);
+  return Found;
+}
+
+void RouteController::on(const RouteEndpointGone &Event, Millis Now,
+                         Actions &Out) {
+  const std::vector<WorkId> Lost = this->attemptsAt(Event.Endpoint);
   Refusal Why;
   Why.Reason = RefusalReason::PeerLost;
   Why.State = RunState::Unknown;
--- a/packages/core/routing/route_controller_base.h
+++ b/packages/core/routing/route_controller_base.h
@@ -98,6 +98,7 @@
   void on(const RouteStarted &Event, Millis Now, Actions &Out);
   void on(const RouteFinished &Event, Millis Now, Actions &Out);
   void on(const RouteRefused &Event, Millis Now, Actions &Out);
+  void on(const RouteEndpointSilent &Event, Millis Now, Actions &Out);
   void on(const RouteEndpointGone &Event, Millis Now, Actions &Out);
   void on(const RouteCallerGone &Event, Millis Now, Actions &Out);
   void on(const RouteTick &Event, Millis Now, Actions &Out);
@@ -115,6 +116,9 @@
   /// @param Ref a request.
   /// @return whether a second attempt makes sense and is in the budget.
   bool mayHedge(RequestRef Ref, Millis Now);
+  /// @param Endpoint an endpoint.
+  /// @return the attempts that are out there.
+  std::vector<WorkId> attemptsAt(EndpointIndex Endpoint) const;
   /// Takes an attempt off the books.
   /// @param Work the attempt.
   /// @return what it was, if known.
--- a/packages/core/routing/route_type.h
+++ b/packages/core/routing/route_type.h
@@ -99,6 +99,12 @@
   EndpointIndex Endpoint;
 };
 
+/// An endpoint has gone silent; what runs there may still be answered.
+struct RouteEndpointSilent {
+  /// Which.
+  EndpointIndex Endpoint;
+};
+
 /// The caller went away.
 struct RouteCallerGone {
   /// Whose request.
@@ -109,9 +115,9 @@
 struct RouteTick {};
 
 /// What the route controller reacts to.
-using RouteEvent =
-    std::variant<RouteRequested, RouteStarted, RouteFinished, RouteRefused,
-                 RouteEndpointGone, RouteCallerGone, RouteTick>;
+using RouteEvent = std::variant<RouteRequested, RouteStarted, RouteFinished,
+                                RouteRefused, RouteEndpointSilent,
+                                RouteEndpointGone, RouteCallerGone, RouteTick>;
 
 /// Send an attempt to the agent beside an endpoint.
 struct SendRequest {
--- a/tests/routing/rollout_scheduler_test.cpp
+++ b/tests/routing/rollout_scheduler_test.cpp
@@ -14,7 +14,14 @@
 /// A scheduler over a small table.
 struct SchedulerFixture : RoutingFixture {
   /// The scheduler under test.
-  RolloutScheduler Scheduler{RolloutSettings{}, this->Table, this->WorkIds, 1};
+  RolloutScheduler Scheduler{noLookahead(), this->Table, this->WorkIds, 1};
+
+  /// @return settings under which nothing waits at the agents.
+  static RolloutSettings noLookahead() {
+    RolloutSettings Settings;
+    Settings.Dispatch = LateDispatch{0};
+    return Settings;
+  }
 
   /// @param Slot a slot number.
   /// @param Group its group.
--- a/tests/routing/route_controller_test.cpp
+++ b/tests/routing/route_controller_test.cpp
@@ -115,6 +115,30 @@
                 .empty());
 }
 
+Test(routeController, silent_endpoint_has_its_repeatable_work_sent_again) {
+  RouteFixture Fixture;
+  Fixture.addEngine("a");
+  Fixture.addEngine("b");
+  const auto Repeatable = onlySend(Fixture.request(1, true));
+  Fixture.Table.setReachable(Repeatable.Endpoint, false);
+  const auto Again = onlySend(Fixture.Controller.handle(
+      RouteEndpointSilent{Repeatable.Endpoint}, Fixture.Now));
+  cr_assert(Again.Endpoint != Repeatable.Endpoint);
+  const auto Late = Fixture.Controller.handle(RouteFinished{Repeatable.Work},
+                                              Fixture.Now);
+  cr_assert(actionsOf<UseAnswer>(Late).size() == 1);
+}
+
+Test(routeController, silent_endpoint_keeps_its_unrepeatable_work) {
+  RouteFixture Fixture;
+  Fixture.addEngine("a");
+  Fixture.addEngine("b");
+  const auto First = onlySend(Fixture.request(1, false));
+  cr_assert(Fixture.Controller
+                .handle(RouteEndpointSilent{First.Endpoint}, Fixture.Now)
+                .empty());
+}
+
 Test(routeController, unrepeatable_request_is_never_hedged) {
   RouteFixture Fixture;
   Fixture.addEngine("a");
