--- a/bench/programs/policies/entry_node.cpp
+++ b/bench/programs/policies/entry_node.cpp
@@ -180,7 +180,7 @@
   this->Ports.OnAnswer(Action.Request, true);
 }
 
-void EntryNode::act(const RefuseRequest &Action) {
+void EntryNode::act(const RefuseRoute &Action) {
   this->Calls.erase(Action.Request);
   this->Ports.OnAnswer(Action.Request, false);
 }
--- a/bench/programs/policies/entry_node.h
+++ b/bench/programs/policies/entry_node.h
@@ -113,7 +113,7 @@
   void act(const SendRequest &Action);
   void act(const StopRequest &Action);
   void act(const UseAnswer &Action);
-  void act(const RefuseRequest &Action);
+  void act(const RefuseRoute &Action);
   void act(const CountRouteRetry &) {}
   /// @}
   /// @param Digest of a request.
--- a/packages/core/agent/admission_base.cpp
+++ b/packages/core/agent/admission_base.cpp
@@ -45,6 +45,7 @@
 AdmissionController::handle(const AdmissionEvent &Event, Millis Now) {
   Actions Out;
   this->Present = Now;
+  this->LastShortAt = this->LastShortAt.value_or(Now);
   this->expire(Now, Out);
   std::visit([&](const auto &Each) { this->on(Each, Now, Out); }, Event);
   this->fillSlots(Now, Out);
--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -245,8 +245,9 @@
   std::optional<RefusalReason> Closed;
   /// The time of the newest event.
   Millis Present;
-  /// When short work last arrived.
-  Millis LastShortAt = Millis{-Never.Count};
+  /// When short work last arrived; after the boot it is taken to have just
+  /// arrived, since nothing is known yet.
+  std::optional<Millis> LastShortAt;
   /// Counts since the boot.
   AdmissionCounts Counts;
 };
--- a/packages/core/agent/admission_choice.cpp
+++ b/packages/core/agent/admission_choice.cpp
@@ -39,7 +39,8 @@
   const ClassedAdmission *Classes = this->classes();
   if (Classes == nullptr)
     return 0;
-  if (this->Present - this->LastShortAt > Classes->ReserveMemory)
+  const Millis LastShort = this->LastShortAt.value_or(this->Present);
+  if (this->Present - LastShort > Classes->ReserveMemory)
     return 0;
   return std::min(Classes->ShortReserve, this->Settings.Slots - 1);
 }
--- a/packages/core/agent/admission_type.h
+++ b/packages/core/agent/admission_type.h
@@ -22,7 +22,7 @@
   /// Places that only short work may take, while there is any.
   int ShortReserve = 2;
   /// How long after the last short work the places stay reserved.
-  Millis ReserveMemory = seconds(5);
+  Millis ReserveMemory = seconds(2);
   /// Places that short work leaves to long work that waits.
   int LongFloor = 1;
   /// Whether waiting short work may stop the longest rollout.
