--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -108,7 +108,7 @@
   11: string RequestId,    // runs through the logs
   12: i64 Digest,          // hash of the request, for crash attribution
   13: string Affinity,     // prefix or group key; may be empty
-  14: i64 MinVersion,      // refuse if the endpoint would use an older one
+  14: i64 MinVersion,      // refuse if the endpoint would use an older one; 0: any
   15: string KeptText,     // output already kept, to resume after
   16: i64 KeptTokens,
   17: list<LabelSegment> KeptSegments,
@@ -381,7 +381,7 @@
   4: string ContentType,
   5: binary Body,
   6: bool BodyOmitted,
-  7: bool NotRun,          // the agent says for its boot that it never ran
+  7: bool NotRun,          // it never ran and never will; Status: the reason
 }
 
 /** A digest that must not run until released. */
