Change: [Agent] Tests of the reserve on demand

Cause: places are now reserved only while short work comes; the random course assumed that they always are. Change: the random course keeps places reserved for ever, so that its invariant stays as strict; two named tests show when they are lent and taken back. Before: the random course failed with the shorter memory. After: passes. Conclusion: both halves of the rule are tested.

--- a/tests/agent/admission_property_test.cpp
+++ b/tests/agent/admission_property_test.cpp
@@ -21,6 +21,8 @@
     return FirstComeFirstServed{};
   ClassedAdmission Classes;
   Classes.ShortReserve = *rc::gen::inRange(0, 4);
+  // Whether places are kept at all is tested by name; here they always are.
+  Classes.ReserveMemory = Never;
   Classes.LongFloor = *rc::gen::inRange(0, 3);
   Classes.Preempt = *rc::gen::arbitrary<bool>();
   return Classes;
--- a/tests/agent/admission_test.cpp
+++ b/tests/agent/admission_test.cpp
@@ -33,6 +33,29 @@
   cr_assert(Fix.Started.back().Work.Class == Short);
 }
 
+Test(admission, no_short_work_for_long_lends_reserve_to_rollouts) {
+  AdmissionFixture Fix{smallEndpoint()};
+  Fix.submit(makeWork(Short, 10));
+  Fix.end(Fix.Started.back().Run, RunOutcome::Finished);
+  for (int Index = 0; Index < 6; ++Index)
+    Fix.submit(makeWork(Rollout, 100));
+  cr_assert(Fix.Running.size() == 3);
+  Fix.Now += ClassedAdmission{}.ReserveMemory + Millis{1};
+  Fix.handle(AdmissionTick{});
+  cr_assert(Fix.Running.size() == 4);
+}
+
+Test(admission, short_work_after_a_pause_reserves_again) {
+  AdmissionFixture Fix{smallEndpoint()};
+  Fix.submit(makeWork(Rollout, 100));
+  Fix.Now += ClassedAdmission{}.ReserveMemory + Millis{1};
+  Fix.submit(makeWork(Short, 10));
+  Fix.end(Fix.Started.back().Run, RunOutcome::Finished);
+  for (int Index = 0; Index < 6; ++Index)
+    Fix.submit(makeWork(Rollout, 100));
+  cr_assert(Fix.Running.size() == 3);
+}
+
 Test(admission, first_come_first_served_takes_arrival_order) {
   AdmissionSettings Settings = smallEndpoint();
   Settings.Policy = FirstComeFirstServed{};
