--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -121,6 +121,8 @@
     auto &Tokens =
         this->TokensOf.try_emplace(Model, FirstExpectedTokens).first->second;
     Tokens += LengthWeight * (static_cast<double>(Event.Tokens) - Tokens);
+    this->Pending[poolOf(Found->second.Spec)].noteLength(Found->second.Spec,
+                                                         Event.Tokens);
     this->forgetSlot(Done->Slot, Out);
   }
   this->fillEndpoint(Done->Endpoint, Now, Out);
@@ -191,10 +193,8 @@
 void RolloutScheduler::sendWaiting(const Pool &Wanted, Millis Now,
                                    Actions &Out) {
   PendingSlots &Waiting = this->Pending[Wanted];
-  const bool Late =
-      std::holds_alternative<LateDispatch>(this->Settings.Dispatch);
   while (Waiting.hasReady(Now)) {
-    const auto Index = this->chooseFor(Wanted, Late, nullptr, Now);
+    const auto Index = this->chooseFor(Wanted, this->lookahead(), nullptr, Now);
     if (!Index)
       return;
     const auto Ref = Waiting.take(*Index, Now, this->RunningOf);
@@ -206,7 +206,7 @@
 void RolloutScheduler::fillEndpoint(EndpointIndex Index, Millis Now,
                                     Actions &Out) {
   while (this->Table.isEligible(Index, Now) &&
-         freePlaces(this->Table, Index) > 0) {
+         hasPlace(this->Table, Index, this->lookahead().value_or(0))) {
     PendingSlots *Next = this->nextPool(Index, Now);
     if (Next == nullptr)
       return;
@@ -230,17 +230,17 @@
   return Next;
 }
 
-std::optional<EndpointIndex>
-RolloutScheduler::chooseFor(const Pool &Wanted, bool NeedsFreePlace,
-                            const std::vector<EndpointIndex> *Excluded,
-                            Millis Now) {
+std::optional<EndpointIndex> RolloutScheduler::chooseFor(
+    const Pool &Wanted, std::optional<int32_t> Lookahead,
+    const std::vector<EndpointIndex> *Excluded, Millis Now) {
   ChoiceRequest Request;
   Request.Serves = Wanted.Model;
   Request.Engines = &Wanted.Engines;
   Request.Class = wire::WorkClass::Rollout;
   Request.ExpectedTokens = this->expectedTokens(Wanted.Model);
   Request.Excluded = Excluded;
-  Request.NeedsFreePlace = NeedsFreePlace;
+  Request.NeedsPlace = Lookahead.has_value();
+  Request.Lookahead = Lookahead.value_or(0);
   Request.OtherRegionAllowed =
       this->RegionBudget.holds(RegionMinimumBytes, Now);
   return chooseEndpoint(this->Settings.Choice, this->Table, Request, Now,
@@ -271,7 +271,8 @@
   if (const auto *Move = std::get_if<MoveTail>(&this->Settings.Tail))
     this->HedgeBudget.deposit(Move->HedgeShare);
   Out.emplace_back(SendAttempt{Work, Ref, Index, this->classOf(Slot.Spec),
-                               Slot.Tries, Expected, Slot.Kept});
+                               Slot.Tries, Expected, Slot.Kept,
+                               this->stepRemaining(Slot.Spec)});
   ++Slot.Tries;
   Slot.Attempts.push_back(Work);
 }
@@ -331,6 +332,17 @@
   return std::min(FirstBackoff * (int64_t{1} << Doublings), LongestBackoff);
 }
 
+std::optional<int32_t> RolloutScheduler::lookahead() const {
+  const auto *Late = std::get_if<LateDispatch>(&this->Settings.Dispatch);
+  return Late ? std::optional(Late->Lookahead) : std::nullopt;
+}
+
+int64_t RolloutScheduler::stepRemaining(const RolloutSpec &Spec) const {
+  const auto Found = this->OpenOf.find({Spec.Trainer, Spec.Step});
+  assert(Found != this->OpenOf.end());
+  return Found->second.first * this->expectedTokens(Spec.Model);
+}
+
 wire::WorkClass::type RolloutScheduler::classOf(const RolloutSpec &Spec) const {
   const auto Found = this->OpenOf.find({Spec.Trainer, Spec.Step});
   assert(Found != this->OpenOf.end());
--- a/packages/core/routing/rollout_tail.cpp
+++ b/packages/core/routing/rollout_tail.cpp
@@ -28,7 +28,7 @@
       this->hedgeAttempt(Work, Now, Out);
       continue;
     }
-    const auto Best = this->chooseFor(Wanted, true, &Used[Wanted], Now);
+    const auto Best = this->chooseFor(Wanted, 0, &Used[Wanted], Now);
     if (Best && this->moveAttempt(Policy, Work, *Best, Now, Out))
       Used[Wanted].push_back(*Best);
   }
@@ -59,7 +59,7 @@
   const SlotRef Ref = Silent.Slot;
   const std::vector<EndpointIndex> Excluded{Silent.Endpoint};
   const Pool Wanted = poolOf(this->Slots.at(Ref).Spec);
-  const auto Index = this->chooseFor(Wanted, true, &Excluded, Now);
+  const auto Index = this->chooseFor(Wanted, 0, &Excluded, Now);
   if (!Index || !this->HedgeBudget.take(1, Now))
     return;
   Silent.Hedged = true;
