Fix: [Net] Answers on kept connections were read only after the loop's wait

Cause: a call started outside of the loop's turn over an idle connection leaves the end of its write pending, which h2o's wait does not look at; the answer was read only after the longest wait (1 s) or the next other event. Change: each turn runs h2o's loop once without waiting first.

--- a/packages/net/loop_base.cpp
+++ b/packages/net/loop_base.cpp
@@ -224,6 +224,9 @@
 }
 
 void Loop::runOnce(Millis MaxWait) {
+  // Ends of writes that were started outside of the loop's turn are not seen
+  // by its wait: without this turn their answers would be read only after it.
+  h2o_evloop_run(this->Inner->Raw, 0);
   const Millis Wait = this->Inner->waitTime(MaxWait);
   h2o_evloop_run(this->Inner->Raw, static_cast<int32_t>(Wait.Count));
   this->Inner->runDue();
