--- a/packages/core/calls/call_base.cpp
+++ b/packages/core/calls/call_base.cpp
@@ -119,6 +119,8 @@
   Record.__set_Intent(Intent);
   Out.emplace_back(AppendRecord{std::move(Record)});
 #ifdef CAMPHORNOTCH_MUTATION_SEND_BEFORE_READ_BACK
+  // Any number that is no offset of the log yet.
+  State.Intent = LogOffset{State.Request->Request.Value + INT32_MAX};
   State.Record = Intent;
   this->dispatch(State, Now, Out);
 #endif
--- a/tests/calls/call_test.cpp
+++ b/tests/calls/call_test.cpp
@@ -219,3 +219,15 @@
   const auto *Refused = std::get_if<RefuseRequest>(&Actions.at(0));
   cr_assert(Refused && Refused->Why.State == RunState::Unknown);
 }
+
+// The agent's word on one message says nothing of the intent: another entry
+// may have started it.
+Test(call, message_that_the_agent_misses_is_sent_anew) {
+  CallFixture F;
+  F.send();
+  CallRefused Missed = refusedNotRun(F.sentWork());
+  Missed.Answer.Refusal.Reason = static_cast<int32_t>(RefusalReason::PeerLost);
+  F.give(Missed);
+  cr_assert(F.found<RefuseRequest>().empty());
+  cr_assert(F.sentWork() != Missed.Answer.Work);
+}
