--- a/packages/core/calls/call_base.h
+++ b/packages/core/calls/call_base.h
@@ -5,12 +5,14 @@
 #define CAMPHORNOTCH_CORE_CALLS_CALL_BASE_H
 
 #include "core/calls/call_type.h"
+#include "core/fold/fold_state_type.h"
 #include "core/routing/work_id_base.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <deque>
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace camphornotch {
 
@@ -28,6 +30,10 @@
   /// @return what is to be done.
   std::vector<CallAction> handle(const CallEvent &Event, Millis Now);
 
+  /// Takes the calls over from a fold that was restored from a snapshot.
+  /// @param Intents the calls known, by key.
+  void load(const std::unordered_map<std::string, IntentState> &Intents);
+
   /// @return when handle(Tick{}, Now) is due.
   Millis nextDeadline() const;
 
--- a/packages/core/calls/call_fold.cpp
+++ b/packages/core/calls/call_fold.cpp
@@ -21,6 +21,26 @@
   this->shrink(Event.Offset);
 }
 
+void CallController::load(
+    const std::unordered_map<std::string, IntentState> &Intents) {
+  std::map<LogOffset, const IntentState *> Ordered;
+  for (const auto &[Key, Folded] : Intents)
+    Ordered[Folded.Offset] = &Folded;
+  for (const auto &[Offset, Folded] : Ordered) {
+    KeyState &State = this->Keys[Folded->Intent.Key];
+    if (State.Intent == NoOffset) {
+      State.Intent = Offset;
+      State.Record = Folded->Intent;
+      State.Proposed = false;
+      this->Order.emplace_back(Offset, Folded->Intent.Key);
+    }
+    if (!State.Outcome)
+      State.Outcome = Folded->Outcome;
+  }
+  if (!Ordered.empty())
+    this->shrink(Ordered.rbegin()->first);
+}
+
 void CallController::foldIntent(LogOffset Offset,
                                 const wire::IntentRecord &Record, Millis Now,
                                 Actions &Out) {
--- a/packages/core/fold/log_fold_base.h
+++ b/packages/core/fold/log_fold_base.h
@@ -88,6 +88,11 @@
   /// @return the call that stands for it; nothing if none.
   const IntentState *intent(std::string_view Key) const;
 
+  /// @return the calls known, by key.
+  const std::unordered_map<std::string, IntentState> &intents() const {
+    return this->Intents;
+  }
+
   /// @return the highest offset of an intent that was forgotten; 0: none.
   LogOffset forgottenIntents() const { return this->IntentFloor; }
 
--- a/tests/calls/call_test.cpp
+++ b/tests/calls/call_test.cpp
@@ -231,3 +231,17 @@
   cr_assert(F.found<RefuseRequest>().empty());
   cr_assert(F.sentWork() != Missed.Answer.Work);
 }
+
+Test(call, keys_of_a_restored_fold_stand) {
+  CallFixture F;
+  IntentState Folded;
+  Folded.Offset = LogOffset{4};
+  Folded.Intent.Key = "k";
+  Folded.Intent.Digest = 7;
+  Folded.Outcome = wire::OutcomeRecord{};
+  Folded.Outcome->Body = "done";
+  F.Calls.load({{"k", Folded}});
+  F.call(1);
+  cr_assert(F.found<AnswerCall>().size() == 1);
+  cr_assert(F.found<AnswerCall>()[0].Body == "done");
+}
