--- a/packages/daemon/call_task_base.h
+++ b/packages/daemon/call_task_base.h
@@ -39,6 +39,9 @@
   /// @param Event the event.
   void handle(const CallEvent &Event);
 
+  /// Takes the known calls over from a fold restored from a snapshot.
+  void reload() { this->Controller.load(this->Log.fold().intents()); }
+
   /// @return requests that wait.
   size_t open() const { return this->Waiting.size(); }
 
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -148,8 +148,10 @@
 void Entry::onChanged(const std::vector<FoldChange> &Changes) {
   for (const FoldChange &Change : Changes) {
     const auto *Snapshot = std::get_if<SnapshotSeen>(&Change);
-    if (Snapshot != nullptr && Snapshot->Restored)
-      this->Owners.reload();
+    if (Snapshot == nullptr || !Snapshot->Restored)
+      continue;
+    this->Owners.reload();
+    this->Calls.reload();
   }
   this->Samples.changed(Changes);
   this->Configs.changed(Changes);
