--- a/packages/core/agent/admission_load.cpp
+++ b/packages/core/agent/admission_load.cpp
@@ -120,4 +120,12 @@
   return Figure;
 }
 
+wire::LoadFigure AdmissionController::loadFor(Millis Now, BootId Reader) const {
+  wire::LoadFigure Figure = this->load(Now);
+  Figure.OwnQueued = static_cast<int32_t>(std::count_if(
+      this->Waiting.begin(), this->Waiting.end(),
+      [&](const auto &Each) { return Each.first.Sender == Reader; }));
+  return Figure;
+}
+
 } // namespace camphornotch
