--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -47,6 +47,11 @@
   ///         for others to fill.
   [[nodiscard]] wire::LoadFigure load(Millis Now) const;
 
+  /// @param Now the present.
+  /// @param Reader the boot of the entry that the figure is for.
+  /// @return load(), with the reader's own waiting work counted.
+  [[nodiscard]] wire::LoadFigure loadFor(Millis Now, BootId Reader) const;
+
   /// @param Work new work.
   /// @param Now the present.
   /// @return the time until it would start.
@@ -155,6 +160,11 @@
   void stopRun(RunId Id, RefusalReason Reason, Actions &Out);
   /// Refuses waiting work and forgets it.
   void refuseWaiting(WorkKey Key, Refusal Why, Actions &Out);
+  /// Puts waiting work into a queue; without classes all callers are one.
+  /// @param Index the queue.
+  /// @param Key the work.
+  /// @param Work what the entry sent.
+  void enqueue(QueueIndex Index, WorkKey Key, const wire::StartWork &Work);
   /// Takes waiting work out of its queue and the deadlines.
   void removeWaiting(WorkKey Key);
   /// Refuses or stops what is over its deadline.
@@ -233,6 +243,11 @@
   bool Held = false;
   /// Why new work is refused, if it is.
   std::optional<RefusalReason> Closed;
+  /// The time of the newest event.
+  Millis Present;
+  /// When short work last arrived; after the boot it is taken to have just
+  /// arrived, since nothing is known yet.
+  std::optional<Millis> LastShortAt;
   /// Counts since the boot.
   AdmissionCounts Counts;
 };
