--- a/spec/samples.pml
+++ b/spec/samples.pml
@@ -109,6 +109,7 @@
 }
 
 inline foldClaim(n) {
+  if
   :: NEXT(n).epoch == e[n].current ->
     e[n].current = e[n].read + 1;
     if
