--- a/bench/programs/policies/agent_node.cpp
+++ b/bench/programs/policies/agent_node.cpp
@@ -142,7 +142,8 @@
 
 wire::LoadFigure AgentNode::load(size_t Entry) const {
   const BootId Reader{static_cast<int64_t>(Entry)};
-  wire::LoadFigure Load = this->Admission.loadFor(this->Queue.now(), Reader);
+  wire::LoadFigure Load = this->Admission.load(this->Queue.now());
+  Load.OwnQueued = this->Admission.queuedFrom(Reader);
   Load.Leaving = this->Leaving;
   Load.Swapping = this->Weights.swapping();
   Load.Version = this->Engine.version();
--- a/packages/core/agent/admission_base.h
+++ b/packages/core/agent/admission_base.h
@@ -43,14 +43,13 @@
   [[nodiscard]] Millis nextDeadline() const;
 
   /// @param Now the present.
-  /// @return what is running and waiting; Version, Leaving and Swapping are
-  ///         for others to fill.
+  /// @return what is running and waiting; Version, Leaving, Swapping and
+  ///         OwnQueued are for others to fill.
   [[nodiscard]] wire::LoadFigure load(Millis Now) const;
 
-  /// @param Now the present.
-  /// @param Reader the boot of the entry that the figure is for.
-  /// @return load(), with the reader's own waiting work counted.
-  [[nodiscard]] wire::LoadFigure loadFor(Millis Now, BootId Reader) const;
+  /// @param Sender the boot of an entry.
+  /// @return how much of its work waits.
+  [[nodiscard]] int32_t queuedFrom(BootId Sender) const;
 
   /// @param Work new work.
   /// @param Now the present.
--- a/packages/core/agent/admission_load.cpp
+++ b/packages/core/agent/admission_load.cpp
@@ -117,15 +117,14 @@
   Figure.ShortReserve = std::clamp(this->reserve() - ShortRuns, 0,
                                    std::max(0, this->freePlaces()));
   Figure.Version = -1;
+  Figure.OwnQueued = -1;
   return Figure;
 }
 
-wire::LoadFigure AdmissionController::loadFor(Millis Now, BootId Reader) const {
-  wire::LoadFigure Figure = this->load(Now);
-  Figure.OwnQueued = static_cast<int32_t>(std::count_if(
+int32_t AdmissionController::queuedFrom(BootId Sender) const {
+  return static_cast<int32_t>(std::count_if(
       this->Waiting.begin(), this->Waiting.end(),
-      [&](const auto &Each) { return Each.first.Sender == Reader; }));
-  return Figure;
+      [&](const auto &Each) { return Each.first.Sender == Sender; }));
 }
 
 } // namespace camphornotch
--- a/packages/core/agent/agent_work.cpp
+++ b/packages/core/agent/agent_work.cpp
@@ -126,6 +126,7 @@
     return;
   }
   wire::WorkRefused Refused = this->makeRefused(Why, Key.Work.Value, Now);
+  Refused.Load.OwnQueued = this->Admission.queuedFrom(Key.Sender);
   // Output whose versions are not known is worth nothing to a sample.
   if (Run != nullptr && Run->Label.known() && Run->Label.tokens() > 0) {
     std::string Kept = Run->KeptText;
@@ -259,6 +260,7 @@
   Finished.Segments = Run.Label.segments();
   Finished.LabelKnown = Run.Label.known();
   Finished.Load = this->load(Now);
+  Finished.Load.OwnQueued = this->Admission.queuedFrom(Run.Key.Sender);
   Finished.QueueMs = Run.Waited.Count;
   Finished.RunMs = (Now - Run.Started).Count;
   const bool Any = Run.FirstOutput > Millis{0};
--- a/packages/core/routing/choice_func.cpp
+++ b/packages/core/routing/choice_func.cpp
@@ -289,13 +289,7 @@
   const EndpointState &State = Table.at(Index);
   if (State.Load.Swapping)
     return false;
-  // What was sent since the figure takes the places that were free then.
-  const int32_t FreeThen =
-      std::max(0, slotsOf(State) - State.Load.ShortReserve -
-                      State.Load.Running - State.Load.Queued);
-  const int32_t Waiting =
-      State.Load.OwnQueued + std::max(0, State.SentSince - FreeThen);
-  return Waiting < Lookahead;
+  return Table.ownWaiting(Index) < Lookahead;
 }
 
 Result<ChoicePolicy> parseChoicePolicy(std::string_view Name) {
--- a/packages/core/routing/endpoint_table_base.cpp
+++ b/packages/core/routing/endpoint_table_base.cpp
@@ -101,7 +101,10 @@
 void EndpointTable::noteLoad(EndpointIndex Index, const wire::LoadFigure &Load,
                              Millis Now) {
   EndpointState &State = this->States[Index.Value];
+  const int32_t OwnBefore = this->ownWaiting(Index);
   State.Load = Load;
+  if (Load.OwnQueued < 0)
+    State.Load.OwnQueued = std::min(OwnBefore, Load.Queued);
   State.LoadAt = Now;
   State.SentSince = 0;
   State.TokensSince = 0;
@@ -153,6 +156,15 @@
   return State.AvoidUntil <= Now;
 }
 
+int32_t EndpointTable::ownWaiting(EndpointIndex Index) const {
+  const EndpointState &State = this->at(Index);
+  const wire::LoadFigure &Load = State.Load;
+  const int32_t FreeThen =
+      std::max(0, Load.Slots - Load.ShortReserve - Load.Running - Load.Queued);
+  const int32_t Told = std::max(0, Load.OwnQueued);
+  return Told + std::max(0, State.SentSince - FreeThen);
+}
+
 int32_t EndpointTable::outstanding(EndpointIndex Index) const {
   const EndpointState &State = this->at(Index);
   const int32_t Reported =
--- a/packages/core/routing/endpoint_table_base.h
+++ b/packages/core/routing/endpoint_table_base.h
@@ -101,6 +101,11 @@
   /// @return whether new work may be sent there.
   bool isEligible(EndpointIndex Index, Millis Now) const;
 
+  /// @param Index the endpoint.
+  /// @return own work that waits there, with what was sent since the figure
+  ///         beyond the places that were free then.
+  int32_t ownWaiting(EndpointIndex Index) const;
+
   /// @param Index the endpoint.
   /// @return work there, running, waiting and on the way.
   int32_t outstanding(EndpointIndex Index) const;
--- a/packages/daemon/sample_rollouts.cpp
+++ b/packages/daemon/sample_rollouts.cpp
@@ -143,6 +143,7 @@
   Work.KeptTokens = Action.Kept.Tokens;
   Work.KeptSegments = Action.Kept.Segments;
   Work.Attempt = Action.Attempt;
+  Work.StepRemaining = Action.StepRemaining;
   this->Attempts.emplace(Action.Work, Attempt{Action.Slot, Action.Endpoint,
                                               steadyNow(), Action.Kept.Text});
   const HostId &Agent = this->Table.at(Action.Endpoint).Info.Host;
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -28,7 +28,7 @@
   9: bool Swapping,        // a weight swap is under way
   10: i32 ShortReserve,    // free places kept for short work
   11: i64 ShortWaitMs,     // time until new short work would start
-  12: i32 OwnQueued,       // work of the reader of this figure that waits
+  12: i32 OwnQueued = -1,  // waiting work of the reader; -1: not told
 }
 
 /** Why work was refused; Reason is a row of the refusal table. */
--- a/tests/routing/choice_test.cpp
+++ b/tests/routing/choice_test.cpp
@@ -120,3 +120,20 @@
   cr_assert(Parsed.has_error());
   cr_assert(Parsed.error().Remedy.find("probing") != std::string::npos);
 }
+
+Test(endpointTable, figure_without_own_queue_keeps_what_is_known) {
+  RoutingFixture Fixture;
+  const EndpointIndex Only = Fixture.addEngine("only", "dc1", 10000, 1);
+  wire::LoadFigure Full;
+  Full.Slots = 1;
+  Full.Running = 1;
+  Full.Queued = 5;
+  Full.OwnQueued = 2;
+  Fixture.Table.noteLoad(Only, Full, Fixture.Now);
+  Full.OwnQueued = -1;
+  Fixture.Table.noteLoad(Only, Full, Fixture.Now);
+  cr_assert(Fixture.Table.ownWaiting(Only) == 2);
+  Full.Queued = 1;
+  Fixture.Table.noteLoad(Only, Full, Fixture.Now);
+  cr_assert(Fixture.Table.ownWaiting(Only) == 1);
+}
