--- a/packages/core/routing/rollout_tail.cpp
+++ b/packages/core/routing/rollout_tail.cpp
@@ -16,6 +16,8 @@
   for (const auto &Row : this->Attempts)
     Works.push_back(Row.first);
   std::map<Pool, std::vector<EndpointIndex>> Used;
+  // The fastest endpoint with a place, until an attempt moves there.
+  std::map<Pool, std::optional<EndpointIndex>> Fastest;
   for (const WorkId Work : Works) {
     const Attempt &Late = this->Attempts.at(Work);
     const Pool Wanted = poolOf(this->Slots.at(Late.Slot).Spec);
@@ -28,9 +30,14 @@
       this->hedgeAttempt(Work, Now, Out);
       continue;
     }
-    const auto Best = this->chooseFor(Wanted, 0, &Used[Wanted], Now);
-    if (Best && this->moveAttempt(Policy, Work, *Best, Now, Out))
-      Used[Wanted].push_back(*Best);
+    const auto [Known, IsNew] = Fastest.try_emplace(Wanted);
+    if (IsNew)
+      Known->second = this->chooseFor(Wanted, 0, &Used[Wanted], Now);
+    const auto Best = Known->second;
+    if (!Best || !this->moveAttempt(Policy, Work, *Best, Now, Out))
+      continue;
+    Used[Wanted].push_back(*Best);
+    Fastest.erase(Known);
   }
 }
 
