--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -15,60 +15,105 @@
 
 namespace camphornotch {
 
-/// What both roles need; table/settings.h describes each member.
+/// What both roles need; table/settings.h has names, defaults and ranges.
 struct CommonSettings {
+  /// What the process does.
   std::string Role;
+  /// The host's name, as in the host list.
   std::string Host;
+  /// The data centre it stands in.
   std::string DataCentre;
+  /// The region it stands in.
   std::string Region;
+  /// Where peers connect to.
   Address ListenLinks;
+  /// Where callers, probes and metrics connect to.
   Address ListenHttp;
+  /// The log service; entries need it.
   Address LogService;
+  /// The host list; entries need it.
   Address HostList;
+  /// The weight store; empty: versions come from the log.
   Address WeightStore;
+  /// Time between heartbeats of a link.
   Millis Heartbeat;
+  /// Silence after which a fresh connection is opened.
   Millis LinkSilence;
+  /// Longest wait for a connection.
   Millis ConnectTimeout;
+  /// First wait before connecting again; it doubles up to 16 times this.
   Millis ReconnectDelay;
+  /// Time between reads of the host list.
   Millis HostListPoll;
+  /// Longest time that a read of the log waits for a record.
   Millis LogPollWait;
+  /// Longest time that a record waits for others to be appended with.
   Millis AppendFlush;
+  /// How long the log keeps records; state is carried forward at half of it.
   Millis LogRetention;
+  /// Time between questions for the newest version of a model.
   Millis WeightPoll;
+  /// Size at which collected records are appended at once.
   int64_t AppendMaxBytes = 0;
+  /// Appends that this process may send a second.
   int64_t AppendsPerSecond = 0;
+  /// Longest request body.
   int64_t MaxBodyBytes = 0;
+  /// Longest request header block.
   int64_t MaxHeaderBytes = 0;
+  /// Requests open at once; more are refused.
   int64_t MaxOpenRequests = 0;
+  /// Answers held for peers that have not acknowledged them.
   int64_t MaxAnswerBytesHeld = 0;
+  /// Time for open requests to end after SIGTERM.
   Millis StopGrace;
+  /// The least level that is written.
   std::string LogLevel;
+  /// Where log lines go; empty: standard error.
   std::string LogFile;
 };
 
 /// What an entry needs.
 struct EntrySettings {
+  /// What both roles need.
   CommonSettings Common;
+  /// Ranges of idempotency keys; equal on all entries.
   int64_t KeyShards = 0;
+  /// Links to entries of each other data centre.
   int64_t RemoteLinks = 0;
+  /// Finished samples held for trainers; more waits in agents.
   int64_t MaxSampleBytesHeld = 0;
+  /// Deadline of a request that names none.
   Millis DefaultDeadline;
 };
 
 /// What an agent needs.
 struct AgentSettings {
+  /// What both roles need.
   CommonSettings Common;
+  /// The endpoint's name.
   std::string EndpointName;
+  /// What the endpoint is.
   std::string EndpointKind;
+  /// The engine's model or the service's name.
   std::string Serves;
+  /// Where the endpoint listens.
   Address EndpointAddress;
+  /// Whether it refuses orders with an old fencing number.
   bool HonoursFencing = false;
+  /// Work running at once.
   int64_t Slots = 0;
+  /// Slots kept free for short work.
   int64_t ShortReserve = 0;
+  /// Work waiting at once; more is refused.
   int64_t MaxQueued = 0;
+  /// Loopback port whose bind keeps a second agent away; 0: none.
   int64_t GuardPort = 0;
+  /// Calls that may run at most once, remembered with their answers.
   int64_t IntentMemory = 0;
+  /// Time between reads of the endpoint's load.
   Millis LoadPoll;
+  /// Time after which a weight swap counts as unanswered.
   Millis SwapTimeout;
 };
 
--- a/packages/rules/rule_set_type.h
+++ b/packages/rules/rule_set_type.h
@@ -45,6 +45,7 @@
 
 /// [trainers]: what a trainer may draw on, and how stale samples may be.
 struct TrainerRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Patterns of endpoint names.
   std::vector<std::string> Engines;
@@ -60,6 +61,7 @@
 
 /// [services]: calls of a plain service.
 struct ServiceRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Pattern of service names.
   std::string Service;
@@ -77,6 +79,7 @@
 
 /// [hosts]: how long a leaving host keeps its work.
 struct HostRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Time for running work to finish after the order to leave.
   Millis LeaveGrace;
@@ -84,6 +87,7 @@
 
 /// [limits]: what one caller may use.
 struct LimitRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Requests of the caller in flight at once, for each entry.
   int64_t MaxInFlight = 0;
@@ -95,6 +99,7 @@
 
 /// [priorities]: the order of a caller's work.
 struct PriorityRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Short work goes before rollouts and may use the reserve.
   PriorityClass Class = PriorityClass::Short;
@@ -104,7 +109,9 @@
 
 /// [routing]: choice of endpoint for a model or service.
 struct RoutingRule {
+  /// Where the rule comes from.
   RuleSource Source;
+  /// The choice of endpoint.
   RoutingPolicy Policy = RoutingPolicy::Probing;
   /// Hedged attempts, in percent of attempts.
   int64_t HedgeBudgetPercent = 0;
@@ -118,6 +125,7 @@
 
 /// [weights]: how new weights reach the engines of a model.
 struct WeightRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// The share of engines that keep serving during a change.
   int64_t MinCapacityPercent = 0;
@@ -131,6 +139,7 @@
 
 /// [admission]: what runs at an endpoint, and what waits.
 struct AdmissionRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// By class and fair among callers; else in the order of arrival.
   bool ByClass = true;
@@ -146,6 +155,7 @@
 
 /// [quarantine]: requests that crash endpoints.
 struct QuarantineRule {
+  /// Where the rule comes from.
   RuleSource Source;
   /// Crashes at which a request is kept away.
   int64_t Crashes = 0;
