Fix: [Calls] Answers of intents never reach the next boot of an entry

Work numbers start anew with each boot of an entry, but the guard kept waiters by host: after a restart the answer of one call could have been told as that of another. The agent now drops the waiters of a boot when the next one connects (one line in packages/core/agent).

--- a/packages/core/agent/agent_links.cpp
+++ b/packages/core/agent/agent_links.cpp
@@ -75,8 +75,10 @@
   this->Peers[Event.Peer] = Event.Boot;
   this->Orphans.erase(Event.Boot);
   // The earlier process has ended: nobody will ask for its work.
-  if (Replaced)
+  if (Replaced) {
+    this->Intents.dropWaiters(Event.Peer);
     this->dropOrphans(Earlier, Now, Out);
+  }
 }
 
 void AgentController::on(const PeerDown &Event, Millis Now, Actions & /*Out*/) {
--- a/packages/core/calls/intent_guard_base.cpp
+++ b/packages/core/calls/intent_guard_base.cpp
@@ -66,6 +66,13 @@
 #endif
 }
 
+void IntentGuard::dropWaiters(const HostId &Peer) {
+  for (auto &[Offset, State] : this->Intents)
+    std::erase_if(State.Waiters, [&](const IntentWaiter &Waiter) {
+      return Waiter.Peer == Peer;
+    });
+}
+
 std::vector<IntentWaiter> IntentGuard::end(IntentState &State) {
   std::vector<IntentWaiter> Waiters = std::move(State.Waiters);
   State.Waiters.clear();
--- a/packages/core/calls/intent_guard_base.h
+++ b/packages/core/calls/intent_guard_base.h
@@ -76,6 +76,11 @@
   /// @return who waits for it.
   std::vector<IntentWaiter> refuse(LogOffset Offset, Refusal Why);
 
+  /// Forgets the waiters of a process that has ended: its successor on the host
+  /// uses the same work numbers for other work.
+  /// @param Peer the process's host.
+  void dropWaiters(const HostId &Peer);
+
   /// @return intents remembered.
   size_t size() const { return this->Intents.size(); }
 
--- a/tests/calls/guard_test.cpp
+++ b/tests/calls/guard_test.cpp
@@ -72,3 +72,13 @@
   }
   cr_assert(is<JoinIntent>(Guard.admit(LogOffset{1}, Boot, waiter(7))));
 }
+
+Test(guard, waiters_of_an_ended_process_are_not_told) {
+  IntentGuard Guard(Boot, 4);
+  Guard.admit(LogOffset{9}, Boot, waiter(1));
+  Guard.admit(LogOffset{9}, Boot, IntentWaiter{HostId{"f"}, WorkId{1}});
+  Guard.dropWaiters(HostId{"e"});
+  const auto Told = Guard.finish(LogOffset{9}, {});
+  cr_assert(Told.size() == 1);
+  cr_assert(Told[0].Peer == HostId{"f"});
+}
