Fix: [Net] A socket written to and closed in a timer hung the process

Cause: h2o frees closed sockets at the start of a turn. A socket that a timer or a deferred call wrote to and then closed was still on the list of pending sockets; once its memory was used again the list pointed at itself and the loop never came back. Change: the list is worked off before each turn begins.

--- a/packages/net/loop_base.cpp
+++ b/packages/net/loop_base.cpp
@@ -224,6 +224,10 @@
 }
 
 void Loop::runOnce(Millis MaxWait) {
+  // Our calls run outside of h2o's turn. A socket that they wrote to and then
+  // closed must leave h2o's list of pending sockets before the next turn,
+  // which begins by freeing closed sockets.
+  h2o_timeout__do_post_callback(this->Inner->Raw);
   const Millis Wait = this->Inner->waitTime(MaxWait);
   h2o_evloop_run(this->Inner->Raw, static_cast<int32_t>(Wait.Count));
   this->Inner->runDue();
