--- a/packages/net/loop_base.cpp
+++ b/packages/net/loop_base.cpp
@@ -228,6 +228,9 @@
   // closed must leave h2o's list of pending sockets before the next turn,
   // which begins by freeing closed sockets.
   h2o_timeout__do_post_callback(this->Inner->Raw);
+  // Ends of writes that were started outside of the loop's turn are not seen
+  // by its wait: without this turn their answers would be read only after it.
+  h2o_evloop_run(this->Inner->Raw, 0);
   const Millis Wait = this->Inner->waitTime(MaxWait);
   h2o_evloop_run(this->Inner->Raw, static_cast<int32_t>(Wait.Count));
   this->Inner->runDue();
