Fix: [Routing] Published routing rules are in force

Cause: rules of [routing] were parsed, accepted and shown, but the entries' controllers kept their defaults; found by reading what the daemon hands to them.

--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -60,7 +60,7 @@
 RolloutScheduler::RolloutScheduler(const RolloutSettings &Settings,
                                    EndpointTable &Table, WorkIdSource &WorkIds,
                                    uint64_t Seed)
-    : Settings(Settings), Table(Table), Random(Seed),
+    : Settings(Settings), Policies(Settings.Choice), Table(Table), Random(Seed),
       RetryBudget(Settings.RetriesPerSecond, RetryBurst),
       HedgeBudget(0, HedgeBurst),
       RegionBudget(Settings.OtherRegionBytesPerSecond,
@@ -74,6 +74,16 @@
   return Out;
 }
 
+void RolloutScheduler::change(std::shared_ptr<const RuleSet> Rules) {
+  this->Policies.change(std::move(Rules));
+  const RoutingRule &Rule = *this->Policies.general();
+  this->Settings.RetryShare = percent(Rule.RetryBudgetPercent);
+  if (auto *Move = std::get_if<MoveTail>(&this->Settings.Tail))
+    Move->HedgeShare = percent(Rule.HedgeBudgetPercent);
+  const auto Bytes = static_cast<double>(Rule.CrossRegionBytesPerSecond);
+  this->RegionBudget.resize(Bytes, Bytes * RegionBurstSeconds);
+}
+
 size_t RolloutScheduler::pending() const {
   size_t Sum = 0;
   for (const auto &Row : this->Pending)
@@ -243,8 +253,8 @@
   Request.Lookahead = Lookahead.value_or(0);
   Request.OtherRegionAllowed =
       this->RegionBudget.holds(RegionMinimumBytes, Now);
-  return chooseEndpoint(this->Settings.Choice, this->Table, Request, Now,
-                        this->Random);
+  return chooseEndpoint(this->Policies.choice(Wanted.Model), this->Table,
+                        Request, Now, this->Random);
 }
 
 void RolloutScheduler::send(SlotRef Ref, EndpointIndex Index, Millis Now,
--- a/packages/core/routing/rollout_scheduler_base.h
+++ b/packages/core/routing/rollout_scheduler_base.h
@@ -8,10 +8,12 @@
 #include "core/routing/endpoint_table_base.h"
 #include "core/routing/pending_base.h"
 #include "core/routing/rollout_type.h"
+#include "core/routing/routing_policies_base.h"
 #include "core/routing/token_bucket_base.h"
 #include "core/routing/work_id_base.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -49,6 +51,11 @@
   /// @return what to do, in order.
   std::vector<RolloutAction> handle(const RolloutEvent &Event, Millis Now);
 
+  /// Takes new rules: policies, budgets of retries, of second attempts and of
+  /// the link between regions.
+  /// @param Rules the rules in force.
+  void change(std::shared_ptr<const RuleSet> Rules);
+
   /// @return when RolloutTick is due.
   Millis nextDeadline() const { return this->NextTick; }
 
@@ -193,6 +200,8 @@
 
   /// The settings in force.
   RolloutSettings Settings;
+  /// How endpoints are chosen.
+  RoutingPolicies Policies;
   /// The endpoints.
   EndpointTable &Table;
   /// Random choices.
--- a/packages/core/routing/route_controller_base.cpp
+++ b/packages/core/routing/route_controller_base.cpp
@@ -64,7 +64,8 @@
 RouteController::RouteController(const RouteSettings &Settings,
                                  EndpointTable &Table, WorkIdSource &WorkIds,
                                  uint64_t Seed)
-    : Settings(Settings), Table(Table), WorkIds(WorkIds), Random(Seed),
+    : Settings(Settings), Policies(Settings.Choice), Table(Table),
+      WorkIds(WorkIds), Random(Seed),
       RetryBudget(Settings.RetriesPerSecond, RetryBurst),
       HedgeBudget(0, HedgeBurst),
       RegionBudget(Settings.OtherRegionBytesPerSecond,
@@ -77,6 +78,19 @@
   return Out;
 }
 
+void RouteController::change(std::shared_ptr<const RuleSet> Rules) {
+  this->Policies.change(std::move(Rules));
+  const RoutingRule &Rule = *this->Policies.general();
+  this->Settings.RetryShare = percent(Rule.RetryBudgetPercent);
+  HedgeSlow Hedge;
+  Hedge.Share = percent(Rule.HedgeBudgetPercent);
+  this->Settings.Hedge = Hedge;
+  if (Rule.HedgeBudgetPercent == 0)
+    this->Settings.Hedge = HedgeNever{};
+  const auto Bytes = static_cast<double>(Rule.CrossRegionBytesPerSecond);
+  this->RegionBudget.resize(Bytes, Bytes * RegionBurstSeconds);
+}
+
 Millis RouteController::nextDeadline() const {
   return this->Hedges.empty() ? Never : this->Hedges.begin()->first;
 }
@@ -203,8 +217,8 @@
   Wanted.Excluded = &Open.Used;
   const auto Bytes = static_cast<double>(Open.Spec.Bytes);
   Wanted.OtherRegionAllowed = this->RegionBudget.holds(Bytes, Now);
-  const auto Index = chooseEndpoint(this->Settings.Choice, this->Table, Wanted,
-                                    Now, this->Random);
+  const auto Index = chooseEndpoint(this->Policies.choice(Open.Spec.Serves),
+                                    this->Table, Wanted, Now, this->Random);
   if (!Index)
     return false;
   if (this->Table.at(*Index).Away == Distance::OtherRegion) {
--- a/packages/core/routing/route_controller_base.h
+++ b/packages/core/routing/route_controller_base.h
@@ -8,10 +8,12 @@
 #include "core/routing/endpoint_table_base.h"
 #include "core/routing/quantile_base.h"
 #include "core/routing/route_type.h"
+#include "core/routing/routing_policies_base.h"
 #include "core/routing/token_bucket_base.h"
 #include "core/routing/work_id_base.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <utility>
@@ -49,6 +51,11 @@
   /// @return what to do, in order.
   std::vector<RouteAction> handle(const RouteEvent &Event, Millis Now);
 
+  /// Takes new rules: policies, budgets of retries, of second attempts and of
+  /// the link between regions.
+  /// @param Rules the rules in force.
+  void change(std::shared_ptr<const RuleSet> Rules);
+
   /// @return when RouteTick is due.
   Millis nextDeadline() const;
 
@@ -144,6 +151,8 @@
 
   /// The settings in force.
   RouteSettings Settings;
+  /// How endpoints are chosen.
+  RoutingPolicies Policies;
   /// The endpoints.
   EndpointTable &Table;
   /// Numbers for attempts.
--- a/packages/core/routing/token_bucket_base.h
+++ b/packages/core/routing/token_bucket_base.h
@@ -18,6 +18,15 @@
   TokenBucket(double PerSecond, double Limit)
       : PerSecond(PerSecond), Limit(Limit), Level(Limit) {}
 
+  /// Changes the size; what is held stays, up to the new limit.
+  /// @param NewPerSecond how many tokens time brings in each second.
+  /// @param NewLimit the most it holds.
+  void resize(double NewPerSecond, double NewLimit) {
+    this->PerSecond = NewPerSecond;
+    this->Limit = NewLimit;
+    this->Level = std::min(this->Level, NewLimit);
+  }
+
   /// Adds tokens that an event has earned.
   /// @param Amount how many.
   void deposit(double Amount) {
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -157,6 +157,16 @@
   this->Configs.changed(Changes);
   this->Pushes.changed(Changes);
   this->Agents.changed(Changes);
+  this->applyRules();
+}
+
+void Entry::applyRules() {
+  const AcceptedConfig &InForce = this->Configs.inForce();
+  if (InForce.Offset <= this->RoutingRules)
+    return;
+  this->RoutingRules = InForce.Offset;
+  this->Routes.change(InForce.Rules);
+  this->Samples.change(InForce.Rules);
 }
 
 void Entry::onPeer(const HostId &Peer, const wire::PeerMessage &Message) {
@@ -170,6 +180,7 @@
   if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
   this->Configs.take(Peer, Message);
+  this->applyRules();
   if (Message.__isset.AppendRequestMsg)
     this->Log.appendFor(Peer, Message.AppendRequestMsg);
   if (Message.__isset.ForwardRequestMsg)
--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -75,6 +75,8 @@
   /// The folded state changed.
   /// @param Changes what changed.
   void onChanged(const std::vector<FoldChange> &Changes);
+  /// Hands the rules in force to routing, if they are new.
+  void applyRules();
   /// @return why the process cannot serve; empty if it can.
   std::string whyNotReady();
   /// Brings gauges up to date.
@@ -120,6 +122,8 @@
   ConfigTask Configs;
   /// HTTP towards callers.
   HttpFront Front;
+  /// Offset of the rules that routing has.
+  LogOffset RoutingRules = NoOffset;
   /// Whether the process is stopping.
   bool Stopping = false;
   /// Parts of the stop that are not done.
--- a/packages/daemon/route_task_base.h
+++ b/packages/daemon/route_task_base.h
@@ -46,6 +46,12 @@
   RouteTask(Loop &Events, WorkLinks &Works, EndpointTable &Table,
             WorkIdSource &WorkIds, Metrics &Counters);
 
+  /// Takes new rules.
+  /// @param Rules the rules in force.
+  void change(std::shared_ptr<const RuleSet> Rules) {
+    this->Controller.change(std::move(Rules));
+  }
+
   /// Routes a caller's completion.
   /// @param Exchange the request.
   /// @param Wanted its typed form.
--- a/packages/daemon/sample_task_base.h
+++ b/packages/daemon/sample_task_base.h
@@ -57,6 +57,12 @@
   void pull(const std::shared_ptr<CallerExchange> &Exchange,
             const PullRequest &Wanted);
 
+  /// Takes new rules.
+  /// @param Rules the rules in force.
+  void change(std::shared_ptr<const RuleSet> Rules) {
+    this->Scheduler.change(std::move(Rules));
+  }
+
   /// @name What happens elsewhere
   /// @{
   void committed(const RecordCommitted &Event);
--- a/packages/rules/table/rule_kinds.h
+++ b/packages/rules/table/rule_kinds.h
@@ -122,7 +122,7 @@
         &RoutingRule::HedgeBudgetPercent, "5", 0, 100,
         "hedged attempts, in percent of attempts"},
     RuleField<RoutingRule>{"retry_budget_percent",
-        &RoutingRule::RetryBudgetPercent, "20", 0, 100,
+        &RoutingRule::RetryBudgetPercent, "10", 0, 100,
         "retries, in percent of successes"},
     RuleField<RoutingRule>{"prefix_affinity", &RoutingRule::PrefixAffinity,
         "yes", 0, 0, "whether equal prompt prefixes go to the same endpoints"},
