Fix: [Daemon] A stopping entry cut requests

Cause: on SIGTERM an entry closed its listening socket in the same turn in which /readyz turned 503, before a balancer could ask, and ended 300 ms (or, with the release outstanding, 3 s) after its open requests, without a look whether new ones had come over kept connections or from other entries.

Change: clients are told to close and the entry goes on accepting for process.stop_accept_ms (2000 by default); stop_grace_ms counts from its end. The process ends only when no request is open, forwarded ones included.

--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -85,6 +85,9 @@
   int64_t MaxSampleBytesHeld = 0;
   /// Deadline of a request that names none.
   Millis DefaultDeadline;
+  /// Time after SIGTERM in which requests are still taken; StopGrace counts
+  /// from its end.
+  Millis StopAccept;
 };
 
 /// What an agent needs.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -56,6 +56,9 @@
     SettingSpec{"process", "stop_grace_ms", &CommonSettings::StopGrace,
                 "30000", 0, 3600000, "",
                 "Time for open requests to end after SIGTERM."},
+    SettingSpec{"process", "stop_accept_ms", &EntrySettings::StopAccept,
+                "2000", 0, 60000, "",
+                "Time after SIGTERM in which an entry, no longer ready, still takes requests; stop_grace_ms counts from its end."},
 
     SettingSpec{"listen", "links", &CommonSettings::ListenLinks, NoDefault,
                 0, 0, "", "Where peers connect to."},
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -316,9 +316,11 @@
   this->Front.beginStop([this] {
     this->partStopped();
     // With the log down nothing can be released; a successor claims anyway.
-    this->Events.callAfter(ReleaseWait, [this] { this->Events.stop(); });
+    this->Events.callAfter(ReleaseWait, [this] { this->endOnceIdle(); });
   });
-  this->Events.callAfter(this->Settings.Common.StopGrace, [this] {
+  const Millis Longest =
+      this->Settings.StopAccept + this->Settings.Common.StopGrace;
+  this->Events.callAfter(Longest, [this] {
     logLine(LogLevel::Error, "requests did not end in time");
     this->Events.stop();
   });
@@ -327,7 +329,16 @@
 void Entry::partStopped() {
   if (--this->StopParts > 0)
     return;
-  this->Events.callAfter(StopLinger, [this] { this->Events.stop(); });
+  this->Events.callAfter(StopLinger, [this] { this->endOnceIdle(); });
+}
+
+void Entry::endOnceIdle() {
+  // Kept connections and other entries may have brought requests meanwhile.
+  if (this->Front.idle()) {
+    this->Events.stop();
+    return;
+  }
+  this->Events.callAfter(StopLinger, [this] { this->endOnceIdle(); });
 }
 
 int runEntry(const EntrySettings &Settings) {
--- a/packages/daemon/entry_base.h
+++ b/packages/daemon/entry_base.h
@@ -83,6 +83,8 @@
   void beginStop();
   /// One part of the stop is done; the last one ends the process.
   void partStopped();
+  /// Ends the process once no request is open.
+  void endOnceIdle();
 
   /// The settings.
   const EntrySettings &Settings;
--- a/packages/daemon/http_front_base.cpp
+++ b/packages/daemon/http_front_base.cpp
@@ -55,7 +55,16 @@
 }
 
 void HttpFront::beginStop(std::function<void()> Done) {
-  this->Server->beginStop(std::move(Done));
+  this->Server->beginDrain();
+  this->Events.callAfter(this->Settings.StopAccept,
+                         [this, Done = std::move(Done)] {
+                           logLine(LogLevel::Info, "no longer accepting");
+                           this->Server->beginStop(Done);
+                         });
+}
+
+bool HttpFront::idle() const {
+  return this->Open == 0 && this->Server->inFlight() == 0;
 }
 
 bool HttpFront::answerProbe(HttpExchange &Exchange) {
--- a/packages/daemon/http_front_base.h
+++ b/packages/daemon/http_front_base.h
@@ -48,10 +48,15 @@
   /// @param Exchange the request.
   void takeForwarded(std::shared_ptr<CallerExchange> Exchange);
 
-  /// Stops accepting and waits for the requests in flight.
+  /// Goes on accepting for the time that the settings give, so that balancers
+  /// see by then that the process is not ready; then stops accepting and waits
+  /// for the requests in flight.
   /// @param Done called once none is left.
   void beginStop(std::function<void()> Done);
 
+  /// @return whether no request is open, those of other entries included.
+  bool idle() const;
+
 private:
   /// Takes a request from the server.
   /// @param Exchange the request.
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -321,9 +321,13 @@
   return this->Inner->Requests.Open.size();
 }
 
+void HttpServer::beginDrain() {
+  h2o_context_request_shutdown(&this->Inner->Context);
+}
+
 void HttpServer::beginStop(std::function<void()> Done) {
+  this->beginDrain();
   this->Inner->closeListener();
-  h2o_context_request_shutdown(&this->Inner->Context);
   if (this->Inner->Requests.Open.empty()) {
     this->Inner->Events.defer(std::move(Done));
     return;
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -108,7 +108,10 @@
   /// @return requests taken and not yet wholly answered.
   size_t inFlight() const;
 
-  /// Stops accepting, tells clients to close (GOAWAY, Connection: close).
+  /// Tells clients to close (GOAWAY, Connection: close); goes on accepting.
+  void beginDrain();
+
+  /// Stops accepting, tells clients to close as beginDrain() does.
   /// @param Done called when no request is in flight any more.
   void beginStop(std::function<void()> Done);
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -236,6 +236,45 @@
   cr_assert_neq(Client.received().find("whole"), std::string::npos);
 }
 
+Test(http, drain_goesOnAccepting_andAsksClientsToClose) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  PlainSocket Kept(Net.Server->port());
+  Kept.send("GET /a HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return !Kept.received().empty(); }));
+  cr_assert_eq(Kept.received().find("Connection: close"), std::string::npos);
+  Net.Server->beginDrain();
+  Kept.send("GET /b HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Kept.ended(); }));
+  cr_assert_neq(Kept.received().find("Connection: close"), std::string::npos);
+  cr_assert_neq(Kept.received().find("/b|"), std::string::npos);
+  PlainSocket Late(Net.Server->port());
+  Late.send("GET /c HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Late.ended(); }));
+  cr_assert_neq(Late.received().find("/c|"), std::string::npos);
+}
+
+Test(http, stopAfterDrain_finishesWhatCameMeanwhile) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Held;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    Held = std::move(One);
+  };
+  Net.Server->beginDrain();
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Held != nullptr; }));
+  bool Stopped = false;
+  Net.Server->beginStop([&] { Stopped = true; });
+  for (int Turn = 0; Turn < 20; ++Turn)
+    Net.Events.runOnce(Millis{0});
+  cr_assert_not(Stopped);
+  Held->answer(HttpResponse{200, "text/plain", {}, "whole"});
+  Held.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return Stopped && Client.ended(); }));
+  cr_assert_neq(Client.received().find("whole"), std::string::npos);
+}
+
 Test(http, portInUse_isRefused) {
   HttpFixture Net;
   HttpServerConfig Config;
