Fix: [Daemon] A begun stream was cut when its agent paused

Cause: a paused agent accepts connections in its kernel but sends no Hello, so the entry's fresh connection fails after the connect timeout and the peer is called dead. The entry then forgot all work there and refused its requests; a stream whose first part the caller has cannot begin anew and was cut. When the agent went on its output was still in its work store, and nobody asked.

Change: at the loss of a link WorkLinks keeps the work of requests whose answer has begun, and the route controller leaves these attempts alone. When the same boot is linked again QueryWork with HaveBytes resumes them; another boot, or 15 s without the agent, refuses them as peer_lost, unknown. Other work moves at once, as before. What an earlier boot lost does not make the entry avoid the new one.

Ruled out: to call a silent peer dead later in LinkHub, which would hold up rollouts and requests that can begin elsewhere.

--- a/packages/core/routing/route_controller_base.cpp
+++ b/packages/core/routing/route_controller_base.cpp
@@ -175,8 +175,14 @@
   Why.Reason = RefusalReason::PeerLost;
   Why.State = RunState::Unknown;
   Why.RetryAfterMs = NoEndpointRetryMs;
-  for (const WorkId Work : Lost)
-    this->on(RouteRefused{Work, Why}, Now, Out);
+  for (const WorkId Work : Lost) {
+    const auto Found = this->Attempts.find(Work);
+    if (Found == this->Attempts.end())
+      continue;
+    // Only this agent can go on with an answer that has begun.
+    if (!this->Requests.at(Found->second.Request).Answered)
+      this->on(RouteRefused{Work, Why}, Now, Out);
+  }
 }
 
 void RouteController::on(const RouteCallerGone &Event, Millis /*Now*/,
--- a/packages/core/routing/route_type.h
+++ b/packages/core/routing/route_type.h
@@ -93,7 +93,8 @@
   Refusal Why;
 };
 
-/// An endpoint is gone with all that ran there.
+/// An endpoint is gone with all that ran there. Answers that have begun are
+/// left alone: the agent may come back with the rest, else RouteRefused comes.
 struct RouteEndpointGone {
   /// Which.
   EndpointIndex Endpoint;
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -114,6 +114,8 @@
   const auto Endpoint = this->Links.endpointOf(Up.Peer);
   if (!Endpoint)
     return;
+  // What its earlier boot lost says nothing of this one.
+  this->Table.setReachable(*Endpoint, true);
   this->Calls.handle(AgentPresent{Up.Peer, BootId{Up.Hello.Boot}});
   this->Samples.endpointReported(*Endpoint);
 }
--- a/packages/daemon/work_links_base.cpp
+++ b/packages/daemon/work_links_base.cpp
@@ -3,12 +3,15 @@
 
 #include "daemon/work_links_base.h"
 
+#include "base/refusal_type.h"
+
 #include <utility>
 
 namespace camphornotch {
 
-WorkLinks::WorkLinks(Loop &Events, LinkHub &Hub, Metrics &Counters)
-    : Events(Events), Hub(Hub),
+WorkLinks::WorkLinks(Loop &Events, LinkHub &Hub, Metrics &Counters,
+                     Millis LossAfter)
+    : Events(Events), Hub(Hub), LossAfter(LossAfter),
       LateAnswers(Counters.counter("late_answers_total",
                                    "Answers to work that is not open")) {}
 
@@ -64,8 +67,13 @@
 }
 
 void WorkLinks::linkUp(const LinkUp &Up) {
-  if (Up.Again)
-    this->query(Up.Peer);
+  const BootId Boot{Up.Hello.Boot};
+  const auto Known = this->Boots.find(Up.Peer);
+  this->Events.cancel(this->LossTimers[Up.Peer]);
+  if (Known != this->Boots.end() && Known->second != Boot)
+    this->lose(Up.Peer);
+  this->Boots[Up.Peer] = Boot;
+  this->query(Up.Peer);
 }
 
 void WorkLinks::query(const HostId &Agent) {
@@ -86,9 +94,39 @@
   const auto Found = this->ByAgent.find(Agent);
   if (Found == this->ByAgent.end())
     return;
-  for (const int64_t Work : Found->second)
+  std::erase_if(Found->second, [this](int64_t Work) {
+    if (this->Works.at(Work).begun())
+      return false;
     this->Works.erase(Work);
-  this->ByAgent.erase(Found);
+    return true;
+  });
+  if (Found->second.empty()) {
+    this->ByAgent.erase(Found);
+    return;
+  }
+  TimerId &Timer = this->LossTimers[Agent];
+  this->Events.cancel(Timer);
+  Timer = this->Events.callAfter(this->LossAfter,
+                                 [this, Agent] { this->lose(Agent); });
+}
+
+void WorkLinks::lose(const HostId &Agent) {
+  const auto Found = this->ByAgent.find(Agent);
+  if (Found == this->ByAgent.end())
+    return;
+  wire::WorkRefused Lost;
+  Lost.Refusal.Reason = static_cast<int32_t>(RefusalReason::PeerLost);
+  Lost.Refusal.RunState = static_cast<int32_t>(RunState::Unknown);
+  Lost.Refusal.Detail = "the agent did not come back";
+  const std::unordered_set<int64_t> Numbers = Found->second;
+  for (const int64_t Work : Numbers) {
+    Lost.Work = Work;
+    // The handler may have abandoned it at the end of another.
+    if (!this->Works.contains(Work))
+      continue;
+    if (const auto Owner = this->settle(Agent, WorkId{Work}))
+      this->Handler(Agent, WorkEvent{*Owner, Lost});
+  }
 }
 
 std::optional<WorkOwner> WorkLinks::settle(const HostId &Agent, WorkId Work) {
--- a/packages/daemon/work_links_base.h
+++ b/packages/daemon/work_links_base.h
@@ -18,6 +18,11 @@
 
 namespace camphornotch {
 
+/// How long a begun answer waits for its agent to come back. Longer than the
+/// longest wait between connections, shorter than an agent keeps the work of
+/// an entry that is gone.
+inline constexpr Millis AnswerLossAfter = seconds(15);
+
 /// Who started a piece of work.
 enum class WorkOwner : uint8_t {
   Route,   ///< Requests that are answered whole, and scoring.
@@ -43,7 +48,9 @@
   /// @param Events the loop.
   /// @param Hub carries the messages.
   /// @param Counters the process's metrics.
-  WorkLinks(Loop &Events, LinkHub &Hub, Metrics &Counters);
+  /// @param LossAfter how long a begun answer waits for its agent.
+  WorkLinks(Loop &Events, LinkHub &Hub, Metrics &Counters,
+            Millis LossAfter = AnswerLossAfter);
 
   /// @param Handler takes answers.
   void onAnswer(WorkHandler Handler) { this->Handler = std::move(Handler); }
@@ -70,12 +77,13 @@
   void acknowledge(const HostId &Agent, WorkId Work);
 
   /// A link is up: asks for the answers that the old connection may have
-  /// lost.
+  /// lost. A new boot has none: what was open at the old one is refused.
   /// @param Up the event.
   void linkUp(const LinkUp &Up);
 
   /// A peer is gone: its work is forgotten, which the owners learn by other
-  /// ways.
+  /// ways. Answers of requests that have begun are kept, as they can't begin
+  /// anew elsewhere: the agent may have been paused only.
   /// @param Agent the peer.
   void linkDown(const HostId &Agent);
 
@@ -99,6 +107,11 @@
     bool Stream = false;
     /// Bytes of streamed output received.
     int64_t Received = 0;
+
+    /// @return whether a caller may have a part of the answer already.
+    bool begun() const {
+      return this->Owner == WorkOwner::Route && this->Received > 0;
+    }
   };
 
   /// Takes a part of an output; drops what came before.
@@ -119,6 +132,9 @@
   /// Asks an agent for what is open there.
   /// @param Agent the agent's host.
   void query(const HostId &Agent);
+  /// Refuses all work of an agent that did not come back.
+  /// @param Agent the agent's host.
+  void lose(const HostId &Agent);
 
   /// The loop.
   Loop &Events;
@@ -130,6 +146,12 @@
   std::unordered_map<int64_t, OpenWork> Works;
   /// Work by agent.
   std::unordered_map<HostId, std::unordered_set<int64_t>> ByAgent;
+  /// The boot that each peer was linked with last.
+  std::unordered_map<HostId, BootId> Boots;
+  /// Ends the wait for agents that are gone.
+  std::unordered_map<HostId, TimerId> LossTimers;
+  /// How long a begun answer waits for its agent.
+  Millis LossAfter;
   /// Acknowledgements to be sent at the end of the turn.
   std::unordered_map<HostId, std::vector<int64_t>> Acks;
   /// Answers to work that is not open.
--- a/tests/routing/route_controller_test.cpp
+++ b/tests/routing/route_controller_test.cpp
@@ -192,3 +192,28 @@
   });
   cr_assert(Held);
 }
+
+Test(routeController, begun_answer_outlives_its_endpoints_absence) {
+  RouteFixture Fixture;
+  Fixture.addEngine("a");
+  Fixture.addEngine("b");
+  const auto First = onlySend(Fixture.request(1, true));
+  Fixture.Controller.handle(RouteStarted{First.Work}, Fixture.Now);
+  cr_assert(
+      Fixture.Controller.handle(RouteEndpointGone{First.Endpoint}, Fixture.Now)
+          .empty());
+  const auto Refused = actionsOf<RefuseRoute>(
+      Fixture.refuse(First.Work, RefusalReason::PeerLost, RunState::Unknown));
+  cr_assert(Refused.size() == 1);
+  cr_assert(Refused[0].Why.State == RunState::Unknown);
+}
+
+Test(routeController, answer_not_begun_moves_when_its_endpoint_is_gone) {
+  RouteFixture Fixture;
+  Fixture.addEngine("a");
+  Fixture.addEngine("b");
+  const auto First = onlySend(Fixture.request(1, true));
+  const auto Second = onlySend(Fixture.Controller.handle(
+      RouteEndpointGone{First.Endpoint}, Fixture.Now));
+  cr_assert(Second.Endpoint != First.Endpoint);
+}
