Fix: [Samples] A step stood still when engines could not load newer weights

Cause: two faults met. The trainer's stand-in announced new weights also if the store had refused them (an outage answers 503), so that no engine could ever load them: after two such versions every engine was over the age bound for good. And the entry asked each attempt for versions that would still be within the bound when it ends; with a bound of one version that is the newest one, so that attempts were refused (too_old) for as long as no engine could load it, though the present one was within the bound.

Change: the stand-in puts weights into the store until it takes them and announces them then, as its comment says; its checks are the same. The scheduler gives up the wish for newer versions after four refusals of a slot and takes what is within the bound; the bound itself stays.

The new test of the scheduler fails with the limit of refusals out of reach.

--- a/packages/core/routing/rollout_scheduler_base.cpp
+++ b/packages/core/routing/rollout_scheduler_base.cpp
@@ -20,6 +20,9 @@
 constexpr Millis LongestBackoff{3200};
 /// Refusals after which the wait no longer doubles.
 constexpr int32_t MostDoublings = 6;
+/// Refusals of a slot for old weights after which anything within the age bound
+/// will do: the engines may be unable to load newer ones.
+constexpr int32_t MaxVersionRefusals = 4;
 /// Wait for the budget of retries to refill.
 constexpr Millis BudgetWait{250};
 /// Retries that may be saved up.
@@ -154,6 +157,8 @@
     return;
   }
   ++Slot.Refusals;
+  if (Event.Reason == RefusalReason::TooOld)
+    ++Slot.VersionRefusals;
   const Millis Wait = std::max(Event.RetryAfter, backoff(Slot.Refusals));
   this->tryAgain(Done->Slot, Reason, Now + Wait, Now, Out);
 }
@@ -272,11 +277,19 @@
     this->HedgeBudget.deposit(Move->HedgeShare);
   Out.emplace_back(SendAttempt{Work, Ref, Index, this->classOf(Slot.Spec),
                                Slot.Tries, Expected, Slot.Kept,
-                               this->stepRemaining(Slot.Spec)});
+                               this->stepRemaining(Slot.Spec),
+                               RolloutScheduler::minVersionFor(Slot)});
   ++Slot.Tries;
   Slot.Attempts.push_back(Work);
 }
 
+WeightVersion RolloutScheduler::minVersionFor(const Slot &Needed) {
+  // Newer weights spare a second run; without them the step must go on.
+  return Needed.VersionRefusals < MaxVersionRefusals
+             ? Needed.Spec.MinVersion
+             : Needed.Spec.OldestVersion;
+}
+
 std::optional<RolloutScheduler::Attempt> RolloutScheduler::settle(WorkId Work) {
   const auto Found = this->Attempts.find(Work);
   if (Found == this->Attempts.end())
--- a/packages/core/routing/rollout_scheduler_base.h
+++ b/packages/core/routing/rollout_scheduler_base.h
@@ -92,6 +92,8 @@
     int32_t Tries = 0;
     /// Refusals in a row, for the backoff.
     int32_t Refusals = 0;
+    /// Refusals because the endpoint had older weights than asked for.
+    int32_t VersionRefusals = 0;
     /// Output to resume from.
     KeptOutput Kept;
     /// Whether it waits in the pending slots.
@@ -148,6 +150,9 @@
   /// @param Ref the slot.
   /// @param Index where.
   void send(SlotRef Ref, EndpointIndex Index, Millis Now, Actions &Out);
+  /// @param Needed a slot.
+  /// @return the oldest version that its next attempt may use.
+  static WeightVersion minVersionFor(const Slot &Needed);
   /// Takes an attempt off the books.
   /// @param Work the attempt.
   /// @return what it was, if known.
--- a/packages/core/routing/rollout_type.h
+++ b/packages/core/routing/rollout_type.h
@@ -45,6 +45,10 @@
   int64_t Bytes = 0;
   /// Patterns of the endpoints that it may use; empty: all.
   std::vector<std::string> Engines;
+  /// Older versions would be over the age bound when the output is ready.
+  WeightVersion MinVersion{-1};
+  /// Older versions are over the age bound already.
+  WeightVersion OldestVersion{-1};
 };
 
 /// Slots wait here until an endpoint has a place free (default).
@@ -165,6 +169,8 @@
   KeptOutput Kept;
   /// Tokens expected until the step is whole.
   int64_t StepRemaining = 0;
+  /// The oldest version that it may use.
+  WeightVersion MinVersion{-1};
 };
 
 /// Stop an attempt.
--- a/packages/core/samples/sample_base.h
+++ b/packages/core/samples/sample_base.h
@@ -243,7 +243,10 @@
   /// @return the newest version known of it, the trainer's own included.
   int64_t newest(const std::string &Model) const;
   /// @param Model a model.
-  /// @return the oldest version that an attempt started now may use.
+  /// @return the oldest version within the age bound at present.
+  int64_t oldestVersion(const std::string &Model) const;
+  /// @param Model a model.
+  /// @return the oldest version that an attempt started now should use.
   int64_t minVersion(const std::string &Model) const;
   /// @param Handle a request.
   /// @param Reason why it is refused.
--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -64,7 +64,8 @@
   this->Slots[Key].Stage = Phase::Running;
   Out.emplace_back(NeedAttempt{
       Key, this->Trainer, Group->Group, Model, Group->Prompt, Group->MaxTokens,
-      Group->Parameters, WeightVersion{this->minVersion(Model)}});
+      Group->Parameters, WeightVersion{this->minVersion(Model)},
+      WeightVersion{this->oldestVersion(Model)}});
 }
 
 void SampleController::retry(const SlotKey &Key, DropReason Why, Actions &Out) {
@@ -203,7 +204,7 @@
   if (State.Output.Failure)
     return false;
   const std::string &Model = this->Table.steps().at(Key.Step).Model;
-  const int64_t Oldest = this->newest(Model) - this->Settings.MaxVersionsBehind;
+  const int64_t Oldest = this->oldestVersion(Model);
   const auto &Segments = State.Output.Segments;
   return std::any_of(Segments.begin(), Segments.end(),
                      [&](const wire::LabelSegment &Segment) {
@@ -218,6 +219,11 @@
   return std::max(Seen, this->TrainerVersion);
 }
 
+int64_t SampleController::oldestVersion(const std::string &Model) const {
+  const int64_t Oldest = this->newest(Model) - this->Settings.MaxVersionsBehind;
+  return std::max<int64_t>(Oldest, -1);
+}
+
 int64_t SampleController::minVersion(const std::string &Model) const {
   const int64_t Newest = this->newest(Model);
   int64_t Lead = 0;
--- a/packages/core/samples/sample_type.h
+++ b/packages/core/samples/sample_type.h
@@ -185,6 +185,8 @@
   std::string Parameters;
   /// Older versions would be over the age bound when the output is ready.
   WeightVersion MinVersion{-1};
+  /// Older versions are over the age bound already.
+  WeightVersion OldestVersion{-1};
 };
 
 /// Action: the slot is filled or gone; cancel what still runs for it.
--- a/packages/daemon/sample_rollouts.cpp
+++ b/packages/daemon/sample_rollouts.cpp
@@ -71,6 +71,8 @@
   Spec.Group = Action.Group;
   Spec.MaxTokens = Action.MaxTokens;
   Spec.Bytes = static_cast<int64_t>(New.Body.size());
+  Spec.MinVersion = Action.MinVersion;
+  Spec.OldestVersion = Action.OldestVersion;
   Spec.Engines =
       trainerRule(*this->Log.fold().config().Rules, Name.Value).Engines;
   this->schedule(SlotNeeded{Spec});
@@ -141,7 +143,7 @@
   Work.Digest = static_cast<int64_t>(hashBytes(Found->second.Body));
   Work.Affinity =
       concat(Need.Trainer.Value, "/", Need.Slot.Step, "/", Need.Group);
-  Work.MinVersion = Need.MinVersion.Value;
+  Work.MinVersion = Action.MinVersion.Value;
   Work.KeptText = Action.Kept.Text;
   Work.KeptTokens = Action.Kept.Tokens;
   Work.KeptSegments = Action.Kept.Segments;
--- a/standins/trainer/trainer_task.cpp
+++ b/standins/trainer/trainer_task.cpp
@@ -158,30 +158,39 @@
   this->IdleSince = this->Events.now();
   this->FinishedAt = this->Events.now();
   if (this->Settings.Announces) {
-    this->announce();
+    this->storeWeights(++this->Version);
   }
   this->submitDue();
   this->trainIfWhole();
 }
 
-void TrainerTask::announce() {
-  const int64_t Next = ++this->Version;
-  HttpCall Call =
-      EntryCaller::post(this->modelPath(), {{"newest", Next}}, CallTimeout);
-  Call.Target = this->Settings.Store;
+void TrainerTask::announce(int64_t Version) {
   const nlohmann::json Body = {
       {"model", this->Settings.Model},
-      {"version", Next},
+      {"version", Version},
       {"location", absl::StrCat("http://", this->Settings.Store.Address, ":",
                                 this->Settings.Store.Port, "/v1/weights/",
-                                this->Settings.Model, "/", Next)}};
-  HttpEvents Tell;
-  Tell.Finished = [this, Body](const HttpResponse &) {
-    this->announceToEntries(Body);
+                                this->Settings.Model, "/", Version)}};
+  this->announceToEntries(Body);
+}
+
+void TrainerTask::storeWeights(int64_t Version) {
+  HttpCall Call =
+      EntryCaller::post(this->modelPath(), {{"newest", Version}}, CallTimeout);
+  Call.Target = this->Settings.Store;
+  const auto Again = [this, Version] {
+    this->Events.callAfter(RetryWait,
+                           [this, Version] { this->storeWeights(Version); });
   };
-  Tell.Failed = [this, Body](const HttpFailure &) {
-    this->announceToEntries(Body);
+  HttpEvents Tell;
+  Tell.Finished = [this, Version, Again](const HttpResponse &Response) {
+    if (Response.Status == 200) {
+      this->announce(Version);
+    } else {
+      Again();
+    }
   };
+  Tell.Failed = [Again](const HttpFailure &) { Again(); };
   this->Http.start(std::move(Call), std::move(Tell));
 }
 
--- a/standins/trainer/trainer_task.h
+++ b/standins/trainer/trainer_task.h
@@ -73,8 +73,13 @@
   void trainIfWhole();
   /// Goes on after training.
   void onTrained();
-  /// Puts new weights in the store and announces them.
-  void announce();
+  /// Puts new weights in the store, until it has taken them; then announces
+  /// them.
+  /// @param Version their version.
+  void storeWeights(int64_t Version);
+  /// Announces weights that are in the store.
+  /// @param Version their version.
+  void announce(int64_t Version);
   /// Tells the entries of new weights, until one has taken it.
   /// @param Body the announcement.
   void announceToEntries(const nlohmann::json &Body);
--- a/tests/routing/rollout_scheduler_test.cpp
+++ b/tests/routing/rollout_scheduler_test.cpp
@@ -193,3 +193,35 @@
   });
   cr_assert(Held);
 }
+
+Test(rolloutScheduler, slot_goes_on_within_age_bound_if_no_engine_gets_newer) {
+  SchedulerFixture Fixture;
+  Fixture.addEngine("a", "dc1", 10000, 1);
+  RolloutSpec Spec;
+  Spec.Slot.Value = 1;
+  Spec.Trainer.Value = "t";
+  Spec.Model = "m";
+  Spec.MaxTokens = 100;
+  Spec.MinVersion.Value = 5;
+  Spec.OldestVersion.Value = 4;
+  auto Actions = Fixture.Scheduler.handle(SlotNeeded{Spec}, Fixture.Now);
+  int Refused = 0;
+  // The weight store is out: the engine stays at version 4.
+  while (Refused < 100) {
+    const auto Sent = actionsOf<SendAttempt>(Actions);
+    if (Sent.empty()) {
+      Actions = Fixture.tickAfter(Millis{200});
+      continue;
+    }
+    if (Sent[0].MinVersion.Value <= 4)
+      break;
+    ++Refused;
+    const AttemptRefused TooOld{
+        Sent[0].Work, RefusalReason::TooOld, Millis{500}, {}};
+    Actions = Fixture.Scheduler.handle(TooOld, Fixture.Now);
+    Fixture.report(Sent[0].Endpoint, 10000, 1);
+  }
+  // Newer weights are waited for at first: they spare a second run.
+  cr_assert(Refused == 4);
+  cr_assert(Fixture.Now < Millis{1000} + seconds(10));
+}
--- a/tests/samples/sample_test.cpp
+++ b/tests/samples/sample_test.cpp
@@ -274,6 +274,7 @@
   F.readBack();
   // An attempt takes 100 ms, a version 50 ms: two come meanwhile.
   cr_assert(F.found<NeedAttempt>()[0].MinVersion == WeightVersion{10 - 4 + 2});
+  cr_assert(F.found<NeedAttempt>()[0].OldestVersion == WeightVersion{10 - 4});
 }
 
 Test(score, sample_waits_for_its_score) {
