Fix: [Samples] The score of an earlier output of a slot was taken for a later one

Cause: an answer of the scorer named its slot alone. A slot that lost its owner and was made again while the scorer was still asked about the first output took that answer as the score of the second output.

Change: each question has a number, and only the answer to the last one counts. The test of the fixture's scored step names the question, too, and is as strict as before.

The new test score.late_score_of_earlier_output_is_not_used fails without the comparison of the numbers and passes with it.

Conclusion: an answer that comes late must name what it answers.

--- a/packages/core/samples/sample_base.h
+++ b/packages/core/samples/sample_base.h
@@ -59,6 +59,8 @@
     Phase Stage = Phase::Idle;
     /// The output, from Scoring on.
     Sample Output;
+    /// The question that the scorer was asked.
+    int64_t Query = 0;
   };
 
   /// A submission that waits for its records.
@@ -231,6 +233,10 @@
   /// @param Event the pull.
   /// @return the cursor, or what is wrong with it.
   Result<Cursor> readCursor(const PullReceived &Event) const;
+  /// @param Slot a slot.
+  /// @param Query a question to a scorer.
+  /// @return the slot, if it waits for the answer to just this question.
+  SlotState *findScoring(const SlotKey &Slot, int64_t Query);
   /// Forgets a slot's output and attempts.
   /// @param Key the slot.
   /// @param Out receives what cancels them.
@@ -296,6 +302,8 @@
   std::map<std::string, ModelState> Models;
   /// The version that the trainer has reached.
   int64_t TrainerVersion = -1;
+  /// The last question to a scorer.
+  int64_t LastQuery = 0;
 };
 
 } // namespace camphornotch
--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -125,8 +125,9 @@
   Out.emplace_back(CancelAttempts{Event.Slot});
   if (!Group.Scorer.empty()) {
     State.Stage = Phase::Scoring;
-    Out.emplace_back(
-        NeedScore{Event.Slot, Group.Scorer, Group.Prompt, Event.Text});
+    State.Query = ++this->LastQuery;
+    Out.emplace_back(NeedScore{Event.Slot, Group.Scorer, Group.Prompt,
+                               Event.Text, State.Query});
     return;
   }
   this->makeReady(Event.Slot, State);
@@ -150,24 +151,31 @@
   this->tryAnswerPull(Now, Out);
 }
 
+SampleController::SlotState *SampleController::findScoring(const SlotKey &Slot,
+                                                           int64_t Query) {
+  const auto Found = this->Slots.find(Slot);
+  const bool Waits = this->active() && Found != this->Slots.end() &&
+                     Found->second.Stage == Phase::Scoring &&
+                     Found->second.Query == Query;
+  return Waits ? &Found->second : nullptr;
+}
+
 void SampleController::on(const ScoreFinished &Event, Millis Now,
                           Actions &Out) {
-  const auto Found = this->Slots.find(Event.Slot);
-  if (!this->active() || Found == this->Slots.end() ||
-      Found->second.Stage != Phase::Scoring)
+  SlotState *State = this->findScoring(Event.Slot, Event.Query);
+  if (State == nullptr)
     return;
-  Found->second.Output.Score = Event.Score;
-  this->makeReady(Event.Slot, Found->second);
+  State->Output.Score = Event.Score;
+  this->makeReady(Event.Slot, *State);
   this->tryAnswerPull(Now, Out);
 }
 
 void SampleController::on(const ScoreFailed &Event, Millis Now, Actions &Out) {
-  const auto Found = this->Slots.find(Event.Slot);
-  if (!this->active() || Found == this->Slots.end() ||
-      Found->second.Stage != Phase::Scoring)
+  SlotState *State = this->findScoring(Event.Slot, Event.Query);
+  if (State == nullptr)
     return;
-  Found->second.Output.Failure = Event.Reason;
-  this->makeReady(Event.Slot, Found->second);
+  State->Output.Failure = Event.Reason;
+  this->makeReady(Event.Slot, *State);
   this->tryAnswerPull(Now, Out);
 }
 
--- a/packages/core/samples/sample_type.h
+++ b/packages/core/samples/sample_type.h
@@ -136,6 +136,8 @@
   SlotKey Slot;
   /// The score.
   double Score = 0;
+  /// Which question it answers.
+  int64_t Query = 0;
 };
 
 /// Event: the scorer cannot score this sample.
@@ -144,6 +146,8 @@
   SlotKey Slot;
   /// Why.
   RefusalReason Reason = RefusalReason::EndpointFailed;
+  /// Which question it answers.
+  int64_t Query = 0;
 };
 
 /// Event: a newer version of a model is known.
@@ -205,6 +209,8 @@
   std::string Prompt;
   /// The output.
   std::string Text;
+  /// The question's number: a slot may be asked for again with new output.
+  int64_t Query = 0;
 };
 
 /// Action: the trainer holds this sample; agents may forget their copy.
--- a/packages/daemon/sample_task_base.cpp
+++ b/packages/daemon/sample_task_base.cpp
@@ -226,11 +226,12 @@
   const bool Good = Finished != nullptr && Finished->Status == 200;
   const auto Score = Good ? parseScore(Finished->Body) : std::nullopt;
   if (Score) {
-    this->handle(Name, ScoreFinished{Need.Slot, *Score});
+    this->handle(Name, ScoreFinished{Need.Slot, *Score, Need.Query});
     return;
   }
   if (Tries + 1 >= MaxScoreTries) {
-    this->handle(Name, ScoreFailed{Need.Slot, RefusalReason::EndpointFailed});
+    this->handle(Name, ScoreFailed{Need.Slot, RefusalReason::EndpointFailed,
+                                   Need.Query});
     return;
   }
   this->Counters.countRetry(RetryReason::ScorerFailed);
--- a/tests/samples/sample_test.cpp
+++ b/tests/samples/sample_test.cpp
@@ -102,6 +102,18 @@
     this->readBack();
   }
 
+  /// A step of one sample that a scorer judges.
+  void startScored() {
+    this->claim(true);
+    wire::GroupSpec Group;
+    Group.Group = "g";
+    Group.Samples = 1;
+    Group.MaxTokens = 8;
+    Group.Scorer = "judge";
+    this->give(SubmitReceived{RequestHandle{1}, 1, "m", {Group}});
+    this->readBack();
+  }
+
   /// The epoch that stands.
   int64_t LastEpoch = -1;
 };
@@ -277,20 +289,31 @@
   cr_assert(F.found<NeedAttempt>()[0].OldestVersion == WeightVersion{10 - 4});
 }
 
-Test(score, sample_waits_for_its_score) {
+Test(score, late_score_of_earlier_output_is_not_used) {
   SampleFixture F;
+  F.startScored();
+  F.finish(1, 0, 3);
+  const auto Early = F.found<NeedScore>();
+  F.give(ShardLost{trainerShard(TrainerId{"t"})});
   F.claim(true);
-  wire::GroupSpec Group;
-  Group.Group = "g";
-  Group.Samples = 1;
-  Group.MaxTokens = 8;
-  Group.Scorer = "judge";
-  F.give(SubmitReceived{RequestHandle{1}, 1, "m", {Group}});
-  F.readBack();
   F.finish(1, 0, 3);
-  cr_assert(F.found<NeedScore>().size() == 1);
+  const auto Late = F.found<NeedScore>();
+  F.give(ScoreFinished{SlotKey{1, 0, 0}, 0.25, Early[0].Query});
+  F.give(ScoreFailed{SlotKey{1, 0, 0}, RefusalReason::EndpointFailed,
+                     Early[0].Query});
+  cr_assert(F.pull("")->Samples.empty());
+  F.give(ScoreFinished{SlotKey{1, 0, 0}, 0.5, Late[0].Query});
+  cr_assert(F.pull("")->Samples[0].Score == 0.5);
+}
+
+Test(score, sample_waits_for_its_score) {
+  SampleFixture F;
+  F.startScored();
+  F.finish(1, 0, 3);
+  const auto Needs = F.found<NeedScore>();
+  cr_assert(Needs.size() == 1);
   cr_assert(F.pull("")->Samples.empty());
-  F.give(ScoreFinished{SlotKey{1, 0, 0}, 0.5});
+  F.give(ScoreFinished{SlotKey{1, 0, 0}, 0.5, Needs[0].Query});
   cr_assert(F.pull("")->Samples[0].Score == 0.5);
 }
 
