--- a/packages/core/samples/sample_slots.cpp
+++ b/packages/core/samples/sample_slots.cpp
@@ -64,7 +64,8 @@
   this->Slots[Key].Stage = Phase::Running;
   Out.emplace_back(NeedAttempt{
       Key, this->Trainer, Group->Group, Model, Group->Prompt, Group->MaxTokens,
-      Group->Parameters, WeightVersion{this->minVersion(Model)}});
+      Group->Parameters, WeightVersion{this->minVersion(Model)},
+      WeightVersion{this->oldestVersion(Model)}});
 }
 
 void SampleController::retry(const SlotKey &Key, DropReason Why, Actions &Out) {
@@ -124,8 +125,9 @@
   Out.emplace_back(CancelAttempts{Event.Slot});
   if (!Group.Scorer.empty()) {
     State.Stage = Phase::Scoring;
-    Out.emplace_back(
-        NeedScore{Event.Slot, Group.Scorer, Group.Prompt, Event.Text});
+    State.Query = ++this->LastQuery;
+    Out.emplace_back(NeedScore{Event.Slot, Group.Scorer, Group.Prompt,
+                               Event.Text, State.Query});
     return;
   }
   this->makeReady(Event.Slot, State);
@@ -149,24 +151,31 @@
   this->tryAnswerPull(Now, Out);
 }
 
+SampleController::SlotState *SampleController::findScoring(const SlotKey &Slot,
+                                                           int64_t Query) {
+  const auto Found = this->Slots.find(Slot);
+  const bool Waits = this->active() && Found != this->Slots.end() &&
+                     Found->second.Stage == Phase::Scoring &&
+                     Found->second.Query == Query;
+  return Waits ? &Found->second : nullptr;
+}
+
 void SampleController::on(const ScoreFinished &Event, Millis Now,
                           Actions &Out) {
-  const auto Found = this->Slots.find(Event.Slot);
-  if (!this->active() || Found == this->Slots.end() ||
-      Found->second.Stage != Phase::Scoring)
+  SlotState *State = this->findScoring(Event.Slot, Event.Query);
+  if (State == nullptr)
     return;
-  Found->second.Output.Score = Event.Score;
-  this->makeReady(Event.Slot, Found->second);
+  State->Output.Score = Event.Score;
+  this->makeReady(Event.Slot, *State);
   this->tryAnswerPull(Now, Out);
 }
 
 void SampleController::on(const ScoreFailed &Event, Millis Now, Actions &Out) {
-  const auto Found = this->Slots.find(Event.Slot);
-  if (!this->active() || Found == this->Slots.end() ||
-      Found->second.Stage != Phase::Scoring)
+  SlotState *State = this->findScoring(Event.Slot, Event.Query);
+  if (State == nullptr)
     return;
-  Found->second.Output.Failure = Event.Reason;
-  this->makeReady(Event.Slot, Found->second);
+  State->Output.Failure = Event.Reason;
+  this->makeReady(Event.Slot, *State);
   this->tryAnswerPull(Now, Out);
 }
 
@@ -203,7 +212,7 @@
   if (State.Output.Failure)
     return false;
   const std::string &Model = this->Table.steps().at(Key.Step).Model;
-  const int64_t Oldest = this->newest(Model) - this->Settings.MaxVersionsBehind;
+  const int64_t Oldest = this->oldestVersion(Model);
   const auto &Segments = State.Output.Segments;
   return std::any_of(Segments.begin(), Segments.end(),
                      [&](const wire::LabelSegment &Segment) {
@@ -218,6 +227,11 @@
   return std::max(Seen, this->TrainerVersion);
 }
 
+int64_t SampleController::oldestVersion(const std::string &Model) const {
+  const int64_t Oldest = this->newest(Model) - this->Settings.MaxVersionsBehind;
+  return std::max<int64_t>(Oldest, -1);
+}
+
 int64_t SampleController::minVersion(const std::string &Model) const {
   const int64_t Newest = this->newest(Model);
   int64_t Lead = 0;
