--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -114,6 +114,8 @@
   const auto Endpoint = this->Links.endpointOf(Up.Peer);
   if (!Endpoint)
     return;
+  // What its earlier boot lost says nothing of this one.
+  this->Table.setReachable(*Endpoint, true);
   this->Calls.handle(AgentPresent{Up.Peer, BootId{Up.Hello.Boot}});
   this->Samples.endpointReported(*Endpoint);
 }
@@ -157,6 +159,16 @@
   this->Configs.changed(Changes);
   this->Pushes.changed(Changes);
   this->Agents.changed(Changes);
+  this->applyRules();
+}
+
+void Entry::applyRules() {
+  const AcceptedConfig &InForce = this->Configs.inForce();
+  if (InForce.Offset <= this->RoutingRules)
+    return;
+  this->RoutingRules = InForce.Offset;
+  this->Routes.change(InForce.Rules);
+  this->Samples.change(InForce.Rules);
 }
 
 void Entry::onPeer(const HostId &Peer, const wire::PeerMessage &Message) {
@@ -170,6 +182,7 @@
   if (this->Works.take(Peer, Message) || this->Agents.take(Peer, Message))
     return;
   this->Configs.take(Peer, Message);
+  this->applyRules();
   if (Message.__isset.AppendRequestMsg)
     this->Log.appendFor(Peer, Message.AppendRequestMsg);
   if (Message.__isset.ForwardRequestMsg)
