--- a/packages/base/log_func.cpp
+++ b/packages/base/log_func.cpp
@@ -64,7 +64,7 @@
   return LogLevel::Info;
 }
 
-/// @param File where lines go; empty: standard error.
+/// @param File where lines go; empty: standard output.
 /// @return the appender.
 log4cxx::AppenderPtr makeAppender(const std::string &File) {
   const auto Layout = std::make_shared<log4cxx::JSONLayout>();
@@ -72,7 +72,7 @@
   if (!File.empty())
     return std::make_shared<log4cxx::FileAppender>(Layout, File, true);
   return std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+      Layout, log4cxx::ConsoleAppender::getSystemOut());
 }
 
 } // namespace
--- a/packages/base/log_func.h
+++ b/packages/base/log_func.h
@@ -23,7 +23,7 @@
   std::string_view Value;
 };
 
-/// Directs log lines as the settings say: level, and file or standard error.
+/// Directs log lines as the settings say: level, and file or standard output.
 /// @param Settings the common settings; host and role are put on each line.
 void setupLogging(const CommonSettings &Settings);
 
--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -33,6 +33,8 @@
   CommonSettings Common;
   EntrySettings Entry;
   AgentSettings Agent;
+  GatewaySettings Gateway;
+  LoaderSettings Loader;
 
   /// @return the aggregate that holds members of the given one's type.
   CommonSettings &of(const CommonSettings *) { return this->Common; }
@@ -40,10 +42,14 @@
   EntrySettings &of(const EntrySettings *) { return this->Entry; }
   /// @return the aggregate that holds members of the given one's type.
   AgentSettings &of(const AgentSettings *) { return this->Agent; }
+  /// @return the aggregate that holds members of the given one's type.
+  GatewaySettings &of(const GatewaySettings *) { return this->Gateway; }
+  /// @return the aggregate that holds members of the given one's type.
+  LoaderSettings &of(const LoaderSettings *) { return this->Loader; }
 };
 
 /// @param Spec a row.
-/// @param Role "entry" or "agent".
+/// @param Role the process's role.
 /// @return whether the role uses the setting.
 bool usedBy(const SettingSpec &Spec, std::string_view Role) {
   return std::visit(
@@ -52,6 +58,10 @@
           return Role == "entry";
         else if constexpr (std::is_same_v<OwnerT, AgentSettings>)
           return Role == "agent";
+        else if constexpr (std::is_same_v<OwnerT, GatewaySettings>)
+          return Role == "gateway";
+        else if constexpr (std::is_same_v<OwnerT, LoaderSettings>)
+          return Role == "loader";
         else
           return true;
       },
@@ -186,7 +196,7 @@
   if (!Names.empty())
     return concat("names in [", Section, "]: ", Names);
   return "sections: process, listen, platform, intervals, limits, logging, "
-         "entry, endpoint";
+         "entry, endpoint, gateway, loader";
 }
 
 /// Takes one given value, if there is such a setting.
@@ -337,6 +347,11 @@
   if (Common.Role == "entry" && Common.HostList.Port == 0)
     Add("[platform] host_list is missing",
         "an entry needs the host list's address");
+  double Grace = 0;
+  if (Common.Role == "gateway" &&
+      (!absl::SimpleAtod(toAbsl(Draft.Gateway.GraceSeconds), &Grace) ||
+       Grace <= 0))
+    Add("[gateway] grace_s is no number of seconds", "write one above 0");
   if (Draft.Agent.ShortReserve > Draft.Agent.Slots)
     Add("[endpoint] short_reserve is above slots",
         "keep short_reserve below slots");
@@ -363,6 +378,14 @@
     Draft.Entry.Common = std::move(Draft.Common);
     return DaemonSettings(std::move(Draft.Entry));
   }
+  if (Draft.Common.Role == "gateway") {
+    Draft.Gateway.Common = std::move(Draft.Common);
+    return DaemonSettings(std::move(Draft.Gateway));
+  }
+  if (Draft.Common.Role == "loader") {
+    Draft.Loader.Common = std::move(Draft.Common);
+    return DaemonSettings(std::move(Draft.Loader));
+  }
   Draft.Agent.Common = std::move(Draft.Common);
   return DaemonSettings(std::move(Draft.Agent));
 }
--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -69,7 +69,7 @@
   Millis StopGrace;
   /// The least level that is written.
   std::string LogLevel;
-  /// Where log lines go; empty: standard error.
+  /// Where log lines go; empty: standard output.
   std::string LogFile;
 };
 
@@ -120,8 +120,43 @@
   Millis SwapTimeout;
 };
 
+/// What a gateway needs.
+struct GatewaySettings {
+  /// What all roles need.
+  CommonSettings Common;
+  /// Where callers connect to.
+  Address Front;
+  /// The platform's store.
+  Address Store;
+  /// "data centre=region" for all data centres, separated by commas.
+  std::string Regions;
+  /// Time that the platform gives after SIGTERM, in seconds.
+  std::string GraceSeconds;
+  /// Partitions of batch submissions; equal on all gateways.
+  int64_t Partitions = 0;
+  /// Most bytes of one record of the store.
+  int64_t RecordBytes = 0;
+  /// How long an ended submission can still be read.
+  Millis SubmissionLifetime;
+};
+
+/// What a loader needs.
+struct LoaderSettings {
+  /// What all roles need.
+  CommonSettings Common;
+  /// The platform's store.
+  Address LoaderStore;
+  /// Where the engine beside it listens.
+  Address Engine;
+  /// The engine's service.
+  std::string EngineService;
+  /// Time between reads of the engine's report.
+  Millis ReportPoll;
+};
+
 /// The settings of one process, by its role.
-using DaemonSettings = std::variant<EntrySettings, AgentSettings>;
+using DaemonSettings = std::variant<EntrySettings, AgentSettings,
+                                    GatewaySettings, LoaderSettings>;
 
 /// Settings, or every fault found in them.
 using SettingsResult =
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -19,7 +19,10 @@
                  Millis EntrySettings::*, int64_t EntrySettings::*,
                  std::string AgentSettings::*, Address AgentSettings::*,
                  bool AgentSettings::*, Millis AgentSettings::*,
-                 int64_t AgentSettings::*>;
+                 int64_t AgentSettings::*, std::string GatewaySettings::*,
+                 Address GatewaySettings::*, int64_t GatewaySettings::*,
+                 Millis GatewaySettings::*, std::string LoaderSettings::*,
+                 Address LoaderSettings::*, Millis LoaderSettings::*>;
 
 /// Default of a setting that must be given.
 inline constexpr std::string_view NoDefault = "<required>";
@@ -46,7 +49,7 @@
 /// All settings, by section.
 inline constexpr std::array SettingsTable{
     SettingSpec{"process", "role", &CommonSettings::Role, NoDefault, 0, 0,
-                "entry|agent", "What the process does."},
+                "entry|agent|gateway|loader", "What the process does."},
     SettingSpec{"process", "host", &CommonSettings::Host, NoDefault, 0, 0,
                 "", "The host's name, as in the host list."},
     SettingSpec{"process", "data_centre", &CommonSettings::DataCentre,
@@ -120,7 +123,7 @@
     SettingSpec{"logging", "level", &CommonSettings::LogLevel, "info", 0, 0,
                 "debug|info|warn|error", "The least level that is written."},
     SettingSpec{"logging", "file", &CommonSettings::LogFile, "", 0, 0, "",
-                "Where log lines go; empty: standard error."},
+                "Where log lines go; empty: standard output."},
 
     SettingSpec{"entry", "key_shards", &EntrySettings::KeyShards, "16", 1,
                 4096, "",
@@ -163,6 +166,35 @@
     SettingSpec{"endpoint", "swap_timeout_ms", &AgentSettings::SwapTimeout,
                 "30000", 100, 3600000, "",
                 "Time after which a weight swap counts as unanswered."},
+
+    SettingSpec{"gateway", "front", &GatewaySettings::Front, NoDefault, 0, 0,
+                "", "Where callers connect to."},
+    SettingSpec{"gateway", "store", &GatewaySettings::Store, NoDefault, 0, 0,
+                "", "The platform's store."},
+    SettingSpec{"gateway", "regions", &GatewaySettings::Regions, "", 0, 0, "",
+                "\"data centre=region\" for all data centres, separated by commas."},
+    SettingSpec{"gateway", "grace_s", &GatewaySettings::GraceSeconds, "8", 0,
+                0, "", "Seconds that the platform gives after SIGTERM."},
+    SettingSpec{"gateway", "partitions", &GatewaySettings::Partitions, "12",
+                1, 1200, "",
+                "Partitions of batch submissions; equal on all gateways."},
+    SettingSpec{"gateway", "record_bytes", &GatewaySettings::RecordBytes,
+                "262144", 1024, 16777216, "",
+                "Most bytes of one record of the store."},
+    SettingSpec{"gateway", "submission_lifetime_ms",
+                &GatewaySettings::SubmissionLifetime, "240000", 1000,
+                86400000, "",
+                "How long an ended submission can still be read."},
+
+    SettingSpec{"loader", "store", &LoaderSettings::LoaderStore, NoDefault, 0,
+                0, "", "The platform's store."},
+    SettingSpec{"loader", "engine", &LoaderSettings::Engine, NoDefault, 0, 0,
+                "", "Where the engine beside it listens."},
+    SettingSpec{"loader", "service", &LoaderSettings::EngineService,
+                NoDefault, 0, 0, "", "The engine's service."},
+    SettingSpec{"loader", "report_poll_ms", &LoaderSettings::ReportPoll,
+                "200", 20, 60000, "",
+                "Time between reads of the engine's report."},
 };
 
 // clang-format on
--- /dev/null
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -0,0 +1,188 @@
+/// @file
+/// Decides which waiting items run next, and where.
+
+#include "core/batch/item_scheduler_base.h"
+
+#include "core/batch/partition_fold_base.h"
+#include "core/gateway/route_func.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace camphornotch {
+
+namespace {
+
+/// Wait before an item that was not run is offered again: an engine's queue
+/// moves within a few events.
+constexpr Millis NotRunDelay{40};
+/// Wait after a break; doubles with each break in a row, since an item may be
+/// what breaks the engines.
+constexpr Millis BreakDelay{50};
+/// Longest wait after a break.
+constexpr Millis BreakDelayMost{2'000};
+/// Wait after an answer of status 500.
+constexpr Millis FailDelay{100};
+/// Wait for an engine to load newer weights.
+constexpr Millis TooOldDelay{60};
+/// @param State a submission.
+/// @return each group's expected length: that of its longest item.
+std::map<std::string, int64_t> groupLengths(const SubmissionState &State) {
+  std::map<std::string, int64_t> Lengths;
+  for (const wire::BatchItemField &Item : State.Record.Items) {
+    int64_t &Length = Lengths[Item.Group];
+    Length = std::max(Length, Item.LengthHint);
+  }
+  return Lengths;
+}
+
+/// @param State a submission.
+/// @return each group's rank by expected length, the shortest first.
+std::map<std::string, int64_t> rankGroups(const SubmissionState &State) {
+  std::vector<std::pair<int64_t, std::string>> Order;
+  for (const auto &[Group, Length] : groupLengths(State))
+    Order.emplace_back(Length, Group);
+  std::ranges::sort(Order);
+  std::map<std::string, int64_t> Ranks;
+  for (size_t Rank = 0; Rank < Order.size(); ++Rank)
+    Ranks[Order[Rank].second] = static_cast<int64_t>(Rank);
+  return Ranks;
+}
+
+/// @param Item a waiting item.
+/// @return its place in the order of starts; the least goes first.
+auto rankOf(const ScheduledItem *Item) {
+  const bool Spare =
+      Item->WantedGroups > 0 && Item->GroupRank >= Item->WantedGroups;
+  return std::tuple(Spare, Item->Priority, Item->Arrival, -Item->LengthHint,
+                    Item->GroupRank, Item->Key);
+}
+
+} // namespace
+
+void ItemScheduler::add(const SubmissionState &State, const Route &By) {
+  if (State.Ended)
+    return;
+  const int64_t Arrival = ++this->Arrivals;
+  const std::map<std::string, int64_t> Ranks = rankGroups(State);
+  const SubmissionId Id{State.Record.Id};
+  for (const wire::BatchItemField &Item : State.Record.Items) {
+    const ItemKey Key{Id, ItemId{Item.Id}};
+    if (State.Positions.contains(Key.Item) || this->Items.contains(Key))
+      continue;
+    ScheduledItem Added;
+    Added.Key = Key;
+    Added.Service = By.Services.empty() ? "" : By.Services.front().Service;
+    Added.Model = State.Record.Model;
+    Added.MinVersion = State.Record.MinVersion;
+    Added.Priority = By.Priority;
+    Added.Arrival = Arrival;
+    Added.Group = Item.Group;
+    Added.LengthHint = Item.LengthHint;
+    Added.GroupRank = Ranks.at(Item.Group);
+    Added.WantedGroups = State.Record.WantedGroups;
+    this->Items.emplace(Key, std::move(Added));
+  }
+}
+
+void ItemScheduler::drop(const ItemKey &Key) { this->Items.erase(Key); }
+
+std::vector<ItemKey> ItemScheduler::dropAll(const SubmissionId &Id) {
+  std::vector<ItemKey> Running;
+  std::erase_if(this->Items, [&](const auto &Each) {
+    if (Each.first.Submission != Id)
+      return false;
+    if (Each.second.Running)
+      Running.push_back(Each.first);
+    return true;
+  });
+  return Running;
+}
+
+const EndpointState *ItemScheduler::place(const ScheduledItem &Item,
+                                          const EndpointPool &Pool,
+                                          Millis Now) {
+  EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion, Item.Except,
+                      true};
+  const EndpointState *Chosen = Pool.choose(Query, Now);
+  if (Chosen != nullptr || Query.Except.empty())
+    return Chosen;
+  Query.Except.clear();
+  return Pool.choose(Query, Now);
+}
+
+std::vector<StartItem> ItemScheduler::plan(EndpointPool &Pool, Millis Now) {
+  std::vector<ScheduledItem *> Order;
+  for (auto &[Key, Item] : this->Items)
+    if (!Item.Running && Item.NotBefore <= Now)
+      Order.push_back(&Item);
+  std::ranges::sort(Order, {}, rankOf);
+  // Items that want the same are not asked for twice in vain.
+  std::set<std::tuple<std::string, std::string, int64_t>> Full;
+  std::vector<StartItem> Starts;
+  for (ScheduledItem *Item : Order) {
+    const auto Kind = std::tuple(Item->Service, Item->Model, Item->MinVersion);
+    if (Full.contains(Kind))
+      continue;
+    const EndpointState *Chosen = ItemScheduler::place(*Item, Pool, Now);
+    if (Chosen == nullptr) {
+      Full.insert(Kind);
+      continue;
+    }
+    Item->Running = true;
+    Starts.push_back(StartItem{Item->Key, Chosen->Record.Id});
+    Pool.begun(Starts.back().Endpoint);
+  }
+  return Starts;
+}
+
+void ItemScheduler::setBack(const ItemKey &Key, ItemSetback Why,
+                            const EndpointId &At, Millis Now) {
+  const auto Found = this->Items.find(Key);
+  if (Found == this->Items.end())
+    return;
+  ScheduledItem &Item = Found->second;
+  Item.Running = false;
+  Item.Except = {At};
+  switch (Why) {
+  case ItemSetback::NotRun:
+    Item.NotBefore = Now + NotRunDelay;
+    return;
+  case ItemSetback::TooOld:
+    Item.NotBefore = Now + TooOldDelay;
+    return;
+  case ItemSetback::Failed:
+    ++Item.Failures;
+    Item.NotBefore = Now + FailDelay;
+    return;
+  case ItemSetback::Broken: {
+    const auto Doublings = std::min<int64_t>(Item.Breaks, 6);
+    Item.NotBefore =
+        Now + std::min(BreakDelay * (1LL << Doublings), BreakDelayMost);
+    ++Item.Breaks;
+    return;
+  }
+  }
+}
+
+void ItemScheduler::progressed(const ItemKey &Key) {
+  const auto Found = this->Items.find(Key);
+  if (Found != this->Items.end())
+    Found->second.Breaks = 0;
+}
+
+const ScheduledItem *ItemScheduler::find(const ItemKey &Key) const {
+  const auto Found = this->Items.find(Key);
+  return Found == this->Items.end() ? nullptr : &Found->second;
+}
+
+size_t ItemScheduler::waiting() const {
+  return this->Items.size() - this->running();
+}
+
+size_t ItemScheduler::running() const {
+  return static_cast<size_t>(std::ranges::count_if(
+      this->Items, [](const auto &Each) { return Each.second.Running; }));
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/core/batch/item_scheduler_type.h
@@ -0,0 +1,57 @@
+/// @file
+/// Items that wait for an engine, and what the scheduler decides for them.
+
+#ifndef CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_TYPE_H
+#define CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_TYPE_H
+
+#include "core/batch/batch_type.h"
+
+#include <set>
+
+namespace camphornotch {
+
+/// An item that is to run, or runs.
+struct ScheduledItem {
+  /// Which.
+  ItemKey Key;
+  /// Who serves it.
+  std::string Service;
+  /// The model.
+  std::string Model;
+  /// The oldest version that may make its text.
+  int64_t MinVersion = 0;
+  /// Rank of its route; 0 goes first.
+  int64_t Priority = 0;
+  /// Order of its submission among those of this process.
+  int64_t Arrival = 0;
+  /// Its group.
+  std::string Group;
+  /// Expected output in tokens; 0: not said.
+  int64_t LengthHint = 0;
+  /// Its group's place among the groups of the submission, by expected length.
+  int64_t GroupRank = 0;
+  /// Groups that the caller waits for.
+  int64_t WantedGroups = 0;
+  /// Not before this time.
+  Millis NotBefore{0};
+  /// Endpoints that just failed it.
+  std::set<EndpointId> Except;
+  /// Connections broken while it ran, in a row.
+  int64_t Breaks = 0;
+  /// Answers of status 500 so far.
+  int64_t Failures = 0;
+  /// Whether it runs.
+  bool Running = false;
+};
+
+/// An item is to be sent to an engine.
+struct StartItem {
+  /// Which.
+  ItemKey Key;
+  /// Where.
+  EndpointId Endpoint;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_TYPE_H
--- /dev/null
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -0,0 +1,217 @@
+/// @file
+/// The endpoints of all services, and the choice among them.
+
+#include "core/gateway/endpoint_pool_base.h"
+
+#include <algorithm>
+#include <array>
+
+namespace camphornotch {
+
+namespace {
+
+/// Round trip by nearness, in milliseconds; from the sites' link delays.
+constexpr std::array<double, 3> RoundTripMs{1.0, 4.0, 26.0};
+/// Time of work at an endpoint not measured yet, in milliseconds: the mean of
+/// the sites' shortest kind of request.
+constexpr double UnknownTypicalMs = 20.0;
+/// Part of the old value that a new measurement leaves, out of 4.
+constexpr int64_t SmoothingKept = 3;
+/// The whole that SmoothingKept is a part of.
+constexpr int64_t SmoothingWhole = 4;
+/// A loader's words older than this are not used: several of its intervals.
+constexpr Millis LoadMaxAge{1'500};
+/// Time that an endpoint is avoided after its first failure; doubles.
+constexpr Millis AvoidFirst{150};
+/// Longest time that an endpoint is avoided; engines restart within seconds.
+constexpr Millis AvoidMost{2'000};
+/// Time that an endpoint is avoided after it was full.
+constexpr Millis AvoidRefusing{60};
+/// A measurement older than this no longer speaks against an endpoint: the
+/// sites' neighbours slow an endpoint for seconds at a time.
+constexpr Millis MeasurementMaxAge{3'000};
+/// Factor on the expected time of an endpoint that is to be avoided.
+constexpr double AvoidFactor = 50.0;
+
+} // namespace
+
+EndpointPool::EndpointPool(Geography Places) : Places(std::move(Places)) {}
+
+bool EndpointPool::put(EndpointRecord Record) {
+  const auto Found = this->Endpoints.find(Record.Id);
+  const bool Same = Found != this->Endpoints.end() &&
+                    Found->second.Record.BornMs == Record.BornMs &&
+                    Found->second.Record.Where == Record.Where;
+  if (!Same) {
+    EndpointState State;
+    State.Near = this->nearnessOf(Record.DataCentre);
+    const EndpointId Id = Record.Id;
+    State.Record = std::move(Record);
+    this->Endpoints.insert_or_assign(Id, std::move(State));
+    return true;
+  }
+  EndpointRecord &Known = Found->second.Record;
+  const bool News = Known.Draining != Record.Draining ||
+                    Known.Versions != Record.Versions ||
+                    Known.Service != Record.Service;
+  Known = std::move(Record);
+  return News;
+}
+
+void EndpointPool::remove(const EndpointId &Id) { this->Endpoints.erase(Id); }
+
+void EndpointPool::loadReported(const Address &Where, EngineLoad Load,
+                                Millis Now) {
+  for (auto &[Id, State] : this->Endpoints) {
+    if (State.Record.Where != Where)
+      continue;
+    State.Load = Load;
+    State.LoadAt = Now;
+    State.BegunSince = 0;
+  }
+}
+
+bool EndpointPool::eligible(const EndpointState &State,
+                            const EndpointQuery &Query) const {
+  const EndpointRecord &Record = State.Record;
+  if (Record.Service != Query.Service || Record.Draining ||
+      Query.Except.contains(Record.Id))
+    return false;
+  if (Query.Model.empty())
+    return true;
+  const ModelVersions &Versions =
+      State.Load.has_value() ? State.Load->Versions : Record.Versions;
+  const auto Version = Versions.find(std::string(Query.Model));
+  if (Version == Versions.end() || Version->second < Query.MinVersion)
+    return false;
+  return !State.Load.has_value() || State.Load->LoadingModel != Query.Model;
+}
+
+int64_t EndpointPool::workAt(const EndpointState &State, Millis Now) const {
+  if (!State.Load.has_value() || Now - State.LoadAt > LoadMaxAge)
+    return State.Outstanding;
+  const int64_t Told =
+      State.Load->Running + State.Load->Waiting + State.BegunSince;
+  return std::max(Told, State.Outstanding);
+}
+
+double EndpointPool::expectedTime(const EndpointState &State,
+                                  Millis Now) const {
+  const bool Measured = State.Typical > Millis{0} &&
+                        Now - State.MeasuredAt < MeasurementMaxAge;
+  const double Own = Measured ? static_cast<double>(State.Typical.Count)
+                              : UnknownTypicalMs;
+  const double Trip = RoundTripMs[static_cast<size_t>(State.Near)];
+  const auto Slots =
+      static_cast<double>(std::max<int64_t>(State.Record.Slots, 1));
+  const double Work = static_cast<double>(this->workAt(State, Now)) / Slots;
+  // Work shares the endpoint before it waits for it.
+  const double Stretch = 1.0 + 0.5 * Work + (Work >= 1.0 ? Work : 0.0);
+  const double Base = (Measured ? Own : Own + Trip) * Stretch;
+  return Now < State.AvoidUntil ? Base * AvoidFactor : Base;
+}
+
+const EndpointState *EndpointPool::choose(const EndpointQuery &Query,
+                                          Millis Now) const {
+  const EndpointState *Best = nullptr;
+  double BestTime = 0;
+  for (const auto &[Id, State] : this->Endpoints) {
+    if (!this->eligible(State, Query))
+      continue;
+    if (Query.NeedsSlot && (Now < State.AvoidUntil ||
+                            this->workAt(State, Now) >= State.Record.Slots))
+      continue;
+    const double Time = this->expectedTime(State, Now);
+    if (Best == nullptr || Time < BestTime) {
+      Best = &State;
+      BestTime = Time;
+    }
+  }
+  return Best;
+}
+
+void EndpointPool::begun(const EndpointId &Id) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found == this->Endpoints.end())
+    return;
+  ++Found->second.Outstanding;
+  ++Found->second.BegunSince;
+}
+
+void EndpointPool::ended(const EndpointId &Id, WorkEnd End, Millis Took,
+                         Millis Now) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found == this->Endpoints.end())
+    return;
+  EndpointState &State = Found->second;
+  State.Outstanding = std::max<int64_t>(State.Outstanding - 1, 0);
+  if (Took > Millis{0}) {
+    const Millis Old = State.Typical > Millis{0} ? State.Typical : Took;
+    State.Typical =
+        Millis{(Old.Count * SmoothingKept + Took.Count) / SmoothingWhole};
+    State.Typical = std::max(State.Typical, Millis{1});
+    State.MeasuredAt = Now;
+  }
+  switch (End) {
+  case WorkEnd::Answered:
+    State.Failures = 0;
+    State.AvoidUntil = Millis{0};
+    return;
+  case WorkEnd::Refused:
+    State.AvoidUntil = std::max(State.AvoidUntil, Now + AvoidRefusing);
+    return;
+  case WorkEnd::Broken:
+  case WorkEnd::Silent: {
+    const auto Doublings = std::min<int64_t>(State.Failures, 8);
+    const Millis Avoid = std::min(AvoidFirst * (1LL << Doublings), AvoidMost);
+    State.AvoidUntil = std::max(State.AvoidUntil, Now + Avoid);
+    ++State.Failures;
+    return;
+  }
+  case WorkEnd::Abandoned:
+    return;
+  }
+}
+
+void EndpointPool::versionSeen(const EndpointId &Id, const std::string &Model,
+                               int64_t Version) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found == this->Endpoints.end())
+    return;
+  Found->second.Record.Versions[Model] = Version;
+  if (Found->second.Load.has_value())
+    Found->second.Load->Versions[Model] = Version;
+}
+
+const EndpointState *EndpointPool::find(const EndpointId &Id) const {
+  const auto Found = this->Endpoints.find(Id);
+  return Found == this->Endpoints.end() ? nullptr : &Found->second;
+}
+
+bool EndpointPool::anyServes(const EndpointQuery &Query) const {
+  return std::ranges::any_of(this->Endpoints, [&](const auto &Each) {
+    return this->eligible(Each.second, Query);
+  });
+}
+
+int64_t EndpointPool::freeSlots(const EndpointQuery &Query, Millis Now) const {
+  int64_t Free = 0;
+  for (const auto &[Id, State] : this->Endpoints)
+    if (this->eligible(State, Query) && Now >= State.AvoidUntil)
+      Free += std::max<int64_t>(
+          State.Record.Slots - this->workAt(State, Now), 0);
+  return Free;
+}
+
+Nearness EndpointPool::nearnessOf(const std::string &DataCentre) const {
+  if (DataCentre == this->Places.Here)
+    return Nearness::SameDataCentre;
+  const auto Here = this->Places.Regions.find(this->Places.Here);
+  const auto There = this->Places.Regions.find(DataCentre);
+  const bool Known = Here != this->Places.Regions.end() &&
+                     There != this->Places.Regions.end();
+  return Known && Here->second == There->second ? Nearness::SameRegion
+                                                : Nearness::OtherRegion;
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -0,0 +1,128 @@
+/// @file
+/// The endpoints of all services, and the choice among them.
+
+#ifndef CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
+#define CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
+
+#include "core/gateway/endpoint_pool_type.h"
+
+#include <functional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace camphornotch {
+
+/// Where this gateway stands, and which region each data centre is in.
+struct Geography {
+  /// The data centre of this process.
+  std::string Here;
+  /// Region by data centre.
+  std::map<std::string, std::string> Regions;
+};
+
+/// What is wanted of an endpoint.
+struct EndpointQuery {
+  /// The service.
+  std::string_view Service;
+  /// The model; empty: any.
+  std::string_view Model;
+  /// The oldest version of the model that will do.
+  int64_t MinVersion = 0;
+  /// Endpoints that will not do.
+  std::set<EndpointId> Except;
+  /// Whether an endpoint whose slots are all taken will not do.
+  bool NeedsSlot = false;
+};
+
+/// Keeps the endpoints; deterministic, without I/O.
+class EndpointPool {
+public:
+  /// @param Places where everything stands.
+  explicit EndpointPool(Geography Places);
+
+  /// Takes in an endpoint's own words.
+  /// @param Record what it registered.
+  /// @return whether the endpoint, or a fact that decides its use, is new.
+  bool put(EndpointRecord Record);
+
+  /// Forgets an endpoint.
+  /// @param Id its id.
+  void remove(const EndpointId &Id);
+
+  /// Takes in what a loader says of its engine.
+  /// @param Where the engine's address.
+  /// @param Load the words.
+  /// @param Now the time.
+  void loadReported(const Address &Where, EngineLoad Load, Millis Now);
+
+  /// Chooses the endpoint with the least expected time: its own typical time,
+  /// stretched by the work already there. Answers the load of many short
+  /// requests while some endpoints are slowed, and of many items at once.
+  /// @param Query what is wanted.
+  /// @param Now the time.
+  /// @return the endpoint, or null if none will do.
+  const EndpointState *choose(const EndpointQuery &Query, Millis Now) const;
+
+  /// Notes that work was sent.
+  /// @param Id the endpoint.
+  void begun(const EndpointId &Id);
+
+  /// Notes that work ended.
+  /// @param Id the endpoint.
+  /// @param End how.
+  /// @param Took the time it took, to its first byte; 0: not to be measured.
+  /// @param Now the time.
+  void ended(const EndpointId &Id, WorkEnd End, Millis Took, Millis Now);
+
+  /// Notes that an engine has the version that its answer named.
+  /// @param Id the engine.
+  /// @param Model the model.
+  /// @param Version its version.
+  void versionSeen(const EndpointId &Id, const std::string &Model,
+                   int64_t Version);
+
+  /// @param Id an endpoint.
+  /// @return it, or null.
+  const EndpointState *find(const EndpointId &Id) const;
+
+  /// @return all endpoints.
+  const std::map<EndpointId, EndpointState> &all() const {
+    return this->Endpoints;
+  }
+
+  /// @param Query what is wanted; slots are not looked at.
+  /// @return whether any endpoint could ever do as things stand.
+  bool anyServes(const EndpointQuery &Query) const;
+
+  /// @param Query what is wanted.
+  /// @param Now the time.
+  /// @return places free for more work, over all endpoints that will do.
+  int64_t freeSlots(const EndpointQuery &Query, Millis Now) const;
+
+private:
+  /// @param State an endpoint.
+  /// @param Query what is wanted.
+  /// @return whether it will do, but for its load.
+  bool eligible(const EndpointState &State, const EndpointQuery &Query) const;
+  /// @param State an endpoint.
+  /// @param Now the time.
+  /// @return work at it, of all gateways as far as known.
+  int64_t workAt(const EndpointState &State, Millis Now) const;
+  /// @param State an endpoint.
+  /// @param Now the time.
+  /// @return its expected time for one more piece of work.
+  double expectedTime(const EndpointState &State, Millis Now) const;
+  /// @param DataCentre a data centre.
+  /// @return how far it is.
+  Nearness nearnessOf(const std::string &DataCentre) const;
+
+  /// Where everything stands.
+  Geography Places;
+  /// The endpoints.
+  std::map<EndpointId, EndpointState> Endpoints;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
--- /dev/null
+++ b/packages/core/loads/load_controller_base.h
@@ -0,0 +1,85 @@
+/// @file
+/// Decides when the engine beside this process loads newer weights.
+
+#ifndef CAMPHORNOTCH_CORE_LOADS_LOAD_CONTROLLER_BASE_H
+#define CAMPHORNOTCH_CORE_LOADS_LOAD_CONTROLLER_BASE_H
+
+#include "core/loads/load_type.h"
+
+#include <optional>
+#include <vector>
+
+namespace camphornotch {
+
+/// The engine's place among those of its service.
+struct EnginePlace {
+  /// Its rank by id, from 0.
+  int64_t Rank = 0;
+  /// How many there are.
+  int64_t Count = 1;
+};
+
+/// One loader's decisions; deterministic, without I/O. Engines load every
+/// second version in two halves, so that at each new version one half already
+/// has the one before, which a step may use; within a half they load in turns.
+class LoadController {
+public:
+  /// Notes a version that a trainer named.
+  /// @param Model the model.
+  /// @param Version the version; an older one is ignored.
+  /// @param Now the time.
+  void named(const std::string &Model, int64_t Version, Millis Now);
+
+  /// Notes the oldest version that submitted work will do with.
+  /// @param Model the model.
+  /// @param Version the version.
+  void demanded(const std::string &Model, int64_t Version);
+
+  /// Notes the engine's place.
+  /// @param Place its place.
+  void placed(EnginePlace Place);
+
+  /// @param Report what the engine says now.
+  /// @param Now the time.
+  /// @return the order to send, if one is due.
+  std::optional<LoadOrder> decide(const EngineReport &Report, Millis Now);
+
+  /// Notes that an order was sent; none is decided for a while.
+  /// @param Now the time.
+  void sent(Millis Now);
+
+  /// Notes that the engine answered the order.
+  /// @param Accepted whether it is being carried out or already holds.
+  /// @param Now the time.
+  void answered(bool Accepted, Millis Now);
+
+private:
+  /// What is known of a model.
+  struct ModelNews {
+    /// The newest version named.
+    int64_t Named = 0;
+    /// When it was named.
+    Millis NamedAt{0};
+    /// The oldest version that will do for submitted work.
+    int64_t Demanded = 0;
+  };
+
+  /// @param News a model.
+  /// @param ModelIndex its place among the models.
+  /// @param Current the engine's version.
+  /// @param Now the time.
+  /// @return whether the engine should load the named version now.
+  bool isDue(const ModelNews &News, int64_t ModelIndex, int64_t Current,
+             Millis Now) const;
+
+  /// The models.
+  std::map<std::string, ModelNews> Models;
+  /// The engine's place.
+  EnginePlace Place;
+  /// No order before this time.
+  Millis NotBefore{0};
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_LOADS_LOAD_CONTROLLER_BASE_H
--- /dev/null
+++ b/packages/daemon/batch_owner.cpp
@@ -0,0 +1,158 @@
+/// @file
+/// Batch submissions: membership, owned partitions, hand-over.
+
+#include "daemon/batch_task_base.h"
+
+#include "base/clock_func.h"
+#include "base/log_func.h"
+#include "base/text_func.h"
+
+#include <algorithm>
+
+namespace camphornotch {
+
+namespace {
+
+/// Pause between joins: several fit into a member's lifetime, so that one may
+/// be lost; a join counts as a tenth of a call.
+constexpr Millis JoinInterval{500};
+/// Pause between looks for submissions that may be forgotten.
+constexpr Millis ForgetInterval{5'000};
+/// Pause between looks at appends that are not acknowledged on leaving.
+constexpr Millis HandOverLook{20};
+/// Longest wait for those appends.
+constexpr Millis HandOverMost{1'500};
+
+} // namespace
+
+void BatchTask::begin() {
+  // The topic has its partitions from the first append or read on.
+  this->join();
+  this->forgetOld();
+}
+
+void BatchTask::join() {
+  if (this->Leaving)
+    return;
+  this->Store.join(this->Member, [this](const StoreResult<GroupShare> &Share) {
+    if (Share.has_value() && !this->Leaving)
+      this->takeShare(Share.value());
+    else if (!Share.has_value())
+      logLine(LogLevel::Warn, "group not joined",
+              {{"cause", Share.error().Cause.Message}});
+    this->Events.callAfter(JoinInterval, [this] { this->join(); });
+  });
+}
+
+void BatchTask::takeShare(const GroupShare &Share) {
+  this->Member.Generation = Share.Generation;
+  const std::set<PartitionId> Now(Share.Parts.begin(), Share.Parts.end());
+  if (Now == this->Owned)
+    return;
+  logLine(LogLevel::Info, "partitions dealt out",
+          {{"generation", concat(Share.Generation)},
+           {"owned", concat(Now.size())},
+           {"owned_before", concat(this->Owned.size())}});
+  const std::set<PartitionId> Before = std::move(this->Owned);
+  this->Owned = Now;
+  for (const PartitionId &Where : Before) {
+    if (Now.contains(Where))
+      continue;
+    this->Adopted.erase(Where);
+    this->follower(Where).own(false);
+    for (const auto &[Id, State] : this->follower(Where).fold().all())
+      this->Items.drop(Id);
+  }
+  for (const PartitionId &Where : Now) {
+    if (Before.contains(Where))
+      continue;
+    this->follower(Where).own(true);
+    if (this->follower(Where).caughtUp())
+      this->adoptAll(Where);
+  }
+}
+
+void BatchTask::adoptAll(const PartitionId &Where) {
+  if (!this->Adopted.insert(Where).second)
+    return;
+  for (const auto &[Id, State] : this->follower(Where).fold().all())
+    this->adopt(State);
+}
+
+void BatchTask::adopt(const SubmissionState &State) {
+  if (State.Ended || State.Results.size() >= State.Record.Items.size())
+    return;
+  logLine(LogLevel::Info, "submission taken over",
+          {{"submission", State.Record.Id},
+           {"items", concat(State.Record.Items.size())},
+           {"listed", concat(State.Results.size())},
+           {"min_version", concat(State.Record.MinVersion)}});
+  this->Demanded(State.Record.Model, State.Record.MinVersion);
+  this->Items.adopt(State);
+}
+
+void BatchTask::onChanges(const PartitionId &Where,
+                          const std::vector<PartitionChange> &Changes) {
+  const PartitionFollower &Following = this->follower(Where);
+  const bool Owns = this->Owned.contains(Where);
+  const bool WasAdopted = this->Adopted.contains(Where);
+  std::set<SubmissionId> Touched;
+  for (const PartitionChange &Change : Changes) {
+    if (const auto *Added = std::get_if<SubmissionAdded>(&Change)) {
+      if (Owns && WasAdopted)
+        this->adopt(*Following.fold().find(Added->Id));
+    } else if (const auto *Listed = std::get_if<ItemListed>(&Change)) {
+      Touched.insert(Listed->Key.Submission);
+      this->Items.listed(Listed->Key);
+    } else if (const auto *Ended = std::get_if<SubmissionEnded>(&Change)) {
+      Touched.insert(Ended->Id);
+      this->Items.drop(Ended->Id);
+    }
+  }
+  if (Owns && Following.caughtUp())
+    this->adoptAll(Where);
+  if (Touched.empty())
+    return;
+  std::vector<uint64_t> Ready;
+  for (const auto &[Number, Read] : this->Reads)
+    if (Touched.contains(Read.Asked.Id))
+      Ready.push_back(Number);
+  for (const uint64_t Number : Ready)
+    this->answerWaiting(Number);
+}
+
+void BatchTask::forgetOld() {
+  this->Events.callAfter(ForgetInterval, [this] { this->forgetOld(); });
+  const Millis Before = steadyNow() - this->Settings.SubmissionLifetime;
+  for (const auto &[Where, Each] : this->Followers)
+    Each->forget(Before);
+}
+
+void BatchTask::handOver(std::function<void()> Done) {
+  this->Leaving = true;
+  this->Items.stop();
+  this->Items.saveAll();
+  std::vector<uint64_t> Numbers;
+  for (const auto &[Number, Read] : this->Reads)
+    Numbers.push_back(Number);
+  for (const uint64_t Number : Numbers)
+    this->answerWaiting(Number);
+  const Millis GiveUpAt = steadyNow() + HandOverMost;
+  const auto Look = std::make_shared<std::function<void()>>();
+  *Look = [this, Look, GiveUpAt, Done] {
+    if (this->Appender.waiting() > 0 && steadyNow() < GiveUpAt) {
+      this->Events.callAfter(HandOverLook, *Look);
+      return;
+    }
+    for (const PartitionId &Where : this->Owned)
+      for (const auto &[Id, State] : this->follower(Where).fold().all())
+        this->Items.drop(Id);
+    logLine(LogLevel::Info, "partitions handed over",
+            {{"owned", concat(this->Owned.size())}});
+    this->Store.leave(this->Member,
+                      [Done](const StoreResult<bool> &) { Done(); });
+  };
+  (*Look)();
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/daemon/gateway_base.cpp
@@ -0,0 +1,406 @@
+/// @file
+/// A gateway: takes callers' requests and brings them to endpoints.
+
+#include "daemon/gateway_base.h"
+
+#include "base/clock_func.h"
+#include "base/log_func.h"
+#include "base/text_func.h"
+#include "core/gateway/route_func.h"
+#include "daemon/gateway_settings_func.h"
+#include "platform/operator_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphornotch {
+
+namespace {
+
+/// Largest body taken before any configuration says less; the sites' limit
+/// with room.
+constexpr size_t MaxBodyBytes = size_t{40} << 20;
+/// Part of a caller's time that is kept for the way of the answer back.
+constexpr Millis AnswerMargin{15};
+/// Time of a caller that names none.
+constexpr Millis DefaultTimeLeft{30'000};
+/// Retry-After of a gateway that has no configuration yet, or has not read the
+/// endpoints: both are read within a second of its start.
+constexpr Millis RetryStarting{500};
+/// Time after SIGTERM in which callers still come: the platform takes a host
+/// out after two probes, a second apart.
+constexpr Millis StopAccept{3'200};
+/// Time before the end of the grace period at which the process ends anyway.
+constexpr Millis StopMargin{500};
+/// Pause between looks for the end.
+constexpr Millis StopLook{50};
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+constexpr int StatusUnavailable = 503;
+
+/// Upper bounds of the request histogram's buckets, in seconds.
+const prometheus::Histogram::BucketBoundaries RequestBounds{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
+
+/// @param Request a request.
+/// @return path and query as they came.
+std::string wholePath(const HttpRequest &Request) {
+  return Request.Query.empty() ? Request.Path
+                               : concat(Request.Path, "?", Request.Query);
+}
+
+} // namespace
+
+Gateway::Gateway(Loop &Events, const GatewaySettings &Settings)
+    : Events(Events), Settings(Settings), Http(Events), StoreHttp(Events),
+      Store(Events, StoreHttp,
+            HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
+      Pool(Geography{Settings.Common.DataCentre,
+                     parseRegions(Settings.Regions)}),
+      Peers(Events, this->Settings.Common, Store, Values,
+            PeerTaskEvents{
+                [this](const KeyedRecord &Record) {
+                  this->onPublished(Record);
+                },
+                [this](const wire::EngineStatePush &State) {
+                  this->onEngineState(State);
+                },
+                [](const wire::WeightsAnnounce &) {},
+                [this](const HostId &) {
+                  const std::map<std::string, int64_t> Known = this->Demands;
+                  this->Demands.clear();
+                  for (const auto &[Model, Version] : Known)
+                    this->demand(Model, Version);
+                }}),
+      Published(Events, Store, std::string(platform::OperatorTopic),
+                KeyedFollowerEvents{
+                    [this](const KeyedRecord &Record) {
+                      this->onPublished(Record);
+                    },
+                    [](const std::set<std::string> &) {},
+                    [](const Error &Cause) {
+                      logLine(LogLevel::Warn, "published values lost",
+                              {{"cause", Cause.Message}});
+                    },
+                    [] {
+                      logLine(LogLevel::Info, "published values answer");
+                    }}),
+      Directory(Events, Store, Pool,
+                [this] {
+                  this->linkLoaders();
+                  this->Batches.wake();
+                }),
+      Forward(Events, Http, Pool, Counts),
+      Batches(BatchTaskParts{Events, Http, Store, Pool, Forward, Counts},
+              this->Settings,
+              [this]() -> const RouteTable & { return this->Routes; },
+              [this](const std::string &Model, int64_t Version) {
+                this->demand(Model, Version);
+              }),
+      Draws(std::random_device{}()),
+      RequestSeconds(Counts.histogram("request_seconds",
+                                      "Time of callers' requests, in seconds.",
+                                      RequestBounds)) {
+  this->Store.setRelay([this](const platform::RawStoreCall &Call,
+                              platform::RawStoreReply Reply) {
+    return this->Peers.relay(Call, std::move(Reply));
+  });
+}
+
+Result<void> Gateway::begin() {
+  const Result<uint16_t> Linked = this->Peers.listen();
+  if (!Linked.has_value())
+    return Linked.error();
+  HttpServerConfig ForProbes;
+  ForProbes.Address = this->Settings.Common.ListenHttp.Ip;
+  ForProbes.Port = this->Settings.Common.ListenHttp.Port;
+  auto Probed = HttpServer::listen(
+      this->Events, ForProbes,
+      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        this->onProbe(Exchange);
+      });
+  if (!Probed.has_value())
+    return Probed.error();
+  this->Probes = std::move(Probed.value());
+  HttpServerConfig ForCallers;
+  ForCallers.Address = this->Settings.Front.Ip;
+  ForCallers.Port = this->Settings.Front.Port;
+  ForCallers.MaxBodyBytes = MaxBodyBytes;
+  auto Fronted = HttpServer::listen(
+      this->Events, ForCallers,
+      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        this->onRequest(Exchange);
+      });
+  if (!Fronted.has_value())
+    return Fronted.error();
+  this->Front = std::move(Fronted.value());
+  this->Events.takeSignals(
+      [this](int) { this->beginStop(); },
+      [](int) {
+        logLine(LogLevel::Info, "settings changed; they hold from the next "
+                                "start");
+      });
+  this->Published.begin();
+  this->Directory.begin();
+  this->Batches.begin();
+  logLine(LogLevel::Info, "gateway started",
+          {{"data_centre", this->Settings.Common.DataCentre}});
+  return boost::outcome_v2::success();
+}
+
+std::string_view Gateway::whyNotReady() const {
+  if (this->StopAt > Millis{0})
+    return "stopping";
+  if (this->Routes.Version == 0)
+    return "no configuration yet";
+  if (!this->Directory.complete())
+    return "endpoints not read yet";
+  return "";
+}
+
+void Gateway::onProbe(const std::shared_ptr<HttpExchange> &Exchange) {
+  HttpResponse Response;
+  Response.ContentType = "text/plain";
+  if (platform::isReadinessProbe(Exchange->request())) {
+    const std::string_view Why = this->whyNotReady();
+    Response.Status = Why.empty() ? StatusOk : StatusUnavailable;
+    Response.Body = Why.empty() ? "ready" : Why;
+  } else if (Exchange->request().Path == "/metrics") {
+    Response.Body = this->Counts.text();
+  } else {
+    Response.Status = StatusNotFound;
+  }
+  Exchange->answer(Response);
+}
+
+void Gateway::refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
+                     std::string_view Reason, Millis RetryAfter) {
+  logLine(LogLevel::Info, "request refused",
+          {{"path", Exchange->request().Path},
+           {"host_header", Exchange->request().Authority},
+           {"status", concat(Status)},
+           {"cause", Reason},
+           {"config", concat(this->Routes.Version)}});
+  Exchange->answer(platform::encodeRefusal(Status, Reason, RetryAfter));
+}
+
+void Gateway::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
+  if (this->Routes.Version == 0) {
+    this->Counts.countRefusal(RefusalReason::Starting);
+    this->refuse(Exchange, StatusUnavailable, "starting", RetryStarting);
+    return;
+  }
+  const CallerLimits &Limits = this->Routes.Limits;
+  const HttpRequest &Request = Exchange->request();
+  if (Limits.HeaderBytes > 0 &&
+      platform::headerBytes(Request) > Limits.HeaderBytes) {
+    this->Counts.countRefusal(RefusalReason::TooLarge);
+    this->refuse(Exchange, StatusHeadTooLarge, "head too large", Millis{0});
+    return;
+  }
+  if (Limits.BodyBytes > 0 &&
+      static_cast<int64_t>(Request.Body.size()) > Limits.BodyBytes) {
+    this->Counts.countRefusal(RefusalReason::TooLarge);
+    this->refuse(Exchange, StatusTooLarge, "body too large", Millis{0});
+    return;
+  }
+  const platform::CallerAsk Ask = platform::decodeCallerRequest(Request);
+  if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Ask))
+    this->onRouted(Exchange, *Routed);
+  else if (const auto *Read = std::get_if<platform::ResultsRead>(&Ask))
+    this->Batches.readResults(Exchange, *Read);
+  else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
+    this->Batches.readBody(Exchange, *Body);
+  else
+    this->Batches.endSubmission(Exchange,
+                                std::get<platform::SubmissionEnding>(Ask));
+}
+
+void Gateway::onRouted(const std::shared_ptr<HttpExchange> &Exchange,
+                       const platform::RoutedRequest &Asked) {
+  const HttpRequest &Request = Exchange->request();
+  const Route *By = findRoute(this->Routes, Request.Authority, Request.Path);
+  if (By == nullptr) {
+    this->Counts.countRefusal(RefusalReason::UnknownPath);
+    this->refuse(Exchange, StatusNotFound, "no route", Millis{0});
+    return;
+  }
+  if (By->Kind == RouteKind::Rollout)
+    this->Batches.submit(Exchange, Asked, *By);
+  else
+    this->forward(Exchange, Asked, *By);
+}
+
+void Gateway::forward(const std::shared_ptr<HttpExchange> &Exchange,
+                      const platform::RoutedRequest &Asked, const Route &By) {
+  const HttpRequest &Request = Exchange->request();
+  const Millis Now = steadyNow();
+  Millis TimeLeft =
+      Asked.TimeLeft == Never ? DefaultTimeLeft : Asked.TimeLeft;
+  if (By.Timeout > Millis{0})
+    TimeLeft = std::min(TimeLeft, By.Timeout);
+  ForwardJob Job;
+  Job.Need.By = By;
+  Job.Need.Service = drawService(By, this->Draws());
+  Job.Need.Arrived = Now;
+  Job.Need.Deadline = Now + TimeLeft - AnswerMargin;
+  Job.Request.Method = Request.Method;
+  Job.Request.Path = wholePath(Request);
+  Job.Request.Host = Request.Authority;
+  Job.Request.Headers = Request.Headers;
+  Job.Request.Body = Request.Body;
+  Job.Request.RequestId = Asked.RequestId;
+  Job.Request.EventsHad = Asked.EventsHad;
+  const auto Log = [this, Now, Id = Asked.RequestId,
+                    Service = Job.Need.Service, Version = this->Routes.Version](
+                       int Status, std::string_view Cause) {
+    const Millis Took = steadyNow() - Now;
+    constexpr double MillisASecond = 1000.0;
+    this->RequestSeconds.Observe(static_cast<double>(Took.Count) /
+                                 MillisASecond);
+    logLine(LogLevel::Info, "request answered",
+            {{"request_id", Id},
+             {"service", Service},
+             {"status", concat(Status)},
+             {"cause", Cause},
+             {"took_ms", concat(Took.Count)},
+             {"config", concat(Version)}});
+  };
+  ForwardSink Sink;
+  Sink.Answer = [Exchange, Log](const HttpResponse &Response) {
+    Log(Response.Status, "endpoint");
+    Exchange->answer(Response);
+  };
+  Sink.Refuse = [Exchange, Log](const EndRequest &End) {
+    Log(End.Status, End.Reason);
+    Exchange->answer(
+        platform::encodeRefusal(End.Status, End.Reason, End.RetryAfter));
+  };
+  Sink.StreamStart = [Exchange](HttpResponse Head) {
+    Exchange->start(std::move(Head));
+  };
+  Sink.StreamPart = [Exchange](std::string_view Part) {
+    Exchange->write(Part);
+  };
+  Sink.StreamEnd = [Exchange, Log](bool Whole) {
+    Log(StatusOk, Whole ? "stream ended" : "stream broken off");
+    if (Whole)
+      Exchange->finish();
+    else
+      Exchange->abort();
+  };
+  const ForwardId Id = this->Forward.start(std::move(Job), std::move(Sink));
+  Exchange->onGone([this, Id, Request = Asked.RequestId] {
+    logLine(LogLevel::Info, "caller left", {{"request_id", Request}});
+    this->Forward.cancel(Id);
+  });
+}
+
+void Gateway::onPublished(const KeyedRecord &Record) {
+  if (!this->Values.take(Record))
+    return;
+  if (Record.Key == platform::ConfigKey)
+    this->applyConfig(Record);
+  this->Peers.announce();
+}
+
+void Gateway::applyConfig(const KeyedRecord &Record) {
+  Result<RouteTable> Read = platform::decodeRouteTable(Record.Value);
+  if (!Read.has_value()) {
+    logLine(LogLevel::Error, "configuration not readable; the old one holds",
+            {{"offset", concat(Record.Offset)},
+             {"cause", Read.error().Message}});
+    return;
+  }
+  if (Read.value().Version <= this->Routes.Version)
+    return;
+  logLine(LogLevel::Info, "configuration in force",
+          {{"version", concat(Read.value().Version)},
+           {"version_before", concat(this->Routes.Version)},
+           {"offset", concat(Record.Offset)},
+           {"routes", concat(Read.value().Routes.size())}});
+  this->Routes = std::move(Read.value());
+  this->linkLoaders();
+  this->Batches.wake();
+}
+
+void Gateway::linkLoaders() {
+  std::map<HttpTarget, bool> Wanted;
+  for (const auto &[Id, State] : this->Pool.all()) {
+    const ServiceInfo *Service =
+        findService(this->Routes, State.Record.Service);
+    if (Service != nullptr && Service->Engine.has_value())
+      Wanted[HttpTarget{State.Record.Where.Ip,
+                        this->Settings.Common.ListenLinks.Port}] = true;
+  }
+  for (const auto &[Where, Linked] : Wanted)
+    if (!this->Loaders.contains(Where))
+      this->Peers.connect(Where);
+  for (const auto &[Where, Linked] : this->Loaders)
+    if (!Wanted.contains(Where))
+      this->Peers.disconnect(Where);
+  this->Loaders = std::move(Wanted);
+}
+
+void Gateway::onEngineState(const wire::EngineStatePush &State) {
+  const auto Colon = State.Address.rfind(':');
+  const Result<HttpTarget> Where = parseTarget(State.Address);
+  if (Colon == std::string::npos || !Where.has_value()) {
+    logLine(LogLevel::Warn, "state of an engine without address left out",
+            {{"address", State.Address}});
+    return;
+  }
+  EngineLoad Load;
+  Load.Running = State.Running;
+  Load.Waiting = State.Waiting;
+  Load.LoadingModel = State.LoadingModel;
+  for (const wire::ModelVersion &Each : State.Versions)
+    Load.Versions[Each.Model] = Each.Version;
+  this->Pool.loadReported(Address{Where.value().Address, Where.value().Port},
+                          std::move(Load), steadyNow());
+  if (this->Batches.scheduler().waiting() > 0)
+    this->Batches.wake();
+}
+
+void Gateway::demand(const std::string &Model, int64_t Version) {
+  int64_t &Known = this->Demands[Model];
+  if (Version <= Known)
+    return;
+  Known = Version;
+  wire::WeightsAnnounce Announce;
+  Announce.Model = Model;
+  Announce.Version = Version;
+  wire::PeerMessage Message;
+  Message.__set_WeightsAnnounceMsg(Announce);
+  this->Peers.broadcast(Message);
+}
+
+void Gateway::beginStop() {
+  if (this->StopAt > Millis{0})
+    return;
+  this->StopAt = steadyNow();
+  logLine(LogLevel::Info, "gateway stops",
+          {{"requests", concat(this->Forward.running())},
+           {"partitions", concat(this->Batches.owned())}});
+  this->Front->beginDrain();
+  this->Batches.handOver([this] { this->HandedOver = true; });
+  this->lookForEnd();
+}
+
+void Gateway::lookForEnd() {
+  const Millis Since = steadyNow() - this->StopAt;
+  const bool Idle = this->Front->inFlight() == 0 && this->HandedOver;
+  const Millis Most = parseGrace(this->Settings.GraceSeconds) - StopMargin;
+  if ((Idle && Since >= StopAccept) || Since >= Most) {
+    logLine(LogLevel::Info, "gateway ended",
+            {{"requests", concat(this->Front->inFlight())}});
+    this->Events.stop();
+    return;
+  }
+  this->Events.callAfter(StopLook, [this] { this->lookForEnd(); });
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/daemon/gateway_settings_func.cpp
@@ -0,0 +1,37 @@
+/// @file
+/// Settings of a gateway that are texts with parts.
+
+#include "daemon/gateway_settings_func.h"
+
+#include "base/text_func.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <cassert>
+
+namespace camphornotch {
+
+std::map<std::string, std::string> parseRegions(std::string_view Text) {
+  std::map<std::string, std::string> Regions;
+  for (const absl::string_view Part : absl::StrSplit(toAbsl(Text), ',')) {
+    const std::pair<absl::string_view, absl::string_view> Pair =
+        absl::StrSplit(Part, absl::MaxSplits('=', 1));
+    const absl::string_view Name = absl::StripAsciiWhitespace(Pair.first);
+    if (!Name.empty())
+      Regions[std::string(Name)] =
+          std::string(absl::StripAsciiWhitespace(Pair.second));
+  }
+  return Regions;
+}
+
+Millis parseGrace(std::string_view Seconds) {
+  constexpr double MillisASecond = 1000.0;
+  double Value = 0;
+  const bool Parsed = absl::SimpleAtod(toAbsl(Seconds), &Value);
+  assert(Parsed);
+  (void)Parsed;
+  return Millis{static_cast<int64_t>(Value * MillisASecond)};
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/daemon/gateway_settings_func.h
@@ -0,0 +1,25 @@
+/// @file
+/// Settings of a gateway that are texts with parts.
+
+#ifndef CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
+#define CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
+
+#include "base/millis_type.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace camphornotch {
+
+/// @param Text "data centre=region", separated by commas.
+/// @return region by data centre.
+std::map<std::string, std::string> parseRegions(std::string_view Text);
+
+/// @param Seconds a number of seconds, as the settings were checked for.
+/// @return the span.
+Millis parseGrace(std::string_view Seconds);
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
--- /dev/null
+++ b/packages/daemon/item_task_base.cpp
@@ -0,0 +1,375 @@
+/// @file
+/// Runs items at engines and keeps their texts.
+
+#include "daemon/item_task_base.h"
+
+#include "base/clock_func.h"
+#include "base/log_func.h"
+#include "base/text_func.h"
+#include "core/gateway/route_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphornotch {
+
+namespace {
+
+/// Time for a connection to an engine; the slowest link takes 24 ms.
+constexpr Millis ConnectTimeout{300};
+/// Pause between looks at all runs.
+constexpr Millis LookInterval{50};
+/// Silence after which a run goes on elsewhere: events come each 40 ms, at
+/// slowed engines each 150 ms.
+constexpr Millis StallTime{1'200};
+/// The same while the engine loads weights, which holds its runs up.
+constexpr Millis StallTimeLoading{3'000};
+/// Events that are noted as progress at once.
+constexpr size_t SaveEvents = 20;
+/// What ends an event.
+constexpr std::string_view EventEnd = "\n\n";
+
+constexpr int StatusOk = 200;
+constexpr int StatusServerError = 500;
+constexpr int StatusCannotBeDone = 422;
+
+} // namespace
+
+ItemTask::ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
+                   ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell)
+    : Events(Events), Http(Http), Pool(Pool), Forward(Forward), Counts(Counts),
+      Tell(std::move(Tell)), Draws(std::random_device{}()) {
+  this->look();
+}
+
+ItemTask::Run *ItemTask::find(const ItemKey &Key) {
+  const auto Found = this->Runs.find(Key);
+  return Found == this->Runs.end() ? nullptr : &Found->second;
+}
+
+const Route *ItemTask::routeOf(const ItemKey &Key) {
+  const SubmissionState *State = this->Tell.Submission(Key.Submission);
+  if (State == nullptr)
+    return nullptr;
+  return findRoute(this->Tell.Routes(), State->Record.Host,
+                   State->Record.Path);
+}
+
+void ItemTask::adopt(const SubmissionState &State) {
+  const Route *By =
+      findRoute(this->Tell.Routes(), State.Record.Host, State.Record.Path);
+  if (By == nullptr) {
+    logLine(LogLevel::Warn, "submission has no route",
+            {{"submission", State.Record.Id}});
+    return;
+  }
+  this->Scheduler.add(State, *By);
+  this->wake();
+}
+
+void ItemTask::drop(const SubmissionId &Id) {
+  this->Scheduler.dropAll(Id);
+  std::vector<ItemKey> Keys;
+  for (const auto &[Key, Each] : this->Runs)
+    if (Key.Submission == Id)
+      Keys.push_back(Key);
+  for (const ItemKey &Key : Keys)
+    this->forget(Key);
+}
+
+void ItemTask::listed(const ItemKey &Key) {
+  this->Scheduler.drop(Key);
+  this->forget(Key);
+}
+
+void ItemTask::forget(const ItemKey &Key) {
+  const auto Found = this->Runs.find(Key);
+  if (Found == this->Runs.end())
+    return;
+  Run &Each = Found->second;
+  if (Each.Call.Value != 0) {
+    this->Http.cancel(Each.Call);
+    this->Pool.ended(Each.Endpoint, WorkEnd::Abandoned, Millis{0},
+                     steadyNow());
+  }
+  if (Each.Scoring.Value != 0)
+    this->Forward.cancel(Each.Scoring);
+  this->Runs.erase(Found);
+  this->wake();
+}
+
+void ItemTask::wake() {
+  if (this->WakePlanned)
+    return;
+  this->WakePlanned = true;
+  this->Events.defer([this] {
+    this->WakePlanned = false;
+    if (this->Stopped)
+      return;
+    for (const StartItem &Start :
+         this->Scheduler.plan(this->Pool, steadyNow()))
+      this->begin(Start);
+  });
+}
+
+void ItemTask::begin(const StartItem &Start) {
+  const ItemKey &Key = Start.Key;
+  const SubmissionState *State = this->Tell.Submission(Key.Submission);
+  const EndpointState *At = this->Pool.find(Start.Endpoint);
+  const wire::BatchItemField *Item =
+      State == nullptr ? nullptr : findItem(*State, Key.Item);
+  if (Item == nullptr || At == nullptr) {
+    this->Pool.ended(Start.Endpoint, WorkEnd::Abandoned, Millis{0},
+                     steadyNow());
+    this->Scheduler.drop(Key);
+    return;
+  }
+  Run &Each = this->Runs[Key];
+  if (Each.Chain == 0) {
+    Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
+    const auto Stored = State->Progress.find(Key.Item);
+    if (Stored != State->Progress.end())
+      Each.Events = Stored->second.Events;
+  }
+  Each.Endpoint = Start.Endpoint;
+  Each.BeganAt = steadyNow();
+  Each.LastAt = Each.BeganAt;
+  Each.HadAtStart = Each.Events.size();
+  Each.Rest.clear();
+  Each.Version = -1;
+  platform::EngineRequest Request;
+  Request.Where = At->Record.Where;
+  Request.Instance = Start.Endpoint;
+  Request.Path = Item->Path;
+  Request.Host = State->Record.Host;
+  for (const wire::HeaderField &Header : Item->Headers)
+    Request.Headers.push_back(HttpHeader{Header.Name, Header.Value});
+  Request.Body = Item->Body;
+  Request.RequestId = Key.Item.Value;
+  Request.EventsHad = static_cast<int64_t>(Each.Events.size());
+  HttpCall Call = platform::encodeEngineRequest(Request);
+  Call.ConnectTimeout = ConnectTimeout;
+  HttpEvents Tell;
+  Tell.Head = [this, Key](const HttpResponse &Head) {
+    this->onHead(Key, Head);
+  };
+  Tell.Chunk = [this, Key](std::string_view Part) {
+    this->onChunk(Key, Part);
+  };
+  Tell.Finished = [this, Key](const HttpResponse &Response) {
+    this->onFinished(Key, Response);
+  };
+  Tell.Failed = [this, Key](const HttpFailure &Failure) {
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
+                  Failure.Cause.Message);
+  };
+  Each.Call = this->Http.start(std::move(Call), std::move(Tell));
+  logLine(LogLevel::Info, "item started",
+          {{"request_id", Key.Item.Value},
+           {"submission", Key.Submission.Value},
+           {"endpoint", Start.Endpoint.Value},
+           {"events_had", concat(Each.Events.size())},
+           {"outstanding", concat(At->Outstanding)}});
+}
+
+void ItemTask::onHead(const ItemKey &Key, const HttpResponse &Response) {
+  Run *Each = this->find(Key);
+  if (Each == nullptr)
+    return;
+  Each->Head = platform::decodeEngineAnswer(Response);
+  Each->Version = Each->Head.Version;
+  const ScheduledItem *Wanted = this->Scheduler.find(Key);
+  if (Response.Status != StatusOk || Wanted == nullptr)
+    return;
+  if (Each->Head.RequestId != Key.Item.Value || Each->Head.Encoded ||
+      !Response.Framed) {
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
+                  "the answer is none to this item");
+    return;
+  }
+  this->Pool.versionSeen(Each->Endpoint, Wanted->Model, Each->Version);
+  if (Each->Version < Wanted->MinVersion)
+    this->setBack(Key, ItemSetback::TooOld, WorkEnd::Abandoned,
+                  concat("version ", Each->Version, " is below ",
+                         Wanted->MinVersion));
+}
+
+void ItemTask::onChunk(const ItemKey &Key, std::string_view Part) {
+  Run *Each = this->find(Key);
+  if (Each == nullptr || Each->Head.Status != StatusOk ||
+      Each->Call.Value == 0)
+    return;
+  Each->Rest += Part;
+  size_t Start = 0;
+  for (;;) {
+    const size_t End = Each->Rest.find(EventEnd, Start);
+    if (End == std::string::npos)
+      break;
+    const std::string_view Text =
+        std::string_view(Each->Rest).substr(Start, End - Start);
+    Start = End + EventEnd.size();
+    if (!this->takeEvent(Key, *Each, Text)) {
+      this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
+                    "an event does not follow the one before");
+      return;
+    }
+  }
+  Each->Rest.erase(0, Start);
+}
+
+bool ItemTask::takeEvent(const ItemKey &Key, Run &Each,
+                         std::string_view Text) {
+  Result<platform::EngineEvent> Read = platform::decodeEngineEvent(Text);
+  if (!Read.has_value())
+    return false;
+  platform::EngineEvent &Event = Read.value();
+  if (Event.Id != static_cast<int64_t>(Each.Events.size()) + 1)
+    return false;
+  if (Event.Version >= 0) {
+    Each.Version = Event.Version;
+    if (const ScheduledItem *Wanted = this->Scheduler.find(Key))
+      this->Pool.versionSeen(Each.Endpoint, Wanted->Model, Each.Version);
+  }
+  Each.LastAt = steadyNow();
+  wire::TextEvent Kept;
+  Kept.Data = std::move(Event.Data);
+  Kept.Version = Each.Version;
+  Each.Events.push_back(std::move(Kept));
+  this->Scheduler.progressed(Key);
+  if (Each.Events.size() - Each.Saved >= SaveEvents)
+    this->save(Key, Each);
+  return true;
+}
+
+void ItemTask::onFinished(const ItemKey &Key, const HttpResponse &Response) {
+  Run *Each = this->find(Key);
+  if (Each == nullptr || Each->Call.Value == 0)
+    return;
+  if (Each->Head.NotRun) {
+    this->setBack(Key, ItemSetback::NotRun, WorkEnd::Refused,
+                  concat("status ", Response.Status));
+    return;
+  }
+  if (Response.Status == StatusCannotBeDone &&
+      Each->Head.RequestId == Key.Item.Value) {
+    this->report(Key, false, "", "the engine says it can never be done");
+    return;
+  }
+  if (Response.Status != StatusOk) {
+    const bool Failed = Response.Status == StatusServerError;
+    this->setBack(Key, Failed ? ItemSetback::Failed : ItemSetback::Broken,
+                  WorkEnd::Answered, concat("status ", Response.Status));
+    const ScheduledItem *Item = this->Scheduler.find(Key);
+    const Route *By = this->routeOf(Key);
+    if (Item != nullptr && By != nullptr && Item->Failures >= By->Attempts)
+      this->report(Key, false, "", "the engines failed it too often");
+    return;
+  }
+  if (!Each->Rest.empty() || Each->Events.empty()) {
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
+                  "the stream ended within an event");
+    return;
+  }
+  const Millis Now = steadyNow();
+  const auto Made =
+      static_cast<int64_t>(Each->Events.size() - Each->HadAtStart);
+  const Millis PerEvent{(Now - Each->BeganAt).Count /
+                        std::max<int64_t>(Made, 1)};
+  this->Pool.ended(Each->Endpoint, WorkEnd::Answered, PerEvent, Now);
+  Each->Call = HttpCallId{};
+  Each->Whole = true;
+  this->score(Key);
+  this->wake();
+}
+
+void ItemTask::setBack(const ItemKey &Key, ItemSetback Why, WorkEnd End,
+                       std::string_view Cause) {
+  Run *Each = this->find(Key);
+  if (Each == nullptr || Each->Call.Value == 0)
+    return;
+  const Millis Now = steadyNow();
+  logLine(LogLevel::Info, "item set back",
+          {{"request_id", Key.Item.Value},
+           {"submission", Key.Submission.Value},
+           {"endpoint", Each->Endpoint.Value},
+           {"events_had", concat(Each->Events.size())},
+           {"cause", Cause}});
+  this->Counts.countRetry(Why == ItemSetback::NotRun
+                              ? RetryReason::RefusedNotRun
+                              : RetryReason::EndpointFailed);
+  this->Http.cancel(Each->Call);
+  Each->Call = HttpCallId{};
+  this->Pool.ended(Each->Endpoint, End, Millis{0}, Now);
+  this->Scheduler.setBack(Key, Why, Each->Endpoint, Now);
+  this->wake();
+}
+
+void ItemTask::report(const ItemKey &Key, bool Completed,
+                      const std::string &Score, std::string_view Cause) {
+  Run *Each = this->find(Key);
+  wire::ItemResultRecord Record;
+  Record.Submission = Key.Submission.Value;
+  Record.Item = Key.Item.Value;
+  Record.Completed = Completed;
+  Record.Score = Score;
+  if (Completed && Each != nullptr) {
+    std::set<int64_t> Versions;
+    for (size_t Index = 0; Index < Each->Events.size(); ++Index) {
+      if (Index > 0)
+        Record.Text += '\n';
+      Record.Text += Each->Events[Index].Data;
+      Versions.insert(Each->Events[Index].Version);
+    }
+    Record.Versions.assign(Versions.begin(), Versions.end());
+  }
+  logLine(LogLevel::Info, "item has a result",
+          {{"request_id", Key.Item.Value},
+           {"submission", Key.Submission.Value},
+           {"state", Completed ? "completed" : "dead"},
+           {"cause", Cause}});
+  this->Scheduler.drop(Key);
+  this->forget(Key);
+  this->Tell.Result(std::move(Record));
+}
+
+void ItemTask::save(const ItemKey &Key, Run &Each) {
+  if (Each.Events.size() == Each.Saved || Each.Whole)
+    return;
+  wire::ItemProgressRecord Record;
+  Record.Submission = Key.Submission.Value;
+  Record.Item = Key.Item.Value;
+  Record.Run = Each.Chain;
+  Record.From = static_cast<int64_t>(Each.Saved);
+  Record.Events.assign(Each.Events.begin() +
+                           static_cast<std::ptrdiff_t>(Each.Saved),
+                       Each.Events.end());
+  Each.Saved = Each.Events.size();
+  this->Tell.Progress(std::move(Record));
+}
+
+void ItemTask::saveAll() {
+  for (auto &[Key, Each] : this->Runs)
+    this->save(Key, Each);
+}
+
+void ItemTask::look() {
+  this->Events.callAfter(LookInterval, [this] { this->look(); });
+  const Millis Now = steadyNow();
+  std::vector<ItemKey> Silent;
+  for (const auto &[Key, Each] : this->Runs) {
+    if (Each.Call.Value == 0)
+      continue;
+    const EndpointState *At = this->Pool.find(Each.Endpoint);
+    const bool Loading = At != nullptr && At->Load.has_value() &&
+                         !At->Load->LoadingModel.empty();
+    if (Now - Each.LastAt > (Loading ? StallTimeLoading : StallTime))
+      Silent.push_back(Key);
+  }
+  for (const ItemKey &Key : Silent)
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Silent,
+                  "no event in time");
+  if (this->Scheduler.waiting() > 0)
+    this->wake();
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/daemon/item_task_base.h
@@ -0,0 +1,181 @@
+/// @file
+/// Runs items at engines, has their texts scored and hands on their results.
+
+#ifndef CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
+#define CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
+
+#include "core/batch/item_scheduler_base.h"
+#include "core/batch/partition_fold_base.h"
+#include "daemon/forward_task_base.h"
+
+#include <functional>
+#include <map>
+#include <random>
+
+namespace camphornotch {
+
+/// What the task needs of its owner.
+struct ItemTaskEvents {
+  /// @return a submission of an owned partition, or null.
+  std::function<const SubmissionState *(const SubmissionId &)> Submission;
+  /// @return the routes in force.
+  std::function<const RouteTable &()> Routes;
+  /// An item has its result.
+  std::function<void(wire::ItemResultRecord)> Result;
+  /// Events of an item that may outlast this process.
+  std::function<void(wire::ItemProgressRecord)> Progress;
+};
+
+/// Owns the runs of the items of this process's partitions.
+class ItemTask {
+public:
+  /// @param Events the loop.
+  /// @param Http sends the runs.
+  /// @param Pool the endpoints.
+  /// @param Forward sends the scoring calls.
+  /// @param Counts counts retries.
+  /// @param Tell what the task needs.
+  ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
+           ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell);
+
+  /// Takes over a submission's items that have no result.
+  /// @param State the submission.
+  void adopt(const SubmissionState &State);
+
+  /// Ends all work for a submission.
+  /// @param Id the submission.
+  void drop(const SubmissionId &Id);
+
+  /// Ends the work for an item that got its result.
+  /// @param Key the item.
+  void listed(const ItemKey &Key);
+
+  /// Starts what can start.
+  void wake();
+
+  /// Notes the events of all runs as progress.
+  void saveAll();
+
+  /// Starts nothing more.
+  void stop() { this->Stopped = true; }
+
+  /// @return the scheduler's counts.
+  const ItemScheduler &scheduler() const { return this->Scheduler; }
+
+private:
+  /// One item under way: its text, its run, then its scoring call.
+  struct Run {
+    /// Names the chain of events.
+    int64_t Chain = 0;
+    /// The events so far.
+    std::vector<wire::TextEvent> Events;
+    /// Events of the chain that are noted as progress.
+    size_t Saved = 0;
+    /// The engine.
+    EndpointId Endpoint;
+    /// The call at the engine.
+    HttpCallId Call;
+    /// When the call began.
+    Millis BeganAt{0};
+    /// When the last event came.
+    Millis LastAt{0};
+    /// Events had when the call began.
+    size_t HadAtStart = 0;
+    /// The version that makes the next event.
+    int64_t Version = -1;
+    /// Bytes of an event that is not whole.
+    std::string Rest;
+    /// What the head of the answer says.
+    platform::EngineAnswer Head;
+    /// The scoring call.
+    ForwardId Scoring;
+    /// Answers of status 500 to its scoring call.
+    int64_t ScoringFailures = 0;
+    /// Whether the text is whole.
+    bool Whole = false;
+  };
+
+  /// Sends an item to an engine.
+  /// @param Start which, and where.
+  void begin(const StartItem &Start);
+  /// @param Key the item.
+  /// @param Response the head of the answer.
+  void onHead(const ItemKey &Key, const HttpResponse &Response);
+  /// @param Key the item.
+  /// @param Part a part of the stream.
+  void onChunk(const ItemKey &Key, std::string_view Part);
+  /// @param Key the item.
+  /// @param Each its run.
+  /// @param Text one event.
+  /// @return whether it follows the one before.
+  bool takeEvent(const ItemKey &Key, Run &Each, std::string_view Text);
+  /// @param Key the item.
+  /// @param Response the end of the answer.
+  void onFinished(const ItemKey &Key, const HttpResponse &Response);
+  /// Ends the call at the engine; the item waits for another.
+  /// @param Key the item.
+  /// @param Why what happened.
+  /// @param End what it says of the engine.
+  /// @param Cause why, for the log.
+  void setBack(const ItemKey &Key, ItemSetback Why, WorkEnd End,
+               std::string_view Cause);
+  /// Sends the scoring call of a whole text.
+  /// @param Key the item.
+  void score(const ItemKey &Key);
+  /// @param Key the item.
+  /// @param Response the answer to its scoring call.
+  void onScored(const ItemKey &Key, const HttpResponse &Response);
+  /// Sends the scoring call again.
+  /// @param Key the item.
+  /// @param Cause why.
+  void scoreAgain(const ItemKey &Key, std::string_view Cause);
+  /// Hands on a result.
+  /// @param Key the item.
+  /// @param Completed whether the text is whole and scored.
+  /// @param Score the receipt of its scoring call.
+  /// @param Cause why it was given up.
+  void report(const ItemKey &Key, bool Completed, const std::string &Score,
+              std::string_view Cause);
+  /// Looks for runs that stand still, and for items too old.
+  void look();
+  /// Notes a run's new events as progress.
+  /// @param Key the item.
+  /// @param Each its run.
+  void save(const ItemKey &Key, Run &Each);
+  /// Ends a run's call and scoring call.
+  /// @param Key the item.
+  void forget(const ItemKey &Key);
+  /// @param Key an item.
+  /// @return its run, or null.
+  Run *find(const ItemKey &Key);
+  /// @param Key an item.
+  /// @return its route, or null.
+  const Route *routeOf(const ItemKey &Key);
+
+  /// The loop.
+  Loop &Events;
+  /// Sends the runs.
+  HttpClient &Http;
+  /// The endpoints.
+  EndpointPool &Pool;
+  /// Sends the scoring calls.
+  ForwardTask &Forward;
+  /// Counts retries.
+  Metrics &Counts;
+  /// What the task needs.
+  ItemTaskEvents Tell;
+  /// Chooses what runs.
+  ItemScheduler Scheduler;
+  /// Items under way.
+  std::map<ItemKey, Run> Runs;
+  /// Whether nothing more starts.
+  bool Stopped = false;
+  /// Whether a start is planned for the next turn.
+  bool WakePlanned = false;
+  /// Draws the names of chains.
+  std::mt19937_64 Draws;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -24,6 +24,16 @@
   int operator()(const AgentSettings &Settings) const {
     return runAgent(Settings);
   }
+  /// @param Settings a gateway's settings.
+  /// @return the exit code.
+  int operator()(const GatewaySettings &Settings) const {
+    return runGateway(Settings);
+  }
+  /// @param Settings a loader's settings.
+  /// @return the exit code.
+  int operator()(const LoaderSettings &Settings) const {
+    return runLoader(Settings);
+  }
 };
 
 } // namespace
--- /dev/null
+++ b/packages/daemon/partition_appender_base.cpp
@@ -0,0 +1,120 @@
+/// @file
+/// Appends records to partitions until the store has acknowledged each.
+
+#include "daemon/partition_appender_base.h"
+
+#include "base/clock_func.h"
+#include "base/log_func.h"
+#include "base/text_func.h"
+#include "core/batch/partition_fold_base.h"
+#include "wire/codec_func.h"
+
+#include <utility>
+
+namespace camphornotch {
+
+namespace {
+
+/// Time for the answer to an append: 60 times the store's usual answer is
+/// 240 ms, and a partition may hold up to 2 s of appends.
+constexpr Millis AppendTimeout{900};
+/// Pause after a failed append.
+constexpr Millis RetryPause{80};
+/// Most bytes of one call; the platform takes 2 MB.
+constexpr size_t MaxCallBytes = size_t{1'500} << 10;
+
+} // namespace
+
+PartitionAppender::PartitionAppender(Loop &Events,
+                                     platform::StoreClient &Store,
+                                     size_t RecordBytes)
+    : Events(Events), Store(Store), RecordBytes(RecordBytes) {}
+
+void PartitionAppender::append(const PartitionId &Where,
+                               const wire::BatchRecord &Record,
+                               AppendPolicy Policy, DoneCall Done) {
+  Waiting Added;
+  Added.Parts = splitRecord(encodeBatchRecord(Record), this->RecordBytes);
+  Added.GiveUpAt = Policy.GiveUpAt;
+  Added.Done = std::move(Done);
+  this->Queues[Where].Records.push_back(std::move(Added));
+  this->pump(Where);
+}
+
+size_t PartitionAppender::waiting() const {
+  size_t Count = 0;
+  for (const auto &[Where, Each] : this->Queues)
+    Count += Each.Records.size();
+  return Count;
+}
+
+void PartitionAppender::pump(const PartitionId &Where) {
+  Queue &Each = this->Queues[Where];
+  if (Each.Sent > 0 || Each.Paused || Each.Records.empty())
+    return;
+  std::vector<std::string> Parts;
+  size_t Bytes = 0;
+  for (const Waiting &Next : Each.Records) {
+    size_t Size = 0;
+    for (const std::string &Part : Next.Parts)
+      Size += Part.size();
+    if (Each.Sent > 0 && Bytes + Size > MaxCallBytes)
+      break;
+    Bytes += Size;
+    ++Each.Sent;
+    Parts.insert(Parts.end(), Next.Parts.begin(), Next.Parts.end());
+  }
+  this->Store.append(Where, Parts, AppendTimeout,
+                     [this, Where](const StoreResult<int64_t> &Outcome) {
+                       this->onAnswer(Where, Outcome);
+                     });
+}
+
+void PartitionAppender::onAnswer(const PartitionId &Where,
+                                 const StoreResult<int64_t> &Outcome) {
+  Queue &Each = this->Queues[Where];
+  const size_t Sent = std::exchange(Each.Sent, 0);
+  if (Outcome.has_value()) {
+    std::vector<DoneCall> Calls;
+    for (size_t Index = 0; Index < Sent; ++Index) {
+      Calls.push_back(std::move(Each.Records.front().Done));
+      Each.Records.pop_front();
+    }
+    for (const DoneCall &Done : Calls)
+      Done(AppendEnd::Done);
+    this->pump(Where);
+    return;
+  }
+  const StoreFailure &Failure = Outcome.error();
+  logLine(LogLevel::Warn, "append not acknowledged",
+          {{"partition", concat(Where.Part)},
+           {"records", concat(Sent)},
+           {"not_done", Failure.NotDone ? "yes" : "no"},
+           {"cause", Failure.Cause.Message}});
+  for (size_t Index = 0; Index < Sent; ++Index)
+    Each.Records[Index].MaybeDone |= !Failure.NotDone;
+  Each.Paused = true;
+  this->Events.callAfter(RetryPause, [this, Where] {
+    this->Queues[Where].Paused = false;
+    this->giveUp(Where);
+    this->pump(Where);
+  });
+}
+
+void PartitionAppender::giveUp(const PartitionId &Where) {
+  std::deque<Waiting> &Records = this->Queues[Where].Records;
+  const Millis Now = steadyNow();
+  std::vector<std::pair<DoneCall, AppendEnd>> Calls;
+  std::erase_if(Records, [&](Waiting &Each) {
+    if (Now < Each.GiveUpAt)
+      return false;
+    Calls.emplace_back(std::move(Each.Done), Each.MaybeDone
+                                                 ? AppendEnd::Unknown
+                                                 : AppendEnd::NotDone);
+    return true;
+  });
+  for (const auto &[Done, End] : Calls)
+    Done(End);
+}
+
+} // namespace camphornotch
--- /dev/null
+++ b/packages/daemon/published_values_base.cpp
@@ -0,0 +1,33 @@
+/// @file
+/// The newest value that operators and trainers published under each key.
+
+#include "daemon/published_values_base.h"
+
+#include <algorithm>
+
+namespace camphornotch {
+
+bool PublishedValues::take(const KeyedRecord &Record) {
+  const auto Known = this->Values.find(Record.Key);
+  if (Known != this->Values.end() && Known->second.Offset >= Record.Offset)
+    return false;
+  this->Newest = std::max(this->Newest, Record.Offset);
+  this->Values.insert_or_assign(Record.Key, Record);
+  return true;
+}
+
+wire::PublishedPush PublishedValues::above(int64_t Offset) const {
+  wire::PublishedPush Push;
+  for (const auto &[Key, Record] : this->Values) {
+    if (Record.Offset <= Offset)
+      continue;
+    wire::PublishedValue Value;
+    Value.Key = Key;
+    Value.Offset = Record.Offset;
+    Value.Value = Record.Value;
+    Push.Values.push_back(std::move(Value));
+  }
+  return Push;
+}
+
+} // namespace camphornotch
--- a/packages/daemon/run_func.h
+++ b/packages/daemon/run_func.h
@@ -18,6 +18,16 @@
 /// @return the exit code.
 int runAgent(const AgentSettings &Settings);
 
+/// Runs a gateway until it is told to stop.
+/// @param Settings its settings.
+/// @return the exit code.
+int runGateway(const GatewaySettings &Settings);
+
+/// Runs a loader until it is told to stop.
+/// @param Settings its settings.
+/// @return the exit code.
+int runLoader(const LoaderSettings &Settings);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_DAEMON_RUN_FUNC_H
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -24,9 +24,12 @@
 /// @param Call a request.
 /// @return its head as sent.
 std::string requestHead(const HttpCall &Call) {
-  std::string Head = absl::StrCat(Call.Method, " ", Call.Path,
-                                  " HTTP/1.1\r\nhost: ", Call.Target.Address,
-                                  ":", Call.Target.Port, "\r\n");
+  std::string Head = absl::StrCat(Call.Method, " ", Call.Path, " HTTP/1.1\r\n");
+  if (Call.Host.empty())
+    absl::StrAppend(&Head, "host: ", Call.Target.Address, ":", Call.Target.Port,
+                    "\r\n");
+  else
+    absl::StrAppend(&Head, "host: ", Call.Host, "\r\n");
   for (const HttpHeader &Header : Call.Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
   const bool HasBody = !Call.Body.empty() || Call.Method == "POST" ||
@@ -52,7 +55,19 @@
     if (breaksLine(Header.Name) || breaksLine(Header.Value))
       return false;
   const bool Spaced = Call.Path.find(' ') != std::string::npos;
-  return !breaksLine(Call.Method) && !breaksLine(Call.Path) && !Spaced;
+  return !breaksLine(Call.Method) && !breaksLine(Call.Path) &&
+         !breaksLine(Call.Host) && !Spaced;
+}
+
+/// @param Response a head.
+/// @return whether it says where the body ends.
+bool isFramed(const HttpResponse &Response) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  if (Response.Status == NoContent || Response.Status == NotModified)
+    return true;
+  return !findHeader(Response.Headers, "content-length").empty() ||
+         !findHeader(Response.Headers, "transfer-encoding").empty();
 }
 
 /// @param Call a request.
@@ -90,6 +105,8 @@
     HttpResponse Response;
     /// Ends the call when its time is over.
     TimerId Timer;
+    /// Ends the call when no connection could be made in time.
+    TimerId ConnectTimer;
     /// Whether a callback of h2o runs.
     bool InCallback = false;
     /// Whether cancel() was called within it.
@@ -152,6 +169,7 @@
   std::unique_ptr<Running> take(Running &Call) {
     Call.Raw = nullptr;
     this->Events.cancel(Call.Timer);
+    this->Events.cancel(Call.ConnectTimer);
     auto Node = this->Calls.extract(Call.Id);
     return std::move(Node.mapped());
   }
@@ -191,6 +209,7 @@
       return nullptr;
     }
     Call.Connected = true;
+    Call.Owner->Events.cancel(Call.ConnectTimer);
     Call.Parts[0] = toVector(Call.Head);
     Call.Parts[1] = toVector(Call.Call.Body);
     *Parts = Call.Parts;
@@ -221,6 +240,7 @@
     }
     Call.Response.ContentType =
         findHeader(Call.Response.Headers, "content-type");
+    Call.Response.Framed = isFramed(Call.Response);
     Call.InCallback = true;
     if (Call.Tell.Head)
       Call.Tell.Head(Call.Response);
@@ -293,6 +313,7 @@
 HttpClient::~HttpClient() {
   for (const auto &[Id, Call] : this->Inner->Calls) {
     this->Inner->Events.cancel(Call->Timer);
+    this->Inner->Events.cancel(Call->ConnectTimer);
     if (Call->Raw != nullptr)
       h2o_http1client_cancel(Call->Raw);
   }
@@ -316,6 +337,9 @@
   if (New.Call.Timeout > Millis{0})
     New.Timer = Self.Events.callAfter(New.Call.Timeout,
                                       [&Self, Id] { Self.onTimeout(Id); });
+  if (New.Call.ConnectTimeout > Millis{0})
+    New.ConnectTimer = Self.Events.callAfter(
+        New.Call.ConnectTimeout, [&Self, Id] { Self.onTimeout(Id); });
   if (isSendable(New.Call))
     Self.connect(New);
   else
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -16,9 +16,7 @@
 namespace {
 
 /// How often waiting clients are looked at.
-constexpr Millis GoneCheckInterval{200};
-/// Time for a client to send its request, in milliseconds.
-constexpr uint64_t RequestTimeoutMs = 30'000;
+constexpr Millis GoneCheckInterval{100};
 /// Connections accepted in one turn.
 constexpr int MaxAcceptsPerTurn = 64;
 /// Requests of one HTTP/2 connection handled at once.
@@ -29,6 +27,7 @@
 HttpRequest copyRequest(const h2o_req_t &Request) {
   HttpRequest Copy;
   Copy.Method = toView(Request.input.method);
+  Copy.Authority = toView(Request.input.authority);
   const std::string_view Whole = toView(Request.input.path);
   const size_t QueryAt = Request.input.query_at;
   Copy.Path = Whole.substr(0, QueryAt);
@@ -116,12 +115,13 @@
   TimerId GoneCheck;
 
   /// Builds h2o's configuration.
-  /// @param MaxBodyBytes the body limit.
-  void configure(size_t MaxBodyBytes) {
+  /// @param Limits what clients may send.
+  void configure(const HttpServerConfig &Limits) {
     h2o_config_init(&this->Config);
     this->Config.server_name = toVector("camphornotch");
-    this->Config.max_request_entity_size = MaxBodyBytes;
-    this->Config.http1.req_timeout = RequestTimeoutMs;
+    this->Config.max_request_entity_size = Limits.MaxBodyBytes;
+    this->Config.http1.req_timeout =
+        static_cast<uint64_t>(Limits.RequestTimeout.Count);
     this->Config.http2.max_concurrent_requests_per_connection =
         MaxStreamsPerConnection;
     h2o_hostconf_t *Host = h2o_config_register_host(
@@ -306,7 +306,7 @@
   auto Inner = std::make_unique<State>(Events);
   Inner->Handle = std::move(Handler);
   Inner->Port = Socket.value().Port;
-  Inner->configure(Config.MaxBodyBytes);
+  Inner->configure(Config);
   Inner->Listener = h2o_evloop_socket_create(Events.raw(), Socket.value().Fd,
                                              H2O_SOCKET_FLAG_DONT_READ);
   Inner->Listener->data = Inner.get();
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -85,6 +85,9 @@
   uint16_t Port = 0;
   /// Largest request body; larger ones get 413.
   size_t MaxBodyBytes = size_t{8} << 20;
+  /// Time for a client to send its request, and for a kept connection to stay
+  /// idle: h2o has one limit for both.
+  Millis RequestTimeout = seconds(30);
 };
 
 /// A listening server.
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -42,6 +42,8 @@
   std::string Body;
   /// The client's IP number.
   std::string Peer;
+  /// What the Host header said; it is not among the headers.
+  std::string Authority;
 };
 
 /// @param Query a query string.
@@ -59,6 +61,9 @@
   HttpHeaders Headers;
   /// The body; for a streamed answer the first part.
   std::string Body;
+  /// Of a received response: whether its head says where the body ends. One
+  /// that ends with its connection cannot be told from one that was reset.
+  bool Framed = true;
 };
 
 /// A numeric IP address and port.
@@ -80,12 +85,16 @@
   std::string Method = "GET";
   /// Path and query.
   std::string Path = "/";
+  /// The Host header; empty: the target's address.
+  std::string Host;
   /// Headers besides Host, Content-Length and Connection.
   HttpHeaders Headers;
   /// The body; not sent when empty, except for POST and PUT.
   std::string Body;
   /// Time for the whole call; 0: none.
   Millis Timeout{0};
+  /// Time for the connection to be made; 0: only Timeout bounds it.
+  Millis ConnectTimeout{0};
   /// Whether an idle connection may be used and kept. Calls that must not
   /// be repeated set this to false: an idle connection may break just then.
   bool Reuse = true;
--- a/packages/net/loop_base.cpp
+++ b/packages/net/loop_base.cpp
@@ -74,8 +74,10 @@
   uint64_t LastTimer = 0;
   /// Calls of this thread for the next turn.
   std::vector<Call> Deferred;
-  /// Takes signals.
-  SignalCall OnSignal;
+  /// Takes the signals that ask the process to end.
+  SignalCall OnStop;
+  /// Takes the signal that says that the settings have changed.
+  SignalCall OnReload;
   /// The read end of the signal pipe.
   h2o_socket_t *SignalSocket = nullptr;
   /// Whether run() is to return.
@@ -104,8 +106,11 @@
     const auto *Self = static_cast<State *>(Socket->data);
     const std::string Bytes(Socket->input->bytes, Socket->input->size);
     h2o_buffer_consume(&Socket->input, Socket->input->size);
-    for (const char Byte : Bytes)
-      Self->OnSignal(Byte);
+    for (const char Byte : Bytes) {
+      const SignalCall &Run = Byte == SIGHUP ? Self->OnReload : Self->OnStop;
+      if (Run)
+        Run(Byte);
+    }
   }
 
   /// Runs the calls that are due.
@@ -198,12 +203,13 @@
 
 void Loop::defer(Call Run) { this->Inner->Deferred.push_back(std::move(Run)); }
 
-void Loop::takeSignals(SignalCall Run) {
+void Loop::takeSignals(SignalCall Stop, SignalCall Reload) {
   int Ends[2] = {-1, -1};
   const int Status = pipe2(Ends, O_CLOEXEC | O_NONBLOCK);
   assert(Status == 0);
   (void)Status;
-  this->Inner->OnSignal = std::move(Run);
+  this->Inner->OnStop = std::move(Stop);
+  this->Inner->OnReload = std::move(Reload);
   this->Inner->SignalSocket =
       h2o_evloop_socket_create(this->Inner->Raw, Ends[0], 0);
   this->Inner->SignalSocket->data = this->Inner.get();
@@ -214,6 +220,7 @@
   Action.sa_flags = SA_RESTART;
   sigaction(SIGTERM, &Action, nullptr);
   sigaction(SIGINT, &Action, nullptr);
+  sigaction(SIGHUP, &Action, nullptr);
   Action.sa_handler = SIG_IGN;
   sigaction(SIGPIPE, &Action, nullptr);
 }
--- a/packages/net/loop_base.h
+++ b/packages/net/loop_base.h
@@ -58,10 +58,11 @@
   /// @param Run the message.
   void defer(Call Run);
 
-  /// Takes SIGTERM and SIGINT and ignores SIGPIPE for the whole process.
-  /// @param Run called on the loop for each signal.
+  /// Takes SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE for the whole process.
+  /// @param Stop called on the loop for each SIGTERM and SIGINT.
+  /// @param Reload called on the loop for each SIGHUP; may be left empty.
   /// @pre no other loop of the process takes signals.
-  void takeSignals(SignalCall Run);
+  void takeSignals(SignalCall Stop, SignalCall Reload = {});
 
   /// Runs until stop().
   void run();
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -274,6 +274,52 @@
 }
 
 /** One message of a link: exactly one of the optional fields is set. */
+/** A model's version at an engine. */
+struct ModelVersion {
+  1: string Model,
+  2: i64 Version,
+}
+
+/** Loader to gateways: the engine beside it, as it says itself. */
+struct EngineStatePush {
+  1: string Address,       // of the engine, "IP:PORT"
+  2: list<ModelVersion> Versions,
+  3: i32 Running,
+  4: i32 Waiting,
+  5: bool Loading,         // a change of weights is under way
+  6: string LoadingModel,
+}
+
+/** One value that operators or trainers published. */
+struct PublishedValue {
+  1: string Key,
+  2: i64 Offset,
+  3: binary Value,
+}
+
+/** Answers ConfigPull between gateways and loaders: all that is newer. */
+struct PublishedPush {
+  1: list<PublishedValue> Values,
+}
+
+/** A call to the platform's store that the sender cannot make itself. */
+struct StoreCallRequest {
+  1: i64 Id,
+  2: string Method,
+  3: string Path,
+  4: binary Body,
+  5: i64 TimeoutMs,
+  6: string ContentType,
+}
+
+/** The store's answer; Status 0: none came. */
+struct StoreCallReply {
+  1: i64 Id,
+  2: i32 Status,
+  3: binary Body,
+  4: string Cause,
+}
+
 struct PeerMessage {
   1: optional Hello HelloMsg,
   2: optional Heartbeat HeartbeatMsg,
@@ -297,6 +343,10 @@
   20: optional LeaveOrder LeaveOrderMsg,
   21: optional StandingQuery StandingQueryMsg,
   22: optional StandingReply StandingReplyMsg,
+  23: optional EngineStatePush EngineStateMsg,
+  24: optional PublishedPush PublishedMsg,
+  25: optional StoreCallRequest StoreCallMsg,
+  26: optional StoreCallReply StoreReplyMsg,
 }
 
 /* ---- Records of the log -------------------------------------------------- */
@@ -454,3 +504,81 @@
   1: list<CarriedRecord> Records,
   2: list<WriterWindow> Writers,
 }
+
+/* ---- Records of batch submissions ---------------------------------------- */
+
+/** One header field of an item. */
+struct HeaderField {
+  1: string Name,
+  2: string Value,
+}
+
+/** The call whose answer scores an item's text. */
+struct ScoringCallField {
+  1: string Id,
+  2: string Host,
+  3: string Path,
+  4: binary Body,
+}
+
+/** One item of a batch submission. */
+struct BatchItemField {
+  1: string Id,
+  2: string Path,
+  3: list<HeaderField> Headers,
+  4: binary Body,
+  5: i64 Tokens,           // prompt and most output tokens
+  6: string Group,
+  7: i64 LengthHint,       // expected output tokens; 0: not said
+  8: optional ScoringCallField Scoring,
+}
+
+/** A batch submission; the first record of an id stands. */
+struct SubmissionRecord {
+  1: string Id,
+  2: string Host,
+  3: string Path,
+  4: string Model,
+  5: i64 MinVersion,
+  6: i64 Step,
+  7: i64 WantedGroups,
+  8: list<BatchItemField> Items,
+}
+
+/** One event of an item's text. */
+struct TextEvent {
+  1: binary Data,
+  2: i64 Version,
+}
+
+/** Events of an item that is under way, for whoever takes it over. */
+struct ItemProgressRecord {
+  1: string Submission,
+  2: string Item,
+  3: i64 Run,              // one number a chain of events
+  4: i64 From,             // events of the chain before these
+  5: list<TextEvent> Events,
+}
+
+/** The outcome of an item; the first record of an item stands. */
+struct ItemResultRecord {
+  1: string Submission,
+  2: string Item,
+  3: bool Completed,       // false: given up
+  4: binary Text,
+  5: list<i64> Versions,
+  6: string Score,
+}
+
+/** The caller has ended a batch submission. */
+struct SubmissionEndRecord {
+  1: string Submission,
+}
+
+/** One record of a partition: exactly one of the optional fields is set. */
+struct BatchRecord {
+  1: optional SubmissionRecord Submission,
+  2: optional ItemResultRecord Result,
+  3: optional SubmissionEndRecord End,
+  4: optional ItemProgressRecord Progress,
+}
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -99,6 +99,14 @@
   return decode<wire::SnapshotState>(Bytes);
 }
 
+std::string encodeBatchRecord(const wire::BatchRecord &Record) {
+  return encode(Record);
+}
+
+Result<wire::BatchRecord> decodeBatchRecord(std::string_view Bytes) {
+  return decode<wire::BatchRecord>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -47,6 +47,14 @@
 /// @return the state, or what is wrong with it.
 Result<wire::SnapshotState> decodeSnapshotState(std::string_view Bytes);
 
+/// @param Record the record.
+/// @return its encoding, as a partition keeps it.
+std::string encodeBatchRecord(const wire::BatchRecord &Record);
+
+/// @param Bytes one record of a partition.
+/// @return the record, or what is wrong with it.
+Result<wire::BatchRecord> decodeBatchRecord(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
