Fix: [Net] A bad Content-Length of an endpoint ended the process

Change: the client stands on h2o's sockets and reads responses with http-parser, kept connections are read while idle and dropped at any byte, the server's Keep-Alive bounds how long they are kept.

--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -1,13 +1,19 @@
 /// @file
-/// HTTP client on h2o's.
+/// HTTP client on h2o's sockets.
 
 #include "net/http_client_base.h"
 
+#include "base/clock_func.h"
 #include "net/h2o_internal.h"
+#include "net/http_parser_internal.h"
 #include "net/listen_internal.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
 #include <cassert>
+#include <list>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -16,10 +22,15 @@
 
 namespace {
 
-/// Time that an idle connection is kept, in milliseconds.
-constexpr uint64_t IdleKeepMs = 4'000;
-/// h2o's own limit between bytes, in milliseconds; calls have their own.
-constexpr uint64_t IoTimeoutMs = 3'600'000;
+/// Longest time that an idle connection is kept if the server names none.
+constexpr Millis IdleKeep{4'000};
+/// Longest time that an idle connection is kept.
+constexpr Millis IdleKeepMost{30'000};
+/// Time before the server's own limit at which an idle connection is closed,
+/// so that no request crosses the server's close.
+constexpr Millis IdleMargin{700};
+/// Idle connections kept to one target.
+constexpr size_t MaxIdlePerTarget = 16;
 
 /// @param Call a request.
 /// @return its head as sent.
@@ -59,19 +70,8 @@
          !breaksLine(Call.Host) && !Spaced;
 }
 
-/// @param Response a head.
-/// @return whether it says where the body ends.
-bool isFramed(const HttpResponse &Response) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  if (Response.Status == NoContent || Response.Status == NotModified)
-    return true;
-  return !findHeader(Response.Headers, "content-length").empty() ||
-         !findHeader(Response.Headers, "transfer-encoding").empty();
-}
-
-/// @param Call a request.
-/// @param Cause what h2o says.
+/// @param Call a call.
+/// @param Cause what happened.
 /// @return the error for the caller.
 Error callError(const HttpCall &Call, std::string_view Cause) {
   return Error{ErrorKind::Unavailable,
@@ -81,14 +81,37 @@
                "see whether the process at this address runs"};
 }
 
+/// @param Response a head.
+/// @return how long its connection may stay idle.
+Millis idleTime(const HttpResponse &Response) {
+  constexpr std::string_view Parameter = "timeout=";
+  const std::string_view Said = findHeader(Response.Headers, "keep-alive");
+  const size_t At = Said.find(Parameter);
+  if (At == std::string_view::npos)
+    return IdleKeep;
+  const std::string_view Rest = Said.substr(At + Parameter.size());
+  int64_t Seconds = 0;
+  if (!absl::SimpleAtoi(
+          absl::string_view(Rest.data(), std::min(Rest.find(','), Rest.size())),
+          &Seconds))
+    return IdleKeep;
+  return std::min(IdleKeepMost, seconds(Seconds) - IdleMargin);
+}
+
 } // namespace
 
 /// The client's state.
 struct HttpClient::State {
   /// One call under way.
   struct Running {
+    /// @param Owner the client.
+    /// @param Call the request.
+    /// @param Tell what to tell.
+    Running(State *Owner, HttpCall Call, HttpEvents Tell)
+        : Owner(Owner), Call(std::move(Call)), Tell(std::move(Tell)),
+          Head(requestHead(this->Call)), Reader(this->Call.Method == "HEAD") {}
     /// The client.
-    State *Owner = nullptr;
+    State *Owner;
     /// The call's name.
     uint64_t Id = 0;
     /// The request.
@@ -97,268 +120,288 @@
     HttpEvents Tell;
     /// The head as sent.
     std::string Head;
-    /// Head and body, for h2o.
-    h2o_iovec_t Parts[2]{};
-    /// h2o's call; null once it is over.
-    h2o_http1client_t *Raw = nullptr;
-    /// The answer so far.
-    HttpResponse Response;
+    /// The connection; null until it is begun and once the call is over.
+    h2o_socket_t *Socket = nullptr;
+    /// Reads the answer.
+    HttpResponseReader Reader;
     /// Ends the call when its time is over.
     TimerId Timer;
     /// Ends the call when no connection could be made in time.
     TimerId ConnectTimer;
-    /// Whether a callback of h2o runs.
-    bool InCallback = false;
-    /// Whether cancel() was called within it.
-    bool Cancelled = false;
+    /// Whether the head of the answer was told.
+    bool HeadTold = false;
     /// Whether a connection was had.
     bool Connected = false;
+    /// Whether the request was written whole.
+    bool Written = false;
+  };
+
+  /// A kept connection.
+  struct Idle {
+    /// The client.
+    State *Owner;
+    /// Where it leads.
+    HttpTarget Target;
+    /// The connection.
+    h2o_socket_t *Socket;
+    /// Closes it.
+    TimerId Timer;
   };
 
+  /// Kept connections, the last used last.
+  using IdleList = std::list<std::unique_ptr<Idle>>;
+
   /// @param Events the loop.
   explicit State(Loop &Events) : Events(Events) {}
 
   /// The loop.
   Loop &Events;
-  /// h2o's client context.
-  h2o_http1client_ctx_t Context{};
-  /// Takes answers of the name service, which is never asked.
-  h2o_multithread_receiver_t Resolver{};
-  /// h2o's limit between bytes.
-  h2o_timeout_t IoTimeout{};
   /// Kept connections by target.
-  std::map<HttpTarget, std::unique_ptr<h2o_socketpool_t>> Pools;
+  std::map<HttpTarget, IdleList> Kept;
   /// Calls under way.
   std::unordered_map<uint64_t, std::unique_ptr<Running>> Calls;
   /// The last name given out.
   uint64_t LastCall = 0;
 
-  /// @param Target where to.
-  /// @return the kept connections to it.
-  h2o_socketpool_t *poolOf(const HttpTarget &Target) {
-    std::unique_ptr<h2o_socketpool_t> &Pool = this->Pools[Target];
-    if (Pool == nullptr) {
-      Pool = std::make_unique<h2o_socketpool_t>();
-      sockaddr_in Address = socketAddress(Target);
-      h2o_socketpool_init_by_address(Pool.get(),
-                                     reinterpret_cast<sockaddr *>(&Address),
-                                     sizeof(Address), 0, SIZE_MAX);
-      h2o_socketpool_set_timeout(Pool.get(), this->Events.raw(), IdleKeepMs);
-    }
-    return Pool.get();
+  /// @param Id a call.
+  /// @return it, or null.
+  Running *find(uint64_t Id) {
+    const auto Found = this->Calls.find(Id);
+    return Found == this->Calls.end() ? nullptr : Found->second.get();
   }
 
-  /// Hands a call to h2o.
+  /// Gets a connection for a call.
   /// @param Call the call.
   void connect(Running &Call) {
-    Call.InCallback = true;
-    if (Call.Call.Reuse)
-      h2o_http1client_connect_with_pool(&Call.Raw, &Call, &this->Context,
-                                        this->poolOf(Call.Call.Target),
-                                        State::onConnect);
-    else
-      h2o_http1client_connect(&Call.Raw, &Call, &this->Context,
-                              toVector(Call.Call.Target.Address),
-                              Call.Call.Target.Port, 0, State::onConnect);
-    Call.InCallback = false;
+    const auto Found = this->Kept.find(Call.Call.Target);
+    if (Call.Call.Reuse && Found != this->Kept.end() &&
+        !Found->second.empty()) {
+      const std::unique_ptr<Idle> Free = std::move(Found->second.back());
+      Found->second.pop_back();
+      this->Events.cancel(Free->Timer);
+      Call.Socket = Free->Socket;
+      Call.Socket->data = &Call;
+      h2o_socket_read_stop(Call.Socket);
+      this->sendRequest(Call);
+      return;
+    }
+    sockaddr_in Address = socketAddress(Call.Call.Target);
+    Call.Socket = h2o_socket_connect(this->Events.raw(),
+                                     reinterpret_cast<sockaddr *>(&Address),
+                                     sizeof(Address), State::onConnect);
+    if (Call.Socket == nullptr) {
+      this->failLater(Call, "no socket");
+      return;
+    }
+    Call.Socket->data = &Call;
   }
 
-  /// Forgets a call.
-  /// @param Call the call; h2o is done with it.
-  /// @return it, for the last event.
-  std::unique_ptr<Running> take(Running &Call) {
-    Call.Raw = nullptr;
-    this->Events.cancel(Call.Timer);
-    this->Events.cancel(Call.ConnectTimer);
-    auto Node = this->Calls.extract(Call.Id);
-    return std::move(Node.mapped());
+  /// The connection is made, or could not be.
+  static void onConnect(h2o_socket_t *Socket, const char *Failure) {
+    auto &Call = *static_cast<Running *>(Socket->data);
+    if (Failure != nullptr) {
+      Call.Owner->fail(Call.Id, Failure);
+      return;
+    }
+    sendAtOnce(h2o_socket_get_fd(Socket));
+    Call.Owner->sendRequest(Call);
   }
 
-  /// Ends a call that failed, outside of the present callback.
-  /// @param Call the call; h2o is done with it.
-  /// @param Cause what h2o says.
-  void fail(Running &Call, const char *Cause) {
-    Call.Raw = nullptr;
-    const HttpFailure Failure{callError(Call.Call, Cause), !Call.Connected};
-    this->Events.defer([this, Id = Call.Id, Failure] {
-      const auto Found = this->Calls.find(Id);
-      if (Found == this->Calls.end())
-        return;
-      const std::unique_ptr<Running> Last = this->take(*Found->second);
-      if (Last->Tell.Failed)
-        Last->Tell.Failed(Failure);
-    });
+  /// Writes the request and reads what comes, which may come before the end.
+  /// @param Call the call, with a connection.
+  void sendRequest(Running &Call) {
+    Call.Connected = true;
+    this->Events.cancel(Call.ConnectTimer);
+    std::array<h2o_iovec_t, 2> Parts{toVector(Call.Head),
+                                     toVector(Call.Call.Body)};
+    h2o_socket_write(Call.Socket, Parts.data(),
+                     Call.Call.Body.empty() ? 1 : Parts.size(),
+                     State::onWritten);
+    h2o_socket_read_start(Call.Socket, State::onRead);
   }
 
-  /// Ends a call that has its whole answer.
-  /// @param Call the call; h2o is done with it.
-  void finish(Running &Call) {
-    const std::unique_ptr<Running> Last = this->take(Call);
-    if (!Last->Cancelled && Last->Tell.Finished)
-      Last->Tell.Finished(std::move(Last->Response));
+  /// The request is written, or could not be.
+  static void onWritten(h2o_socket_t *Socket, const char *Failure) {
+    auto &Call = *static_cast<Running *>(Socket->data);
+    // After a failure, what was received so far is still read.
+    Call.Written = Failure == nullptr;
   }
 
-  /// The connection is made, or could not be.
-  static h2o_http1client_head_cb onConnect(h2o_http1client_t *Raw,
-                                           const char *Failure,
-                                           h2o_iovec_t **Parts,
-                                           size_t *PartCount, int *IsHead) {
-    auto &Call = *static_cast<Running *>(Raw->data);
+  /// Bytes arrived, or the end of the connection.
+  static void onRead(h2o_socket_t *Socket, const char *Failure) {
+    auto &Call = *static_cast<Running *>(Socket->data);
+    State &Self = *Call.Owner;
+    const uint64_t Id = Call.Id;
     if (Failure != nullptr) {
-      Call.Owner->fail(Call, Failure);
-      return nullptr;
+      const bool Orderly = Failure == h2o_socket_error_closed;
+      if (Orderly && Call.Reader.takeEnd() == ReadState::Complete)
+        Self.progress(Id, ReadState::Complete);
+      else
+        Self.fail(Id, Orderly ? "connection closed" : Failure);
+      return;
     }
-    Call.Connected = true;
-    Call.Owner->Events.cancel(Call.ConnectTimer);
-    Call.Parts[0] = toVector(Call.Head);
-    Call.Parts[1] = toVector(Call.Call.Body);
-    *Parts = Call.Parts;
-    *PartCount = Call.Call.Body.empty() ? 1 : 2;
-    *IsHead = Call.Call.Method == "HEAD" ? 1 : 0;
-    return State::onHead;
+    const std::string_view Bytes(Socket->input->bytes, Socket->input->size);
+    const ReadState State = Call.Reader.take(Bytes);
+    h2o_buffer_consume(&Socket->input, Socket->input->size);
+    Self.progress(Id, State);
   }
 
-  /// The head of the answer arrived.
-  static h2o_http1client_body_cb onHead(h2o_http1client_t *Raw,
-                                        const char *Failure, int, int Status,
-                                        h2o_iovec_t,
-                                        struct st_h2o_header_t *Headers,
-                                        size_t HeaderCount, int) {
-    auto &Call = *static_cast<Running *>(Raw->data);
-    const bool AtEnd = Failure == h2o_http1client_error_is_eos;
-    if (Failure != nullptr && !AtEnd) {
-      Call.Owner->fail(Call, Failure);
-      return nullptr;
-    }
-    Call.Response.Status = Status;
-    Call.Response.ContentType.clear();
-    for (size_t Index = 0; Index < HeaderCount; ++Index) {
-      const h2o_header_t &Header = Headers[Index];
-      Call.Response.Headers.push_back(
-          HttpHeader{std::string(toView(*Header.name)),
-                     std::string(toView(Header.value))});
+  /// Tells what a read brought.
+  /// @param Id the call.
+  /// @param State how far the answer is.
+  void progress(uint64_t Id, ReadState State) {
+    if (State == ReadState::Invalid) {
+      this->fail(Id, "the bytes received are no answer");
+      return;
     }
-    Call.Response.ContentType =
-        findHeader(Call.Response.Headers, "content-type");
-    Call.Response.Framed = isFramed(Call.Response);
-    Call.InCallback = true;
-    if (Call.Tell.Head)
-      Call.Tell.Head(Call.Response);
-    Call.InCallback = false;
-    if (AtEnd) {
-      Call.Owner->finish(Call);
-      return nullptr;
+    Running *Call = this->find(Id);
+    if (!Call->Reader.hasHead())
+      return;
+    if (!Call->HeadTold) {
+      Call->HeadTold = true;
+      const HttpResponse &Whole = Call->Reader.response();
+      const HttpResponse Head{Whole.Status, Whole.ContentType, Whole.Headers,
+                              "", Whole.Framed};
+      if (Call->Tell.Head)
+        Call->Tell.Head(Head);
+      Call = this->find(Id);
     }
-    if (Call.Cancelled) {
-      Call.Owner->take(Call);
-      return nullptr;
+    if (Call == nullptr)
+      return;
+    std::string &Body = Call->Reader.response().Body;
+    if (Call->Tell.Chunk && !Body.empty()) {
+      const std::string Part = std::exchange(Body, std::string());
+      Call->Tell.Chunk(Part);
+      Call = this->find(Id);
     }
-    return State::onBody;
+    if (Call != nullptr && State == ReadState::Complete)
+      this->finish(*Call);
   }
 
-  /// A part of the body arrived.
-  static int onBody(h2o_http1client_t *Raw, const char *Failure) {
-    auto &Call = *static_cast<Running *>(Raw->data);
-    const bool AtEnd = Failure == h2o_http1client_error_is_eos;
-    if (Failure != nullptr && !AtEnd) {
-      Call.Owner->fail(Call, Failure);
-      return -1;
-    }
-    h2o_buffer_t *&Input = Raw->sock->input;
-    const std::string_view Part(Input->bytes, Input->size);
-    Call.InCallback = true;
-    if (Call.Tell.Chunk && !Part.empty())
-      Call.Tell.Chunk(Part);
-    else
-      Call.Response.Body += Part;
-    Call.InCallback = false;
-    h2o_buffer_consume(&Input, Input->size);
-    if (AtEnd) {
-      Call.Owner->finish(Call);
-      return 0;
-    }
-    if (Call.Cancelled) {
-      Call.Owner->take(Call);
-      return -1;
+  /// Ends a call that has its whole answer.
+  /// @param Call the call.
+  void finish(Running &Call) {
+    const bool Keeps = Call.Call.Reuse && Call.Written &&
+                       Call.Reader.unread() == 0 && Call.Reader.keepsAlive();
+    if (Keeps)
+      this->keep(std::exchange(Call.Socket, nullptr), Call.Call.Target,
+                 idleTime(Call.Reader.response()));
+    const std::unique_ptr<Running> Last = this->take(Call.Id);
+    if (Last->Tell.Finished)
+      Last->Tell.Finished(std::move(Last->Reader.response()));
+  }
+
+  /// Keeps a connection for later calls.
+  /// @param Socket the connection.
+  /// @param Target where it leads.
+  /// @param Time how long.
+  void keep(h2o_socket_t *Socket, const HttpTarget &Target, Millis Time) {
+    IdleList &List = this->Kept[Target];
+    if (Time <= Millis{0} || List.size() >= MaxIdlePerTarget) {
+      h2o_socket_close(Socket);
+      return;
     }
-    return 0;
+    auto Made = std::make_unique<Idle>(Idle{this, Target, Socket, {}});
+    Idle *Raw = Made.get();
+    Socket->data = Raw;
+    // Bytes that come now belong to no request.
+    h2o_socket_read_start(Socket, State::onIdleRead);
+    Raw->Timer =
+        this->Events.callAfter(Time, [this, Raw] { this->dropIdle(Raw); });
+    List.push_back(std::move(Made));
   }
 
-  /// The call's time is over.
+  /// A kept connection was closed, or brought bytes nobody asked for.
+  static void onIdleRead(h2o_socket_t *Socket, const char *) {
+    auto *Free = static_cast<Idle *>(Socket->data);
+    Free->Owner->Events.cancel(Free->Timer);
+    Free->Owner->dropIdle(Free);
+  }
+
+  /// Closes a kept connection.
+  /// @param Free the connection.
+  void dropIdle(Idle *Free) {
+    IdleList &List = this->Kept[Free->Target];
+    h2o_socket_close(Free->Socket);
+    std::erase_if(List,
+                  [Free](const auto &Each) { return Each.get() == Free; });
+  }
+
+  /// Forgets a call and closes its connection.
   /// @param Id the call.
-  void onTimeout(uint64_t Id) {
-    const auto Found = this->Calls.find(Id);
-    if (Found == this->Calls.end())
+  /// @return it, for the last event.
+  std::unique_ptr<Running> take(uint64_t Id) {
+    auto Node = this->Calls.extract(Id);
+    std::unique_ptr<Running> Last = std::move(Node.mapped());
+    this->Events.cancel(Last->Timer);
+    this->Events.cancel(Last->ConnectTimer);
+    if (Last->Socket != nullptr)
+      h2o_socket_close(std::exchange(Last->Socket, nullptr));
+    return Last;
+  }
+
+  /// Ends a call that failed.
+  /// @param Id the call; one that is over is ignored.
+  /// @param Cause what happened.
+  void fail(uint64_t Id, std::string_view Cause) {
+    const Running *Call = this->find(Id);
+    if (Call == nullptr)
       return;
-    Running &Call = *Found->second;
-    const bool NotSent = !Call.Connected;
-    if (Call.Raw != nullptr)
-      h2o_http1client_cancel(Call.Raw);
-    const std::unique_ptr<Running> Last = this->take(Call);
+    const HttpFailure Failure{callError(Call->Call, Cause), !Call->Connected};
+    const std::unique_ptr<Running> Last = this->take(Id);
     if (Last->Tell.Failed)
-      Last->Tell.Failed(HttpFailure{callError(Last->Call, "timeout"), NotSent});
+      Last->Tell.Failed(Failure);
+  }
+
+  /// Ends a call that cannot begin, in the next turn.
+  /// @param Call the call.
+  /// @param Cause why.
+  void failLater(const Running &Call, const char *Cause) {
+    this->Events.defer([this, Id = Call.Id, Cause] { this->fail(Id, Cause); });
   }
 };
 
-HttpClient::HttpClient(Loop &Events) : Inner(std::make_unique<State>(Events)) {
-  State &Self = *this->Inner;
-  h2o_multithread_register_receiver(Events.queue(), &Self.Resolver,
-                                    h2o_hostinfo_getaddr_receiver);
-  h2o_timeout_init(Events.raw(), &Self.IoTimeout, IoTimeoutMs);
-  Self.Context.loop = Events.raw();
-  Self.Context.getaddr_receiver = &Self.Resolver;
-  Self.Context.io_timeout = &Self.IoTimeout;
-}
+HttpClient::HttpClient(Loop &Events) : Inner(std::make_unique<State>(Events)) {}
 
 HttpClient::~HttpClient() {
-  for (const auto &[Id, Call] : this->Inner->Calls) {
-    this->Inner->Events.cancel(Call->Timer);
-    this->Inner->Events.cancel(Call->ConnectTimer);
-    if (Call->Raw != nullptr)
-      h2o_http1client_cancel(Call->Raw);
-  }
-  this->Inner->Calls.clear();
-  // Deferred failures and h2o's timeouts still point at the state; a client
-  // lives as long as its process.
+  while (!this->Inner->Calls.empty())
+    this->Inner->take(this->Inner->Calls.begin()->first);
+  for (const auto &[Target, List] : this->Inner->Kept)
+    for (const auto &Free : List) {
+      this->Inner->Events.cancel(Free->Timer);
+      h2o_socket_close(Free->Socket);
+    }
+  // Deferred failures still point at the state; a client lives as long as its
+  // process.
   (void)this->Inner.release();
 }
 
 HttpCallId HttpClient::start(HttpCall Call, HttpEvents Events) {
   State &Self = *this->Inner;
-  auto Made = std::make_unique<State::Running>();
+  auto Made = std::make_unique<State::Running>(&Self, std::move(Call),
+                                               std::move(Events));
   State::Running &New = *Made;
-  New.Owner = &Self;
   New.Id = ++Self.LastCall;
-  New.Call = std::move(Call);
-  New.Tell = std::move(Events);
-  New.Head = requestHead(New.Call);
-  Self.Calls.emplace(New.Id, std::move(Made));
   const uint64_t Id = New.Id;
+  Self.Calls.emplace(Id, std::move(Made));
   if (New.Call.Timeout > Millis{0})
-    New.Timer = Self.Events.callAfter(New.Call.Timeout,
-                                      [&Self, Id] { Self.onTimeout(Id); });
+    New.Timer = Self.Events.callAfter(
+        New.Call.Timeout, [&Self, Id] { Self.fail(Id, "timeout"); });
   if (New.Call.ConnectTimeout > Millis{0})
-    New.ConnectTimer = Self.Events.callAfter(
-        New.Call.ConnectTimeout, [&Self, Id] { Self.onTimeout(Id); });
+    New.ConnectTimer =
+        Self.Events.callAfter(New.Call.ConnectTimeout, [&Self, Id] {
+          Self.fail(Id, "connect timeout");
+        });
   if (isSendable(New.Call))
     Self.connect(New);
   else
-    Self.fail(New, "the head holds an end of line");
+    Self.failLater(New, "the head holds an end of line");
   return HttpCallId{Id};
 }
 
 void HttpClient::cancel(HttpCallId Call) {
-  const auto Found = this->Inner->Calls.find(Call.Value);
-  if (Found == this->Inner->Calls.end())
-    return;
-  State::Running &Running = *Found->second;
-  if (Running.InCallback) {
-    Running.Cancelled = true;
-    return;
-  }
-  if (Running.Raw != nullptr)
-    h2o_http1client_cancel(Running.Raw);
-  this->Inner->take(Running);
+  if (this->Inner->find(Call.Value) != nullptr)
+    this->Inner->take(Call.Value);
 }
 
 } // namespace camphornotch
--- /dev/null
+++ b/packages/net/http_parser_base.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// Reads one HTTP/1.1 response from the bytes of a connection.
+
+#include "net/http_parser_internal.h"
+
+namespace camphornotch {
+
+namespace {
+
+/// Largest status of interim responses.
+constexpr int LastInterim = 199;
+/// The interim status that ends HTTP on the connection.
+constexpr int SwitchingProtocols = 101;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+
+/// @param Response a head.
+/// @return whether it says where the body ends.
+bool isFramed(const HttpResponse &Response) {
+  if (Response.Status == NoContent || Response.Status == NotModified)
+    return true;
+  return !findHeader(Response.Headers, "content-length").empty() ||
+         !findHeader(Response.Headers, "transfer-encoding").empty();
+}
+
+} // namespace
+
+HttpResponseReader::HttpResponseReader(bool NoBody) : NoBody(NoBody) {
+  this->begin();
+}
+
+void HttpResponseReader::begin() {
+  http_parser_init(&this->Parser, HTTP_RESPONSE);
+  this->Parser.data = this;
+  this->Response = HttpResponse{};
+  this->Response.ContentType.clear();
+  this->InValue = false;
+  this->HeadRead = false;
+  this->Done = false;
+}
+
+HttpResponseReader &HttpResponseReader::self(http_parser *Parser) {
+  return *static_cast<HttpResponseReader *>(Parser->data);
+}
+
+const http_parser_settings &HttpResponseReader::callbacks() {
+  static const http_parser_settings Table = [] {
+    http_parser_settings Made;
+    http_parser_settings_init(&Made);
+    Made.on_header_field = [](http_parser *Parser, const char *At,
+                              size_t Length) {
+      HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      if (Self.Response.Headers.empty() || Self.InValue)
+        Self.Response.Headers.emplace_back();
+      Self.InValue = false;
+      Self.Response.Headers.back().Name.append(At, Length);
+      return 0;
+    };
+    Made.on_header_value = [](http_parser *Parser, const char *At,
+                              size_t Length) {
+      HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      Self.InValue = true;
+      Self.Response.Headers.back().Value.append(At, Length);
+      return 0;
+    };
+    Made.on_headers_complete = [](http_parser *Parser) {
+      HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      Self.HeadRead = true;
+      Self.Response.Status = static_cast<int>(Parser->status_code);
+      Self.Response.ContentType =
+          findHeader(Self.Response.Headers, "content-type");
+      Self.Response.Framed = isFramed(Self.Response);
+      return Self.NoBody ? 1 : 0;
+    };
+    Made.on_body = [](http_parser *Parser, const char *At, size_t Length) {
+      HttpResponseReader::self(Parser).Response.Body.append(At, Length);
+      return 0;
+    };
+    Made.on_message_complete = [](http_parser *Parser) {
+      HttpResponseReader::self(Parser).Done = true;
+      // What follows belongs to no request.
+      http_parser_pause(Parser, 1);
+      return 0;
+    };
+    return Made;
+  }();
+  return Table;
+}
+
+ReadState HttpResponseReader::judge() {
+  if (this->Done)
+    return ReadState::Complete;
+  return HTTP_PARSER_ERRNO(&this->Parser) == HPE_OK ? ReadState::Incomplete
+                                                    : ReadState::Invalid;
+}
+
+ReadState HttpResponseReader::take(std::string_view Bytes) {
+  for (;;) {
+    const size_t Read =
+        http_parser_execute(&this->Parser, &HttpResponseReader::callbacks(),
+                            Bytes.data(), Bytes.size());
+    const ReadState State = this->judge();
+    this->Unread = Bytes.size() - Read;
+    const int Status = this->Response.Status;
+    const bool Interim = State == ReadState::Complete &&
+                         Status <= LastInterim && Status != SwitchingProtocols;
+    if (!Interim)
+      return State;
+    Bytes.remove_prefix(Read);
+    this->begin();
+    if (Bytes.empty())
+      return ReadState::Incomplete;
+  }
+}
+
+ReadState HttpResponseReader::takeEnd() {
+  http_parser_execute(&this->Parser, &HttpResponseReader::callbacks(), nullptr,
+                      0);
+  const ReadState State = this->judge();
+  return State == ReadState::Incomplete ? ReadState::Invalid : State;
+}
+
+bool HttpResponseReader::keepsAlive() const {
+  return http_should_keep_alive(&this->Parser) != 0;
+}
+
+} // namespace camphornotch
--- a/packages/net/loop_base.h
+++ b/packages/net/loop_base.h
@@ -58,7 +58,8 @@
   /// @param Run the message.
   void defer(Call Run);
 
-  /// Takes SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE for the whole process.
+  /// Takes SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE for the whole
+  /// process.
   /// @param Stop called on the loop for each SIGTERM and SIGINT.
   /// @param Reload called on the loop for each SIGHUP; may be left empty.
   /// @pre no other loop of the process takes signals.
