Change: [Loads] Engines keep two models each and load in turns

Cause: nine engines loaded at once, each load took four seconds in place of one: loads of three models each four seconds on all engines are more than the two at once that do not slow each other; items waited up to 6 s for an engine with their version.

Change: an engine keeps two of the models current, in two halves a model that load every second version; engines of a half load in turns. A changed place among the engines counts after 2 s.

--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -155,8 +155,8 @@
 };
 
 /// The settings of one process, by its role.
-using DaemonSettings = std::variant<EntrySettings, AgentSettings,
-                                    GatewaySettings, LoaderSettings>;
+using DaemonSettings =
+    std::variant<EntrySettings, AgentSettings, GatewaySettings, LoaderSettings>;
 
 /// Settings, or every fault found in them.
 using SettingsResult =
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -12,10 +12,10 @@
 
 /// Why an item goes back to waiting.
 enum class ItemSetback : uint8_t {
-  NotRun,   ///< The engine did not run it.
-  Broken,   ///< The connection broke or the answer made no sense.
-  Failed,   ///< The engine answered 500.
-  TooOld,   ///< The engine had an older version than told.
+  NotRun, ///< The engine did not run it.
+  Broken, ///< The connection broke or the answer made no sense.
+  Failed, ///< The engine answered 500.
+  TooOld, ///< The engine had an older version than told.
 };
 
 /// Keeps the items of the submissions that this process owns; deterministic,
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -15,10 +15,11 @@
 /// Time of work at an endpoint not measured yet, in milliseconds: the mean of
 /// the sites' shortest kind of request.
 constexpr double UnknownTypicalMs = 20.0;
-/// Part of the old value that a new measurement leaves, out of 4.
-constexpr int64_t SmoothingKept = 3;
-/// The whole that SmoothingKept is a part of.
-constexpr int64_t SmoothingWhole = 4;
+/// Part of a new measurement in the smoothed time.
+constexpr double NewPart = 0.2;
+/// How many times as fast another engine must be for a stream to move there:
+/// above the differences between sound engines of the sites.
+constexpr double MuchFaster = 1.7;
 /// A loader's words older than this are not used: several of its intervals.
 constexpr Millis LoadMaxAge{1'500};
 /// Time that an endpoint is avoided after its first failure; doubles.
@@ -95,20 +96,33 @@
   return std::max(Told, State.Outstanding);
 }
 
+bool EndpointPool::isMeasured(const EndpointState &State, Millis Now) {
+  return State.TypicalMs > 0 && Now - State.MeasuredAt < MeasurementMaxAge;
+}
+
+double EndpointPool::bestTypical(std::string_view Service, Millis Now) const {
+  double Best = 0;
+  for (const auto &[Id, State] : this->Endpoints)
+    if (State.Record.Service == Service &&
+        EndpointPool::isMeasured(State, Now) &&
+        (Best == 0 || State.TypicalMs < Best))
+      Best = State.TypicalMs;
+  return Best > 0 ? Best : UnknownTypicalMs;
+}
+
 double EndpointPool::expectedTime(const EndpointState &State,
                                   Millis Now) const {
-  const bool Measured = State.Typical > Millis{0} &&
-                        Now - State.MeasuredAt < MeasurementMaxAge;
-  const double Own = Measured ? static_cast<double>(State.Typical.Count)
-                              : UnknownTypicalMs;
+  const bool Measured = EndpointPool::isMeasured(State, Now);
   const double Trip = RoundTripMs[static_cast<size_t>(State.Near)];
+  const double Own = Measured
+                         ? State.TypicalMs
+                         : this->bestTypical(State.Record.Service, Now) + Trip;
   const auto Slots =
       static_cast<double>(std::max<int64_t>(State.Record.Slots, 1));
   const double Work = static_cast<double>(this->workAt(State, Now)) / Slots;
   // Work shares the endpoint before it waits for it.
   const double Stretch = 1.0 + 0.5 * Work + (Work >= 1.0 ? Work : 0.0);
-  const double Base = (Measured ? Own : Own + Trip) * Stretch;
-  return Now < State.AvoidUntil ? Base * AvoidFactor : Base;
+  return Now < State.AvoidUntil ? Own * Stretch * AvoidFactor : Own * Stretch;
 }
 
 const EndpointState *EndpointPool::choose(const EndpointQuery &Query,
@@ -145,13 +159,8 @@
     return;
   EndpointState &State = Found->second;
   State.Outstanding = std::max<int64_t>(State.Outstanding - 1, 0);
-  if (Took > Millis{0}) {
-    const Millis Old = State.Typical > Millis{0} ? State.Typical : Took;
-    State.Typical =
-        Millis{(Old.Count * SmoothingKept + Took.Count) / SmoothingWhole};
-    State.Typical = std::max(State.Typical, Millis{1});
-    State.MeasuredAt = Now;
-  }
+  if (Took > Millis{0})
+    EndpointPool::measure(State, Took, Now);
   switch (End) {
   case WorkEnd::Answered:
     State.Failures = 0;
@@ -173,6 +182,35 @@
   }
 }
 
+void EndpointPool::measure(EndpointState &State, Millis Took, Millis Now) {
+  const auto New = static_cast<double>(Took.Count);
+  State.TypicalMs = State.TypicalMs > 0
+                        ? State.TypicalMs * (1 - NewPart) + New * NewPart
+                        : New;
+  State.MeasuredAt = Now;
+}
+
+void EndpointPool::paceSeen(const EndpointId &Id, Millis Gap, Millis Now) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found != this->Endpoints.end())
+    EndpointPool::measure(Found->second, Gap, Now);
+}
+
+const EndpointState *EndpointPool::faster(const EndpointId &Id,
+                                          EndpointQuery Query,
+                                          Millis Now) const {
+  const EndpointState *Present = this->find(Id);
+  if (Present == nullptr || !EndpointPool::isMeasured(*Present, Now))
+    return nullptr;
+  Query.Except.insert(Id);
+  Query.NeedsSlot = true;
+  const EndpointState *Other = this->choose(Query, Now);
+  const bool Worth = Other != nullptr &&
+                     EndpointPool::isMeasured(*Other, Now) &&
+                     Present->TypicalMs > Other->TypicalMs * MuchFaster;
+  return Worth ? Other : nullptr;
+}
+
 void EndpointPool::versionSeen(const EndpointId &Id, const std::string &Model,
                                int64_t Version) {
   const auto Found = this->Endpoints.find(Id);
@@ -198,8 +236,8 @@
   int64_t Free = 0;
   for (const auto &[Id, State] : this->Endpoints)
     if (this->eligible(State, Query) && Now >= State.AvoidUntil)
-      Free += std::max<int64_t>(
-          State.Record.Slots - this->workAt(State, Now), 0);
+      Free +=
+          std::max<int64_t>(State.Record.Slots - this->workAt(State, Now), 0);
   return Free;
 }
 
@@ -208,8 +246,8 @@
     return Nearness::SameDataCentre;
   const auto Here = this->Places.Regions.find(this->Places.Here);
   const auto There = this->Places.Regions.find(DataCentre);
-  const bool Known = Here != this->Places.Regions.end() &&
-                     There != this->Places.Regions.end();
+  const bool Known =
+      Here != this->Places.Regions.end() && There != this->Places.Regions.end();
   return Known && Here->second == There->second ? Nearness::SameRegion
                                                 : Nearness::OtherRegion;
 }
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -75,6 +75,21 @@
   /// @param Now the time.
   void ended(const EndpointId &Id, WorkEnd End, Millis Took, Millis Now);
 
+  /// Notes the time between two events of a stream.
+  /// @param Id the endpoint.
+  /// @param Gap the time.
+  /// @param Now the time.
+  void paceSeen(const EndpointId &Id, Millis Gap, Millis Now);
+
+  /// Finds a faster endpoint for a stream that an endpoint makes slowly.
+  /// Answers the load of long items on engines that others slow for seconds.
+  /// @param Id the endpoint.
+  /// @param Query what the stream needs.
+  /// @param Now the time.
+  /// @return the endpoint, or null if none with a free slot is much faster.
+  const EndpointState *faster(const EndpointId &Id, EndpointQuery Query,
+                              Millis Now) const;
+
   /// Notes that an engine has the version that its answer named.
   /// @param Id the engine.
   /// @param Model the model.
@@ -111,6 +126,19 @@
   int64_t workAt(const EndpointState &State, Millis Now) const;
   /// @param State an endpoint.
   /// @param Now the time.
+  /// @return whether its typical time was measured lately.
+  static bool isMeasured(const EndpointState &State, Millis Now);
+  /// @param Service a service.
+  /// @param Now the time.
+  /// @return the least typical time measured lately, or a usual one.
+  double bestTypical(std::string_view Service, Millis Now) const;
+  /// Takes a measurement in.
+  /// @param State the endpoint.
+  /// @param Took the time.
+  /// @param Now the time.
+  static void measure(EndpointState &State, Millis Took, Millis Now);
+  /// @param State an endpoint.
+  /// @param Now the time.
   /// @return its expected time for one more piece of work.
   double expectedTime(const EndpointState &State, Millis Now) const;
   /// @param DataCentre a data centre.
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -79,8 +79,9 @@
   Millis LoadAt{0};
   /// Work of ours begun since.
   int64_t BegunSince = 0;
-  /// Smoothed time that it takes; 0: not known yet.
-  Millis Typical{0};
+  /// Smoothed time that it takes, in milliseconds: of an answer, or between two
+  /// events; 0: not known yet.
+  double TypicalMs = 0;
   /// Failures in a row.
   int64_t Failures = 0;
   /// Until when others are preferred.
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -77,18 +77,17 @@
     return this->Running.empty()
                ? this->giveUp(Now)
                : EndRequest{StatusGatewayTimeout, "deadline", Millis{0}};
-  const bool Exhausted =
-      this->Runs >= this->Need.By.Attempts ||
-      (this->MaybeRun && !mayRepeat(this->Need.By));
+  const bool Exhausted = this->Runs >= this->Need.By.Attempts ||
+                         (this->MaybeRun && !mayRepeat(this->Need.By));
   if (this->Running.empty() && Exhausted)
     return this->giveUp(Now);
   EndpointQuery Query{this->Need.Service, this->Need.Model, 0, this->Tried,
                       false};
   const Millis Objective = this->Need.By.Objective;
   const Millis RefuseAt =
-      this->Need.Arrived +
-      (Objective > Millis{0} ? Millis{Objective.Count / RefuseDivisor}
-                             : RefuseDefault);
+      this->Need.Arrived + (Objective > Millis{0}
+                                ? Millis{Objective.Count / RefuseDivisor}
+                                : RefuseDefault);
   if (this->mayStart(Now)) {
     for (const auto &[Endpoint, SentAt] : this->Running)
       Query.Except.insert(Endpoint);
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -15,10 +15,10 @@
 
 /// What an endpoint's answer, or its lack, means for the request.
 enum class AttemptEnd : uint8_t {
-  NotSent,  ///< The endpoint was not reached.
-  Refused,  ///< The endpoint says that it did not run the request.
-  Failed,   ///< It may have run; the endpoint gave no usable answer.
-  Errored,  ///< It ran; the endpoint answered with a failure of its own.
+  NotSent, ///< The endpoint was not reached.
+  Refused, ///< The endpoint says that it did not run the request.
+  Failed,  ///< It may have run; the endpoint gave no usable answer.
+  Errored, ///< It ran; the endpoint answered with a failure of its own.
 };
 
 /// The request is to be sent to an endpoint.
--- a/packages/core/gateway/route_func.cpp
+++ b/packages/core/gateway/route_func.cpp
@@ -21,8 +21,8 @@
 }
 
 const ServiceInfo *findService(const RouteTable &Table, std::string_view Name) {
-  const auto Found = std::ranges::find(Table.Services, Name,
-                                       &ServiceInfo::Name);
+  const auto Found =
+      std::ranges::find(Table.Services, Name, &ServiceInfo::Name);
   return Found == Table.Services.end() ? nullptr : &*Found;
 }
 
--- a/packages/core/loads/load_controller_base.cpp
+++ b/packages/core/loads/load_controller_base.cpp
@@ -9,10 +9,15 @@
 
 namespace {
 
-/// Engines that load at once without slowing each other; the sites' figure.
-constexpr int64_t LoadsAtOnce = 2;
+/// Part of the engines that can load at once without slowing each other, as a
+/// divisor; two of nine and nine of 43 by the sites.
+constexpr int64_t LoadsAtOnceDivisor = 5;
+/// Fewest engines that can load at once, by the sites.
+constexpr int64_t LoadsAtOnceLeast = 2;
 /// Time of one load; the sites' figure with some room.
-constexpr Millis LoadTime{1'000};
+constexpr Millis LoadTime{950};
+/// Time after which a changed place counts.
+constexpr Millis PlaceSettles{2'000};
 /// Versions that an engine may be behind before it loads: steps may use the
 /// version before the newest.
 constexpr int64_t VersionsBehind = 2;
@@ -40,38 +45,69 @@
   News.Demanded = std::max(News.Demanded, Version);
 }
 
-void LoadController::placed(EnginePlace Place) { this->Place = Place; }
+void LoadController::placed(EnginePlace Place, Millis Now) {
+  if (!this->HasPlace || Place == this->Place) {
+    this->HasPlace = true;
+    this->Place = Place;
+    this->NextPlace = Place;
+    return;
+  }
+  if (Place == this->NextPlace)
+    return;
+  this->NextPlace = Place;
+  this->NextSince = Now;
+}
+
+std::optional<int64_t> LoadController::halfOf(int64_t ModelIndex,
+                                              int64_t ModelCount) const {
+  const int64_t Rank = this->Place.Rank;
+  if (ModelCount <= 1 || this->Place.Count < ModelCount)
+    return (Rank + ModelIndex) % Halves;
+  if (Rank % ModelCount == ModelIndex)
+    return 0;
+  if ((Rank + 1) % ModelCount == ModelIndex)
+    return 1;
+  return std::nullopt;
+}
 
 bool LoadController::isDue(const ModelNews &News, int64_t ModelIndex,
-                           int64_t Current, Millis Now) const {
-  if (Current >= News.Named)
+                           int64_t ModelCount, int64_t Current,
+                           Millis Now) const {
+  const std::optional<int64_t> Half = this->halfOf(ModelIndex, ModelCount);
+  if (Current >= News.Named || !Half.has_value())
     return false;
-  const int64_t Half = (this->Place.Rank + ModelIndex) % Halves;
   const bool Behind = News.Named - Current >= VersionsBehind;
-  const bool OwnTurn = News.Named % Halves == Half;
+  const bool OwnTurn = News.Named % Halves == *Half;
   if (!Behind && !OwnTurn && Current >= News.Demanded)
     return false;
-  const int64_t Turn = this->Place.Rank / Halves / LoadsAtOnce;
-  return Now >= News.NamedAt + LoadTime * Turn;
+  const int64_t AtOnce =
+      std::max(this->Place.Count / LoadsAtOnceDivisor, LoadsAtOnceLeast);
+  const int64_t Turn =
+      this->Place.Rank / (ModelCount <= 1 ? Halves : ModelCount);
+  const Millis Delay{LoadTime.Count * Turn * ModelCount / AtOnce};
+  return Now >= News.NamedAt + Delay;
 }
 
 std::optional<LoadOrder> LoadController::decide(const EngineReport &Report,
                                                 Millis Now) {
+  if (this->NextPlace != this->Place && Now >= this->NextSince + PlaceSettles)
+    this->Place = this->NextPlace;
   if (Report.Busy || Now < this->NotBefore)
     return std::nullopt;
   std::optional<LoadOrder> Best;
   int64_t BestBehind = 0;
   int64_t Index = 0;
-  for (const auto &[Model, News] : this->Models) {
+  const auto Count = static_cast<int64_t>(Report.Versions.size());
+  for (const auto &[Model, Current] : Report.Versions) {
     const int64_t ModelIndex = Index++;
-    const auto Current = Report.Versions.find(Model);
-    if (Current == Report.Versions.end())
+    const auto News = this->Models.find(Model);
+    if (News == this->Models.end())
       continue;
-    const int64_t Behind = News.Named - Current->second;
+    const int64_t Behind = News->second.Named - Current;
     if (Behind <= BestBehind ||
-        !this->isDue(News, ModelIndex, Current->second, Now))
+        !this->isDue(News->second, ModelIndex, Count, Current, Now))
       continue;
-    Best = LoadOrder{Model, News.Named, Report.Sequence};
+    Best = LoadOrder{Model, News->second.Named, Report.Sequence};
     BestBehind = Behind;
   }
   return Best;
--- a/packages/core/loads/load_controller_base.h
+++ b/packages/core/loads/load_controller_base.h
@@ -17,11 +17,17 @@
   int64_t Rank = 0;
   /// How many there are.
   int64_t Count = 1;
+
+  /// Compares both.
+  bool operator==(const EnginePlace &) const = default;
 };
 
-/// One loader's decisions; deterministic, without I/O. Engines load every
-/// second version in two halves, so that at each new version one half already
-/// has the one before, which a step may use; within a half they load in turns.
+/// One loader's decisions; deterministic, without I/O. Answers the load of
+/// several trainers whose weights change every few seconds, while only few
+/// engines can load at once without slowing each other. Each engine keeps two
+/// of the models current, each model is kept by two halves of engines that load
+/// every second version: at a new version one half already has the one before,
+/// which a step may use. Within a half the engines load in turns.
 class LoadController {
 public:
   /// Notes a version that a trainer named.
@@ -35,9 +41,11 @@
   /// @param Version the version.
   void demanded(const std::string &Model, int64_t Version);
 
-  /// Notes the engine's place.
+  /// Notes the engine's place. A change counts only after a while, since
+  /// engines that are replaced or register again shift the others' places.
   /// @param Place its place.
-  void placed(EnginePlace Place);
+  /// @param Now the time.
+  void placed(EnginePlace Place, Millis Now);
 
   /// @param Report what the engine says now.
   /// @param Now the time.
@@ -64,18 +72,30 @@
     int64_t Demanded = 0;
   };
 
+  /// @param ModelIndex a model's place among the engine's models.
+  /// @param ModelCount how many models the engine has.
+  /// @return the half of the model's engines that this one is in; absent: it
+  ///         does not keep the model.
+  std::optional<int64_t> halfOf(int64_t ModelIndex, int64_t ModelCount) const;
   /// @param News a model.
-  /// @param ModelIndex its place among the models.
+  /// @param ModelIndex its place among the engine's models.
+  /// @param ModelCount how many models the engine has.
   /// @param Current the engine's version.
   /// @param Now the time.
   /// @return whether the engine should load the named version now.
-  bool isDue(const ModelNews &News, int64_t ModelIndex, int64_t Current,
-             Millis Now) const;
+  bool isDue(const ModelNews &News, int64_t ModelIndex, int64_t ModelCount,
+             int64_t Current, Millis Now) const;
 
   /// The models.
   std::map<std::string, ModelNews> Models;
   /// The engine's place.
   EnginePlace Place;
+  /// A place that differs, and since when it has been told.
+  EnginePlace NextPlace;
+  /// When the next place was first told.
+  Millis NextSince{0};
+  /// Whether a place was told.
+  bool HasPlace = false;
   /// No order before this time.
   Millis NotBefore{0};
 };
--- a/packages/daemon/batch_task_base.cpp
+++ b/packages/daemon/batch_task_base.cpp
@@ -48,10 +48,10 @@
 
 } // namespace
 
-BatchTask::BatchTask(
-    const BatchTaskParts &Parts, const GatewaySettings &Settings,
-    std::function<const RouteTable &()> Routes,
-    std::function<void(const std::string &, int64_t)> Demanded)
+BatchTask::BatchTask(const BatchTaskParts &Parts,
+                     const GatewaySettings &Settings,
+                     std::function<const RouteTable &()> Routes,
+                     std::function<void(const std::string &, int64_t)> Demanded)
     : Events(Parts.Events), Store(Parts.Store), Counts(Parts.Counts),
       Settings(Settings), Routes(std::move(Routes)),
       Demanded(std::move(Demanded)),
@@ -84,10 +84,9 @@
 
 PartitionId BatchTask::partitionOf(const SubmissionId &Id) const {
   const uint64_t Hash = hashBytes(Id.Value);
-  return PartitionId{BatchTopic,
-                     static_cast<int64_t>(
-                         Hash % static_cast<uint64_t>(
-                                    this->Settings.Partitions))};
+  return PartitionId{
+      BatchTopic, static_cast<int64_t>(
+                      Hash % static_cast<uint64_t>(this->Settings.Partitions))};
 }
 
 PartitionFollower &BatchTask::follower(const PartitionId &Where) {
@@ -192,8 +191,7 @@
 void BatchTask::answerOrWait(const std::shared_ptr<HttpExchange> &Exchange,
                              const platform::ResultsRead &Asked,
                              const SubmissionState &State) {
-  const bool HasNews =
-      Asked.From < static_cast<int64_t>(State.Results.size());
+  const bool HasNews = Asked.From < static_cast<int64_t>(State.Results.size());
   if (HasNews || Asked.Wait <= Millis{0} || State.Ended || this->Leaving) {
     const Millis Now = steadyNow();
     if (!HasNews && !State.Ended &&
--- a/packages/daemon/forward_task_base.cpp
+++ b/packages/daemon/forward_task_base.cpp
@@ -160,9 +160,10 @@
     return;
   Attempt &Made = Each->Attempts.at(Number);
   Made.Head = platform::decodeEngineAnswer(Response);
-  const bool Starts = Each->Plan.need().By.Kind == RouteKind::Stream &&
-                      Response.Status < FirstFailure &&
-                      faultOf(Made.Head, Each->Request, Response.Framed).empty();
+  const bool Starts =
+      Each->Plan.need().By.Kind == RouteKind::Stream &&
+      Response.Status < FirstFailure &&
+      faultOf(Made.Head, Each->Request, Response.Framed).empty();
   if (!Starts)
     return;
   Made.Streams = true;
@@ -248,9 +249,9 @@
 
 void ForwardTask::onFailed(ForwardId Id, uint64_t Number,
                            const HttpFailure &Failure) {
-  this->endAttempt(
-      Id, Number, Failure.NotSent ? AttemptEnd::NotSent : AttemptEnd::Failed,
-      WorkEnd::Broken, Failure.Cause.Message);
+  this->endAttempt(Id, Number,
+                   Failure.NotSent ? AttemptEnd::NotSent : AttemptEnd::Failed,
+                   WorkEnd::Broken, Failure.Cause.Message);
 }
 
 void ForwardTask::endAttempt(ForwardId Id, uint64_t Number, AttemptEnd End,
@@ -272,8 +273,7 @@
   this->advance(Id);
 }
 
-void ForwardTask::finish(ForwardId Id, uint64_t Number,
-                         HttpResponse Response) {
+void ForwardTask::finish(ForwardId Id, uint64_t Number, HttpResponse Response) {
   Running *Each = this->find(Id);
   const Attempt Made = std::move(Each->Attempts.at(Number));
   Each->Attempts.erase(Number);
@@ -309,8 +309,7 @@
   for (const auto &[Number, Made] : Last->Attempts) {
     this->Http.cancel(Made.Call);
     // One that another endpoint overtook was slow itself.
-    this->Pool.ended(Made.Endpoint, WorkEnd::Abandoned, Now - Made.SentAt,
-                     Now);
+    this->Pool.ended(Made.Endpoint, WorkEnd::Abandoned, Now - Made.SentAt, Now);
   }
   return Last;
 }
--- a/packages/daemon/gateway_base.cpp
+++ b/packages/daemon/gateway_base.cpp
@@ -61,45 +61,43 @@
       Pool(Geography{Settings.Common.DataCentre,
                      parseRegions(Settings.Regions)}),
       Peers(Events, this->Settings.Common, Store, Values,
-            PeerTaskEvents{
-                [this](const KeyedRecord &Record) {
-                  this->onPublished(Record);
-                },
-                [this](const wire::EngineStatePush &State) {
-                  this->onEngineState(State);
-                },
-                [](const wire::WeightsAnnounce &) {},
-                [this](const HostId &) {
-                  const std::map<std::string, int64_t> Known = this->Demands;
-                  this->Demands.clear();
-                  for (const auto &[Model, Version] : Known)
-                    this->demand(Model, Version);
-                }}),
-      Published(Events, Store, std::string(platform::OperatorTopic),
-                KeyedFollowerEvents{
-                    [this](const KeyedRecord &Record) {
-                      this->onPublished(Record);
-                    },
-                    [](const std::set<std::string> &) {},
-                    [](const Error &Cause) {
-                      logLine(LogLevel::Warn, "published values lost",
-                              {{"cause", Cause.Message}});
-                    },
-                    [] {
-                      logLine(LogLevel::Info, "published values answer");
-                    }}),
+            PeerTaskEvents{[this](const KeyedRecord &Record) {
+                             this->onPublished(Record);
+                           },
+                           [this](const wire::EngineStatePush &State) {
+                             this->onEngineState(State);
+                           },
+                           [](const wire::WeightsAnnounce &) {},
+                           [this](const HostId &) {
+                             const std::map<std::string, int64_t> Known =
+                                 this->Demands;
+                             this->Demands.clear();
+                             for (const auto &[Model, Version] : Known)
+                               this->demand(Model, Version);
+                           }}),
+      Published(
+          Events, Store, std::string(platform::OperatorTopic),
+          KeyedFollowerEvents{
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [](const std::set<std::string> &) {},
+              [](const Error &Cause) {
+                logLine(LogLevel::Warn, "published values lost",
+                        {{"cause", Cause.Message}});
+              },
+              [] { logLine(LogLevel::Info, "published values answer"); }}),
       Directory(Events, Store, Pool,
                 [this] {
                   this->linkLoaders();
                   this->Batches.wake();
                 }),
       Forward(Events, Http, Pool, Counts),
-      Batches(BatchTaskParts{Events, Http, Store, Pool, Forward, Counts},
-              this->Settings,
-              [this]() -> const RouteTable & { return this->Routes; },
-              [this](const std::string &Model, int64_t Version) {
-                this->demand(Model, Version);
-              }),
+      Batches(
+          BatchTaskParts{Events, Http, Store, Pool, Forward, Counts},
+          this->Settings,
+          [this]() -> const RouteTable & { return this->Routes; },
+          [this](const std::string &Model, int64_t Version) {
+            this->demand(Model, Version);
+          }),
       Draws(std::random_device{}()),
       RequestSeconds(Counts.histogram("request_seconds",
                                       "Time of callers' requests, in seconds.",
@@ -117,11 +115,11 @@
   HttpServerConfig ForProbes;
   ForProbes.Address = this->Settings.Common.ListenHttp.Ip;
   ForProbes.Port = this->Settings.Common.ListenHttp.Port;
-  auto Probed = HttpServer::listen(
-      this->Events, ForProbes,
-      [this](const std::shared_ptr<HttpExchange> &Exchange) {
-        this->onProbe(Exchange);
-      });
+  auto Probed =
+      HttpServer::listen(this->Events, ForProbes,
+                         [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                           this->onProbe(Exchange);
+                         });
   if (!Probed.has_value())
     return Probed.error();
   this->Probes = std::move(Probed.value());
@@ -129,11 +127,11 @@
   ForCallers.Address = this->Settings.Front.Ip;
   ForCallers.Port = this->Settings.Front.Port;
   ForCallers.MaxBodyBytes = MaxBodyBytes;
-  auto Fronted = HttpServer::listen(
-      this->Events, ForCallers,
-      [this](const std::shared_ptr<HttpExchange> &Exchange) {
-        this->onRequest(Exchange);
-      });
+  auto Fronted =
+      HttpServer::listen(this->Events, ForCallers,
+                         [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                           this->onRequest(Exchange);
+                         });
   if (!Fronted.has_value())
     return Fronted.error();
   this->Front = std::move(Fronted.value());
@@ -238,8 +236,7 @@
                       const platform::RoutedRequest &Asked, const Route &By) {
   const HttpRequest &Request = Exchange->request();
   const Millis Now = steadyNow();
-  Millis TimeLeft =
-      Asked.TimeLeft == Never ? DefaultTimeLeft : Asked.TimeLeft;
+  Millis TimeLeft = Asked.TimeLeft == Never ? DefaultTimeLeft : Asked.TimeLeft;
   if (By.Timeout > Millis{0})
     TimeLeft = std::min(TimeLeft, By.Timeout);
   ForwardJob Job;
@@ -254,9 +251,9 @@
   Job.Request.Body = Request.Body;
   Job.Request.RequestId = Asked.RequestId;
   Job.Request.EventsHad = Asked.EventsHad;
-  const auto Log = [this, Now, Id = Asked.RequestId,
-                    Service = Job.Need.Service, Version = this->Routes.Version](
-                       int Status, std::string_view Cause) {
+  const auto Log = [this, Now, Id = Asked.RequestId, Service = Job.Need.Service,
+                    Version = this->Routes.Version](int Status,
+                                                    std::string_view Cause) {
     const Millis Took = steadyNow() - Now;
     constexpr double MillisASecond = 1000.0;
     this->RequestSeconds.Observe(static_cast<double>(Took.Count) /
@@ -310,9 +307,9 @@
 void Gateway::applyConfig(const KeyedRecord &Record) {
   Result<RouteTable> Read = platform::decodeRouteTable(Record.Value);
   if (!Read.has_value()) {
-    logLine(LogLevel::Error, "configuration not readable; the old one holds",
-            {{"offset", concat(Record.Offset)},
-             {"cause", Read.error().Message}});
+    logLine(
+        LogLevel::Error, "configuration not readable; the old one holds",
+        {{"offset", concat(Record.Offset)}, {"cause", Read.error().Message}});
     return;
   }
   if (Read.value().Version <= this->Routes.Version)
--- a/packages/daemon/item_scoring.cpp
+++ b/packages/daemon/item_scoring.cpp
@@ -78,8 +78,7 @@
     return;
   Each->Scoring = ForwardId{};
   if (Response.Status < FirstFailure) {
-    this->report(Key, true, platform::decodeEngineAnswer(Response).Receipt,
-                 "");
+    this->report(Key, true, platform::decodeEngineAnswer(Response).Receipt, "");
     return;
   }
   const SubmissionState *State = this->Tell.Submission(Key.Submission);
@@ -88,8 +87,8 @@
   const Route *Own = this->routeOf(Key);
   if (Item == nullptr || Own == nullptr)
     return;
-  const Route *By = findRoute(this->Tell.Routes(), Item->Scoring.Host,
-                              Item->Scoring.Path);
+  const Route *By =
+      findRoute(this->Tell.Routes(), Item->Scoring.Host, Item->Scoring.Path);
   const int64_t Most =
       std::max(Own->Attempts, By == nullptr ? 1 : By->Attempts);
   if (Each->ScoringFailures >= Most)
--- a/packages/daemon/item_task_base.cpp
+++ b/packages/daemon/item_task_base.cpp
@@ -51,8 +51,7 @@
   const SubmissionState *State = this->Tell.Submission(Key.Submission);
   if (State == nullptr)
     return nullptr;
-  return findRoute(this->Tell.Routes(), State->Record.Host,
-                   State->Record.Path);
+  return findRoute(this->Tell.Routes(), State->Record.Host, State->Record.Path);
 }
 
 void ItemTask::adopt(const SubmissionState &State) {
@@ -89,8 +88,7 @@
   Run &Each = Found->second;
   if (Each.Call.Value != 0) {
     this->Http.cancel(Each.Call);
-    this->Pool.ended(Each.Endpoint, WorkEnd::Abandoned, Millis{0},
-                     steadyNow());
+    this->Pool.ended(Each.Endpoint, WorkEnd::Abandoned, Millis{0}, steadyNow());
   }
   if (Each.Scoring.Value != 0)
     this->Forward.cancel(Each.Scoring);
@@ -106,8 +104,7 @@
     this->WakePlanned = false;
     if (this->Stopped)
       return;
-    for (const StartItem &Start :
-         this->Scheduler.plan(this->Pool, steadyNow()))
+    for (const StartItem &Start : this->Scheduler.plan(this->Pool, steadyNow()))
       this->begin(Start);
   });
 }
@@ -153,9 +150,7 @@
   Tell.Head = [this, Key](const HttpResponse &Head) {
     this->onHead(Key, Head);
   };
-  Tell.Chunk = [this, Key](std::string_view Part) {
-    this->onChunk(Key, Part);
-  };
+  Tell.Chunk = [this, Key](std::string_view Part) { this->onChunk(Key, Part); };
   Tell.Finished = [this, Key](const HttpResponse &Response) {
     this->onFinished(Key, Response);
   };
@@ -189,15 +184,14 @@
   }
   this->Pool.versionSeen(Each->Endpoint, Wanted->Model, Each->Version);
   if (Each->Version < Wanted->MinVersion)
-    this->setBack(Key, ItemSetback::TooOld, WorkEnd::Abandoned,
-                  concat("version ", Each->Version, " is below ",
-                         Wanted->MinVersion));
+    this->setBack(
+        Key, ItemSetback::TooOld, WorkEnd::Abandoned,
+        concat("version ", Each->Version, " is below ", Wanted->MinVersion));
 }
 
 void ItemTask::onChunk(const ItemKey &Key, std::string_view Part) {
   Run *Each = this->find(Key);
-  if (Each == nullptr || Each->Head.Status != StatusOk ||
-      Each->Call.Value == 0)
+  if (Each == nullptr || Each->Head.Status != StatusOk || Each->Call.Value == 0)
     return;
   Each->Rest += Part;
   size_t Start = 0;
@@ -217,8 +211,7 @@
   Each->Rest.erase(0, Start);
 }
 
-bool ItemTask::takeEvent(const ItemKey &Key, Run &Each,
-                         std::string_view Text) {
+bool ItemTask::takeEvent(const ItemKey &Key, Run &Each, std::string_view Text) {
   Result<platform::EngineEvent> Read = platform::decodeEngineEvent(Text);
   if (!Read.has_value())
     return false;
--- a/packages/daemon/loader_base.cpp
+++ b/packages/daemon/loader_base.cpp
@@ -32,31 +32,28 @@
             HttpTarget{Settings.LoaderStore.Ip, Settings.LoaderStore.Port}),
       Pool(Geography{Settings.Common.DataCentre, {}}),
       Peers(Events, this->Settings.Common, Store, Values,
-            PeerTaskEvents{
-                [this](const KeyedRecord &Record) {
-                  this->onPublished(Record);
-                },
-                [](const wire::EngineStatePush &) {},
-                [this](const wire::WeightsAnnounce &Demand) {
-                  this->Controller.demanded(Demand.Model, Demand.Version);
-                },
-                [this](const HostId &Peer) {
-                  if (this->Report.Sequence >= 0)
-                    this->Peers.send(Peer, this->stateMessage());
-                }}),
-      Published(Events, Store, std::string(platform::OperatorTopic),
-                KeyedFollowerEvents{
-                    [this](const KeyedRecord &Record) {
-                      this->onPublished(Record);
-                    },
-                    [](const std::set<std::string> &) {},
-                    [](const Error &Cause) {
-                      logLine(LogLevel::Warn, "published values lost",
-                              {{"cause", Cause.Message}});
-                    },
-                    [] {
-                      logLine(LogLevel::Info, "published values answer");
-                    }}),
+            PeerTaskEvents{[this](const KeyedRecord &Record) {
+                             this->onPublished(Record);
+                           },
+                           [](const wire::EngineStatePush &) {},
+                           [this](const wire::WeightsAnnounce &Demand) {
+                             this->Controller.demanded(Demand.Model,
+                                                       Demand.Version);
+                           },
+                           [this](const HostId &Peer) {
+                             if (this->Report.Sequence >= 0)
+                               this->Peers.send(Peer, this->stateMessage());
+                           }}),
+      Published(
+          Events, Store, std::string(platform::OperatorTopic),
+          KeyedFollowerEvents{
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [](const std::set<std::string> &) {},
+              [](const Error &Cause) {
+                logLine(LogLevel::Warn, "published values lost",
+                        {{"cause", Cause.Message}});
+              },
+              [] { logLine(LogLevel::Info, "published values answer"); }}),
       Directory(Events, Store, Pool, [this] { this->place(); }) {
   this->Report.Sequence = -1;
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
@@ -72,14 +69,14 @@
   HttpServerConfig Config;
   Config.Address = this->Settings.Common.ListenHttp.Ip;
   Config.Port = this->Settings.Common.ListenHttp.Port;
-  auto Probed = HttpServer::listen(
-      this->Events, Config,
-      [this](const std::shared_ptr<HttpExchange> &Exchange) {
-        HttpResponse Response;
-        Response.ContentType = "text/plain";
-        Response.Body = this->Counts.text();
-        Exchange->answer(Response);
-      });
+  auto Probed =
+      HttpServer::listen(this->Events, Config,
+                         [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                           HttpResponse Response;
+                           Response.ContentType = "text/plain";
+                           Response.Body = this->Counts.text();
+                           Exchange->answer(Response);
+                         });
   if (!Probed.has_value())
     return Probed.error();
   this->Probes = std::move(Probed.value());
@@ -123,24 +120,25 @@
 
 void Loader::takeFence() {
   const std::string Mark = this->Settings.Common.Host;
-  this->Store.append(
-      PartitionId{FenceTopic, 0}, std::span(&Mark, 1), FenceTimeout,
-      [this](const StoreResult<int64_t> &Offset) {
-        if (Offset.has_value()) {
-          this->Fence = Offset.value() + 1;
-          logLine(LogLevel::Info, "fencing number taken",
-                  {{"fence", concat(this->Fence)}});
-          return;
-        }
-        this->Events.callAfter(FencePause, [this] { this->takeFence(); });
-      });
+  this->Store.append(PartitionId{FenceTopic, 0}, std::span(&Mark, 1),
+                     FenceTimeout, [this](const StoreResult<int64_t> &Offset) {
+                       if (Offset.has_value()) {
+                         this->Fence = Offset.value() + 1;
+                         logLine(LogLevel::Info, "fencing number taken",
+                                 {{"fence", concat(this->Fence)}});
+                         return;
+                       }
+                       this->Events.callAfter(FencePause,
+                                              [this] { this->takeFence(); });
+                     });
 }
 
 void Loader::place() {
   EnginePlace Place{0, 0};
   this->Engine = EndpointId{};
   for (const auto &[Id, State] : this->Pool.all()) {
-    if (State.Record.Service != this->Settings.EngineService)
+    if (State.Record.Service != this->Settings.EngineService ||
+        State.Record.Draining)
       continue;
     if (State.Record.Where == this->Settings.Engine) {
       this->Engine = Id;
@@ -149,7 +147,7 @@
     ++Place.Count;
   }
   if (!this->Engine.Value.empty())
-    this->Controller.placed(Place);
+    this->Controller.placed(Place, steadyNow());
 }
 
 void Loader::askEngine() {
@@ -167,7 +165,8 @@
   };
   Tell.Failed = [this](const HttpFailure &Failure) {
     if (this->Report.Sequence >= 0)
-      logLine(LogLevel::Warn, "engine lost", {{"cause", Failure.Cause.Message}});
+      logLine(LogLevel::Warn, "engine lost",
+              {{"cause", Failure.Cause.Message}});
     this->Report.Sequence = -1;
     this->Events.callAfter(this->Settings.ReportPoll,
                            [this] { this->askEngine(); });
@@ -218,9 +217,9 @@
     this->Counts.countRetry(RetryReason::SwapUnanswered);
   };
   this->Http.start(
-      platform::orderCall(this->Settings.Engine, this->Engine, Order,
-                          platform::OrderIssuer{this->Settings.Common.Host,
-                                                this->Fence}),
+      platform::orderCall(
+          this->Settings.Engine, this->Engine, Order,
+          platform::OrderIssuer{this->Settings.Common.Host, this->Fence}),
       std::move(Tell));
 }
 
--- a/packages/daemon/partition_appender_base.cpp
+++ b/packages/daemon/partition_appender_base.cpp
@@ -25,8 +25,7 @@
 
 } // namespace
 
-PartitionAppender::PartitionAppender(Loop &Events,
-                                     platform::StoreClient &Store,
+PartitionAppender::PartitionAppender(Loop &Events, platform::StoreClient &Store,
                                      size_t RecordBytes)
     : Events(Events), Store(Store), RecordBytes(RecordBytes) {}
 
--- a/packages/daemon/partition_follower_base.cpp
+++ b/packages/daemon/partition_follower_base.cpp
@@ -24,8 +24,7 @@
 
 } // namespace
 
-PartitionFollower::PartitionFollower(Loop &Events,
-                                     platform::StoreClient &Store,
+PartitionFollower::PartitionFollower(Loop &Events, platform::StoreClient &Store,
                                      PartitionId Where, ChangeCall Changed)
     : Events(Events), Store(Store), Where(std::move(Where)),
       Changed(std::move(Changed)) {}
@@ -50,8 +49,7 @@
 }
 
 bool PartitionFollower::fresh(Millis Now) const {
-  return this->Following && this->CaughtUp &&
-         Now - this->AnsweredAt < FreshFor;
+  return this->Following && this->CaughtUp && Now - this->AnsweredAt < FreshFor;
 }
 
 void PartitionFollower::readOn() {
@@ -100,8 +98,9 @@
 
 void PartitionFollower::failed(const StoreFailure &Failure) {
   if (Failure.Expired && Failure.FirstKept > this->Next) {
-    logLine(LogLevel::Warn, "records of a partition expired before they were "
-                            "read",
+    logLine(LogLevel::Warn,
+            "records of a partition expired before they were "
+            "read",
             {{"partition", concat(this->Where.Part)},
              {"next", concat(this->Next)},
              {"first_kept", concat(Failure.FirstKept)}});
--- a/packages/daemon/peer_task_base.cpp
+++ b/packages/daemon/peer_task_base.cpp
@@ -85,8 +85,7 @@
   }
   if (Message.__isset.PublishedMsg)
     for (const wire::PublishedValue &Value : Message.PublishedMsg.Values)
-      this->Tell.Published(
-          KeyedRecord{Value.Key, Value.Value, Value.Offset});
+      this->Tell.Published(KeyedRecord{Value.Key, Value.Value, Value.Offset});
   if (Message.__isset.EngineStateMsg)
     this->Tell.EngineState(Message.EngineStateMsg);
   if (Message.__isset.WeightsAnnounceMsg)
@@ -146,13 +145,12 @@
     return false;
   RelayedCall Waiting;
   Waiting.Reply = std::move(Reply);
-  Waiting.Timer =
-      this->Events.callAfter(Call.Timeout + RelaySlack, [this, Id] {
-        platform::RawStoreAnswer Answer;
-        Answer.Cause = "the peer did not answer";
-        Answer.MaybeDone = true;
-        this->finishRelayed(Id, std::move(Answer));
-      });
+  Waiting.Timer = this->Events.callAfter(Call.Timeout + RelaySlack, [this, Id] {
+    platform::RawStoreAnswer Answer;
+    Answer.Cause = "the peer did not answer";
+    Answer.MaybeDone = true;
+    this->finishRelayed(Id, std::move(Answer));
+  });
   this->Relayed.emplace(Id, std::move(Waiting));
   return true;
 }
--- a/packages/daemon/peer_task_base.h
+++ b/packages/daemon/peer_task_base.h
@@ -68,8 +68,7 @@
   /// @param Call the call.
   /// @param Reply gets the answer.
   /// @return false if there is no peer.
-  bool relay(const platform::RawStoreCall &Call,
-             platform::RawStoreReply Reply);
+  bool relay(const platform::RawStoreCall &Call, platform::RawStoreReply Reply);
 
 private:
   /// A call that a peer makes for this process.
--- a/packages/daemon/published_values_base.h
+++ b/packages/daemon/published_values_base.h
@@ -28,9 +28,7 @@
   wire::PublishedPush above(int64_t Offset) const;
 
   /// @return the values by key.
-  const std::map<std::string, KeyedRecord> &all() const {
-    return this->Values;
-  }
+  const std::map<std::string, KeyedRecord> &all() const { return this->Values; }
 
 private:
   /// The values.
