Change: [Batch] Items move off engines that are much slower than others

Cause: engines slowed threefold for 8 s held long items, and with them their groups and the trainer's next step.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -148,6 +148,9 @@
   case ItemSetback::NotRun:
     Item.NotBefore = Now + NotRunDelay;
     return;
+  case ItemSetback::Moved:
+    Item.NotBefore = Now;
+    return;
   case ItemSetback::TooOld:
     Item.NotBefore = Now + TooOldDelay;
     return;
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -16,6 +16,7 @@
   Broken, ///< The connection broke or the answer made no sense.
   Failed, ///< The engine answered 500.
   TooOld, ///< The engine had an older version than told.
+  Moved,  ///< Another engine is much faster.
 };
 
 /// Keeps the items of the submissions that this process owns; deterministic,
--- a/packages/daemon/item_task_base.cpp
+++ b/packages/daemon/item_task_base.cpp
@@ -24,6 +24,8 @@
 constexpr Millis StallTime{1'200};
 /// The same while the engine loads weights, which holds its runs up.
 constexpr Millis StallTimeLoading{3'000};
+/// Events of a run after which it may move to a faster engine.
+constexpr size_t MoveAfterEvents = 3;
 /// Events that are noted as progress at once.
 constexpr size_t SaveEvents = 20;
 /// What ends an event.
@@ -223,7 +225,10 @@
     if (const ScheduledItem *Wanted = this->Scheduler.find(Key))
       this->Pool.versionSeen(Each.Endpoint, Wanted->Model, Each.Version);
   }
-  Each.LastAt = steadyNow();
+  const Millis Now = steadyNow();
+  if (Each.Events.size() > Each.HadAtStart)
+    this->Pool.paceSeen(Each.Endpoint, Now - Each.LastAt, Now);
+  Each.LastAt = Now;
   wire::TextEvent Kept;
   Kept.Data = std::move(Event.Data);
   Kept.Version = Each.Version;
@@ -264,11 +269,7 @@
     return;
   }
   const Millis Now = steadyNow();
-  const auto Made =
-      static_cast<int64_t>(Each->Events.size() - Each->HadAtStart);
-  const Millis PerEvent{(Now - Each->BeganAt).Count /
-                        std::max<int64_t>(Made, 1)};
-  this->Pool.ended(Each->Endpoint, WorkEnd::Answered, PerEvent, Now);
+  this->Pool.ended(Each->Endpoint, WorkEnd::Answered, Millis{0}, Now);
   Each->Call = HttpCallId{};
   Each->Whole = true;
   this->score(Key);
@@ -361,8 +362,28 @@
   for (const ItemKey &Key : Silent)
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Silent,
                   "no event in time");
+  if (!this->Stopped)
+    this->moveSlow();
   if (this->Scheduler.waiting() > 0)
     this->wake();
 }
 
+void ItemTask::moveSlow() {
+  const Millis Now = steadyNow();
+  for (auto &[Key, Each] : this->Runs) {
+    const ScheduledItem *Item = this->Scheduler.find(Key);
+    const bool Settled = Each.Events.size() >= Each.HadAtStart + MoveAfterEvents;
+    if (Each.Call.Value == 0 || Item == nullptr || !Settled)
+      continue;
+    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion, {},
+                              true};
+    if (this->Pool.faster(Each.Endpoint, Query, Now) == nullptr)
+      continue;
+    this->setBack(Key, ItemSetback::Moved, WorkEnd::Abandoned,
+                  "another engine is much faster");
+    // One at a time: each fills a slot that the next may not have.
+    return;
+  }
+}
+
 } // namespace camphornotch
--- a/packages/daemon/item_task_base.h
+++ b/packages/daemon/item_task_base.h
@@ -136,8 +136,10 @@
   /// @param Cause why it was given up.
   void report(const ItemKey &Key, bool Completed, const std::string &Score,
               std::string_view Cause);
-  /// Looks for runs that stand still, and for items too old.
+  /// Looks for runs that stand still or are slow.
   void look();
+  /// Moves runs off engines that are much slower than others.
+  void moveSlow();
   /// Notes a run's new events as progress.
   /// @param Key the item.
   /// @param Each its run.
