Fix: [Net] A call cancelled within its own event freed what the event used

Change: a cancelled call, and a cancelled forward, is destroyed in the next turn. The tasks of the gateway are a package of their own, packages/gateway, so that tests can link them; texts that a submission leaves behind are kept for the groups that come again.

--- a/packages/daemon/agent_run.cpp
+++ b/packages/daemon/agent_run.cpp
@@ -4,7 +4,7 @@
 #include "base/log_func.h"
 #include "daemon/agent_task_base.h"
 #include "daemon/run_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 namespace camphornotch {
 
--- a/packages/daemon/agent_settings_func.cpp
+++ b/packages/daemon/agent_settings_func.cpp
@@ -3,7 +3,7 @@
 
 #include "daemon/agent_settings_func.h"
 
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 namespace camphornotch {
 
--- a/packages/daemon/agent_task_base.cpp
+++ b/packages/daemon/agent_task_base.cpp
@@ -8,7 +8,7 @@
 #include "base/refusal_func.h"
 #include "daemon/agent_settings_func.h"
 #include "daemon/config_note_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 #include <absl/strings/str_cat.h>
 #include <utility>
--- a/packages/daemon/entry_base.cpp
+++ b/packages/daemon/entry_base.cpp
@@ -9,7 +9,7 @@
 #include "core/fold/shard_func.h"
 #include "daemon/admin_func.h"
 #include "daemon/run_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 #include <cstdio>
 
--- a/packages/daemon/gateway_run.cpp
+++ b/packages/daemon/gateway_run.cpp
@@ -2,9 +2,9 @@
 /// Runs a gateway or a loader from its settings to its end.
 
 #include "base/log_func.h"
-#include "daemon/gateway_base.h"
-#include "daemon/loader_base.h"
 #include "daemon/run_func.h"
+#include "gateway/gateway_base.h"
+#include "gateway/loader_base.h"
 
 namespace camphornotch {
 
--- a/packages/daemon/http_front_base.cpp
+++ b/packages/daemon/http_front_base.cpp
@@ -7,7 +7,7 @@
 #include "base/log_func.h"
 #include "base/refusal_func.h"
 #include "base/text_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 namespace camphornotch {
 
--- a/packages/daemon/link_task_base.cpp
+++ b/packages/daemon/link_task_base.cpp
@@ -5,7 +5,7 @@
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 #include <utility>
 
--- a/packages/daemon/log_task_base.cpp
+++ b/packages/daemon/log_task_base.cpp
@@ -7,7 +7,7 @@
 #include "base/hash_func.h"
 #include "base/log_func.h"
 #include "core/claims/log_feed_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 #include "wire/codec_func.h"
 
 #include <algorithm>
--- a/packages/daemon/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -1,11 +1,12 @@
 /// @file
 /// Batch submissions: membership, owned partitions, hand-over.
 
-#include "daemon/batch_task_base.h"
+#include "gateway/batch_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/gateway/route_func.h"
 
 #include <algorithm>
 
@@ -23,6 +24,13 @@
 /// Longest wait for those appends.
 constexpr Millis HandOverMost{1'500};
 
+/// @param State a submission.
+/// @return what names its route: host and the first part of its path.
+std::string routeKey(const SubmissionState &State) {
+  const std::string &Path = State.Record.Path;
+  return concat(State.Record.Host, Path.substr(0, Path.find('/', 1)));
+}
+
 } // namespace
 
 void BatchTask::begin() {
@@ -88,7 +96,35 @@
            {"listed", concat(State.Results.size())},
            {"min_version", concat(State.Record.MinVersion)}});
   this->Demanded(State.Record.Model, State.Record.MinVersion);
-  this->Items.adopt(State);
+  const SubmissionId Id{State.Record.Id};
+  this->Leftovers.refresh(routeKey(State),
+                          [this, Id] { this->startItems(Id); });
+}
+
+void BatchTask::startItems(const SubmissionId &Id) {
+  const PartitionId Where = this->partitionOf(Id);
+  const SubmissionState *State = this->follower(Where).fold().find(Id);
+  // It may have ended, or have another owner, by now.
+  if (State == nullptr || State->Ended || !this->Adopted.contains(Where) ||
+      this->Leaving)
+    return;
+  const Route *By =
+      findRoute(this->Routes(), State->Record.Host, State->Record.Path);
+  const bool Single = By != nullptr && By->SingleVersion;
+  for (const wire::BatchItemField &Item : State->Record.Items) {
+    const ItemId Name{Item.Id};
+    const StoredText *Text = this->Leftovers.table().find(Name);
+    if (Text != nullptr && !State->Positions.contains(Name) &&
+        fits(*Text, State->Record.MinVersion, Single))
+      this->Items.seed(ItemKey{Id, Name}, *Text);
+  }
+  this->Items.adopt(*State);
+}
+
+void BatchTask::keepLeftovers(const SubmissionState &State) {
+  const wire::LeftoverRecord Record = this->Items.leftovers(State);
+  if (!Record.Texts.empty())
+    this->Leftovers.write(routeKey(State), Record);
 }
 
 void BatchTask::onChanges(const PartitionId &Where,
@@ -106,6 +142,8 @@
       this->Items.listed(Listed->Key);
     } else if (const auto *Ended = std::get_if<SubmissionEnded>(&Change)) {
       Touched.insert(Ended->Id);
+      if (Owns && WasAdopted)
+        this->keepLeftovers(*Following.fold().find(Ended->Id));
       this->Items.drop(Ended->Id);
     }
   }
@@ -126,6 +164,7 @@
   const Millis Before = steadyNow() - this->Settings.SubmissionLifetime;
   for (const auto &[Where, Each] : this->Followers)
     Each->forget(Before);
+  this->Leftovers.forgetOld();
 }
 
 void BatchTask::handOver(std::function<void()> Done) {
--- a/packages/daemon/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Batch submissions: takes them and serves their results.
 
-#include "daemon/batch_task_base.h"
+#include "gateway/batch_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/hash_func.h"
@@ -57,6 +57,8 @@
       Demanded(std::move(Demanded)),
       Appender(Parts.Events, Parts.Store,
                static_cast<size_t>(Settings.RecordBytes)),
+      Leftovers(Parts.Events, Parts.Store, Settings.Partitions,
+                static_cast<size_t>(Settings.RecordBytes)),
       Items(Parts.Events, Parts.Http, Parts.Pool, Parts.Forward, Parts.Counts,
             ItemTaskEvents{
                 [this](const SubmissionId &Id) -> const SubmissionState * {
--- a/packages/daemon/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -1,13 +1,14 @@
 /// @file
 /// Batch submissions: takes them, serves their results, owns partitions.
 
-#ifndef CAMPHORNOTCH_DAEMON_BATCH_TASK_BASE_H
-#define CAMPHORNOTCH_DAEMON_BATCH_TASK_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_BATCH_TASK_BASE_H
+#define CAMPHORNOTCH_GATEWAY_BATCH_TASK_BASE_H
 
 #include "base/settings_type.h"
-#include "daemon/item_task_base.h"
-#include "daemon/partition_appender_base.h"
-#include "daemon/partition_follower_base.h"
+#include "gateway/item_task_base.h"
+#include "gateway/leftover_task_base.h"
+#include "gateway/partition_appender_base.h"
+#include "gateway/partition_follower_base.h"
 #include "net/http_server_base.h"
 #include "platform/caller_func.h"
 
@@ -145,6 +146,12 @@
   /// Starts the work for a submission of an owned partition.
   /// @param State the submission.
   void adopt(const SubmissionState &State);
+  /// Starts the items of a submission, after a look for earlier texts.
+  /// @param Id the submission.
+  void startItems(const SubmissionId &Id);
+  /// Keeps the texts of a submission that its caller ended.
+  /// @param State the submission.
+  void keepLeftovers(const SubmissionState &State);
   /// Forgets submissions that need not be readable any more.
   void forgetOld();
   /// @param Record a record of an owned submission.
@@ -181,10 +188,12 @@
   uint64_t LastRead = 0;
   /// Whether the partitions are being handed over.
   bool Leaving = false;
+  /// Texts that submissions leave behind.
+  LeftoverTask Leftovers;
   /// Runs items.
   ItemTask Items;
 };
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_BATCH_TASK_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_BATCH_TASK_BASE_H
--- a/packages/daemon/directory_task_base.cpp
+++ b/packages/gateway/directory_task_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Keeps the pool of endpoints as they register and leave.
 
-#include "daemon/directory_task_base.h"
+#include "gateway/directory_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
--- a/packages/daemon/directory_task_base.h
+++ b/packages/gateway/directory_task_base.h
@@ -1,11 +1,11 @@
 /// @file
 /// Keeps the pool of endpoints as they register and leave.
 
-#ifndef CAMPHORNOTCH_DAEMON_DIRECTORY_TASK_BASE_H
-#define CAMPHORNOTCH_DAEMON_DIRECTORY_TASK_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_DIRECTORY_TASK_BASE_H
+#define CAMPHORNOTCH_GATEWAY_DIRECTORY_TASK_BASE_H
 
 #include "core/gateway/endpoint_pool_base.h"
-#include "daemon/keyed_follower_base.h"
+#include "gateway/keyed_follower_base.h"
 
 #include <functional>
 #include <map>
@@ -62,4 +62,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_DIRECTORY_TASK_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_DIRECTORY_TASK_BASE_H
--- a/packages/daemon/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Sends requests to endpoints as their plans say, and brings the answers.
 
-#include "daemon/forward_task_base.h"
+#include "gateway/forward_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
@@ -315,8 +315,12 @@
 }
 
 void ForwardTask::cancel(ForwardId Id) {
-  if (this->find(Id) != nullptr)
-    this->take(Id);
+  if (this->find(Id) == nullptr)
+    return;
+  // Writing to a caller may show that it left: the sink's captures must
+  // outlive that call.
+  const std::shared_ptr<Running> Last = this->take(Id);
+  this->Events.defer([Last] {});
 }
 
 } // namespace camphornotch
--- a/packages/daemon/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -1,8 +1,8 @@
 /// @file
 /// Sends requests to endpoints as their plans say, and brings the answers.
 
-#ifndef CAMPHORNOTCH_DAEMON_FORWARD_TASK_BASE_H
-#define CAMPHORNOTCH_DAEMON_FORWARD_TASK_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_FORWARD_TASK_BASE_H
+#define CAMPHORNOTCH_GATEWAY_FORWARD_TASK_BASE_H
 
 #include "core/gateway/forward_plan_base.h"
 #include "net/http_client_base.h"
@@ -171,4 +171,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_FORWARD_TASK_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_FORWARD_TASK_BASE_H
--- a/packages/daemon/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -1,13 +1,13 @@
 /// @file
 /// A gateway: takes callers' requests and brings them to endpoints.
 
-#include "daemon/gateway_base.h"
+#include "gateway/gateway_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
-#include "daemon/gateway_settings_func.h"
+#include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
 #include <algorithm>
--- a/packages/daemon/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -1,15 +1,15 @@
 /// @file
 /// A gateway: takes callers' requests and brings them to endpoints.
 
-#ifndef CAMPHORNOTCH_DAEMON_GATEWAY_BASE_H
-#define CAMPHORNOTCH_DAEMON_GATEWAY_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_GATEWAY_BASE_H
+#define CAMPHORNOTCH_GATEWAY_GATEWAY_BASE_H
 
 #include "base/settings_type.h"
-#include "daemon/batch_task_base.h"
-#include "daemon/directory_task_base.h"
-#include "daemon/forward_task_base.h"
-#include "daemon/peer_task_base.h"
-#include "daemon/published_values_base.h"
+#include "gateway/batch_task_base.h"
+#include "gateway/directory_task_base.h"
+#include "gateway/forward_task_base.h"
+#include "gateway/peer_task_base.h"
+#include "gateway/published_values_base.h"
 #include "net/http_server_base.h"
 
 #include <memory>
@@ -116,4 +116,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_GATEWAY_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_GATEWAY_BASE_H
--- a/packages/daemon/gateway_settings_func.cpp
+++ b/packages/gateway/gateway_settings_func.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Settings of a gateway that are texts with parts.
 
-#include "daemon/gateway_settings_func.h"
+#include "gateway/gateway_settings_func.h"
 
 #include "base/text_func.h"
 
--- a/packages/daemon/gateway_settings_func.h
+++ b/packages/gateway/gateway_settings_func.h
@@ -1,8 +1,8 @@
 /// @file
 /// Settings of a gateway that are texts with parts.
 
-#ifndef CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
-#define CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
+#ifndef CAMPHORNOTCH_GATEWAY_GATEWAY_SETTINGS_FUNC_H
+#define CAMPHORNOTCH_GATEWAY_GATEWAY_SETTINGS_FUNC_H
 
 #include "base/millis_type.h"
 
@@ -22,4 +22,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_GATEWAY_SETTINGS_FUNC_H
+#endif // CAMPHORNOTCH_GATEWAY_GATEWAY_SETTINGS_FUNC_H
--- a/packages/daemon/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Has the texts of items scored.
 
-#include "daemon/item_task_base.h"
+#include "gateway/item_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
--- a/packages/daemon/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Runs items at engines and keeps their texts.
 
-#include "daemon/item_task_base.h"
+#include "gateway/item_task_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
@@ -70,6 +70,9 @@
 
 void ItemTask::drop(const SubmissionId &Id) {
   this->Scheduler.dropAll(Id);
+  std::erase_if(this->Finished, [&Id](const auto &Each) {
+    return Each.first.Submission == Id;
+  });
   std::vector<ItemKey> Keys;
   for (const auto &[Key, Each] : this->Runs)
     if (Key.Submission == Id)
@@ -124,6 +127,13 @@
     return;
   }
   Run &Each = this->Runs[Key];
+  if (Each.Whole) {
+    // An earlier submission left the whole text: only the score is missing.
+    this->Pool.ended(Start.Endpoint, WorkEnd::Abandoned, Millis{0},
+                     steadyNow());
+    this->score(Key);
+    return;
+  }
   if (Each.Chain == 0) {
     Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
     const auto Stored = State->Progress.find(Key.Item);
@@ -315,6 +325,7 @@
       Versions.insert(Each->Events[Index].Version);
     }
     Record.Versions.assign(Versions.begin(), Versions.end());
+    this->Finished[Key] = FinishedText{Each->Events, steadyNow()};
   }
   logLine(LogLevel::Info, "item has a result",
           {{"request_id", Key.Item.Value},
@@ -372,11 +383,12 @@
   const Millis Now = steadyNow();
   for (auto &[Key, Each] : this->Runs) {
     const ScheduledItem *Item = this->Scheduler.find(Key);
-    const bool Settled = Each.Events.size() >= Each.HadAtStart + MoveAfterEvents;
+    const bool Settled =
+        Each.Events.size() >= Each.HadAtStart + MoveAfterEvents;
     if (Each.Call.Value == 0 || Item == nullptr || !Settled)
       continue;
-    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion, {},
-                              true};
+    const EndpointQuery Query{
+        Item->Service, Item->Model, Item->MinVersion, {}, true};
     if (this->Pool.faster(Each.Endpoint, Query, Now) == nullptr)
       continue;
     this->setBack(Key, ItemSetback::Moved, WorkEnd::Abandoned,
--- a/packages/daemon/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -1,12 +1,13 @@
 /// @file
 /// Runs items at engines, has their texts scored and hands on their results.
 
-#ifndef CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
-#define CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_ITEM_TASK_BASE_H
+#define CAMPHORNOTCH_GATEWAY_ITEM_TASK_BASE_H
 
 #include "core/batch/item_scheduler_base.h"
+#include "core/batch/leftover_table_base.h"
 #include "core/batch/partition_fold_base.h"
-#include "daemon/forward_task_base.h"
+#include "gateway/forward_task_base.h"
 
 #include <functional>
 #include <map>
@@ -42,6 +43,15 @@
   /// @param State the submission.
   void adopt(const SubmissionState &State);
 
+  /// Gives an item the text that an earlier submission left of it.
+  /// @param Key the item, before it was adopted.
+  /// @param Text its text, which fits.
+  void seed(const ItemKey &Key, const StoredText &Text);
+
+  /// @param State a submission that ends.
+  /// @return the texts of its groups that its caller may not have whole.
+  wire::LeftoverRecord leftovers(const SubmissionState &State) const;
+
   /// Ends all work for a submission.
   /// @param Id the submission.
   void drop(const SubmissionId &Id);
@@ -95,6 +105,14 @@
     bool Whole = false;
   };
 
+  /// The text of an item that has its result.
+  struct FinishedText {
+    /// The events.
+    std::vector<wire::TextEvent> Events;
+    /// When it was finished.
+    Millis At{0};
+  };
+
   /// Sends an item to an engine.
   /// @param Start which, and where.
   void begin(const StartItem &Start);
@@ -170,6 +188,8 @@
   ItemScheduler Scheduler;
   /// Items under way.
   std::map<ItemKey, Run> Runs;
+  /// Texts of items with a result, until their submissions end.
+  std::map<ItemKey, FinishedText> Finished;
   /// Whether nothing more starts.
   bool Stopped = false;
   /// Whether a start is planned for the next turn.
@@ -180,4 +200,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_ITEM_TASK_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_ITEM_TASK_BASE_H
--- a/packages/daemon/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Follows a keyed topic of the store: its newest records, then each new one.
 
-#include "daemon/keyed_follower_base.h"
+#include "gateway/keyed_follower_base.h"
 
 #include "base/log_func.h"
 #include "base/text_func.h"
--- a/packages/daemon/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -1,8 +1,8 @@
 /// @file
 /// Follows a keyed topic of the store: its newest records, then each new one.
 
-#ifndef CAMPHORNOTCH_DAEMON_KEYED_FOLLOWER_BASE_H
-#define CAMPHORNOTCH_DAEMON_KEYED_FOLLOWER_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_KEYED_FOLLOWER_BASE_H
+#define CAMPHORNOTCH_GATEWAY_KEYED_FOLLOWER_BASE_H
 
 #include "net/loop_base.h"
 #include "platform/store_client_base.h"
@@ -73,4 +73,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_KEYED_FOLLOWER_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_KEYED_FOLLOWER_BASE_H
--- a/packages/daemon/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// A loader: stands beside one engine and orders it to load newer weights.
 
-#include "daemon/loader_base.h"
+#include "gateway/loader_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
--- a/packages/daemon/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -1,14 +1,14 @@
 /// @file
 /// A loader: stands beside one engine and orders it to load newer weights.
 
-#ifndef CAMPHORNOTCH_DAEMON_LOADER_BASE_H
-#define CAMPHORNOTCH_DAEMON_LOADER_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_LOADER_BASE_H
+#define CAMPHORNOTCH_GATEWAY_LOADER_BASE_H
 
 #include "base/settings_type.h"
 #include "core/loads/load_controller_base.h"
-#include "daemon/directory_task_base.h"
-#include "daemon/peer_task_base.h"
-#include "daemon/published_values_base.h"
+#include "gateway/directory_task_base.h"
+#include "gateway/peer_task_base.h"
+#include "gateway/published_values_base.h"
 #include "net/http_server_base.h"
 #include "net/metrics_base.h"
 
@@ -80,4 +80,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_LOADER_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_LOADER_BASE_H
--- a/packages/daemon/partition_appender_base.cpp
+++ b/packages/gateway/partition_appender_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Appends records to partitions until the store has acknowledged each.
 
-#include "daemon/partition_appender_base.h"
+#include "gateway/partition_appender_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
--- a/packages/daemon/partition_appender_base.h
+++ b/packages/gateway/partition_appender_base.h
@@ -1,8 +1,8 @@
 /// @file
 /// Appends records to partitions until the store has acknowledged each.
 
-#ifndef CAMPHORNOTCH_DAEMON_PARTITION_APPENDER_BASE_H
-#define CAMPHORNOTCH_DAEMON_PARTITION_APPENDER_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_PARTITION_APPENDER_BASE_H
+#define CAMPHORNOTCH_GATEWAY_PARTITION_APPENDER_BASE_H
 
 #include "camphornotch_types.h"
 #include "net/loop_base.h"
@@ -96,4 +96,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_PARTITION_APPENDER_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_PARTITION_APPENDER_BASE_H
--- a/packages/daemon/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Reads one partition of batch submissions and folds it.
 
-#include "daemon/partition_follower_base.h"
+#include "gateway/partition_follower_base.h"
 
 #include "base/clock_func.h"
 #include "base/log_func.h"
--- a/packages/daemon/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -1,8 +1,8 @@
 /// @file
 /// Reads one partition of batch submissions and folds it.
 
-#ifndef CAMPHORNOTCH_DAEMON_PARTITION_FOLLOWER_BASE_H
-#define CAMPHORNOTCH_DAEMON_PARTITION_FOLLOWER_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_PARTITION_FOLLOWER_BASE_H
+#define CAMPHORNOTCH_GATEWAY_PARTITION_FOLLOWER_BASE_H
 
 #include "core/batch/partition_fold_base.h"
 #include "net/loop_base.h"
@@ -90,4 +90,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_PARTITION_FOLLOWER_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_PARTITION_FOLLOWER_BASE_H
--- a/packages/daemon/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -2,11 +2,11 @@
 /// Links between gateways and loaders: published values, engines' states, and
 /// calls to the store on a peer's behalf.
 
-#include "daemon/peer_task_base.h"
+#include "gateway/peer_task_base.h"
 
 #include "base/log_func.h"
 #include "base/text_func.h"
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 #include <utility>
 
--- a/packages/daemon/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -2,11 +2,11 @@
 /// Links between gateways and loaders: published values, engines' states, and
 /// calls to the store on a peer's behalf.
 
-#ifndef CAMPHORNOTCH_DAEMON_PEER_TASK_BASE_H
-#define CAMPHORNOTCH_DAEMON_PEER_TASK_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_PEER_TASK_BASE_H
+#define CAMPHORNOTCH_GATEWAY_PEER_TASK_BASE_H
 
 #include "base/settings_type.h"
-#include "daemon/published_values_base.h"
+#include "gateway/published_values_base.h"
 #include "net/link_hub_base.h"
 #include "platform/store_client_base.h"
 
@@ -111,4 +111,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_PEER_TASK_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_PEER_TASK_BASE_H
--- a/packages/daemon/published_values_base.cpp
+++ b/packages/gateway/published_values_base.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// The newest value that operators and trainers published under each key.
 
-#include "daemon/published_values_base.h"
+#include "gateway/published_values_base.h"
 
 #include <algorithm>
 
--- a/packages/daemon/published_values_base.h
+++ b/packages/gateway/published_values_base.h
@@ -1,8 +1,8 @@
 /// @file
 /// The newest value that operators and trainers published under each key.
 
-#ifndef CAMPHORNOTCH_DAEMON_PUBLISHED_VALUES_BASE_H
-#define CAMPHORNOTCH_DAEMON_PUBLISHED_VALUES_BASE_H
+#ifndef CAMPHORNOTCH_GATEWAY_PUBLISHED_VALUES_BASE_H
+#define CAMPHORNOTCH_GATEWAY_PUBLISHED_VALUES_BASE_H
 
 #include "camphornotch_types.h"
 #include "core/store/store_type.h"
@@ -39,4 +39,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_PUBLISHED_VALUES_BASE_H
+#endif // CAMPHORNOTCH_GATEWAY_PUBLISHED_VALUES_BASE_H
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -400,8 +400,12 @@
 }
 
 void HttpClient::cancel(HttpCallId Call) {
-  if (this->Inner->find(Call.Value) != nullptr)
-    this->Inner->take(Call.Value);
+  if (this->Inner->find(Call.Value) == nullptr)
+    return;
+  // The call may be cancelled from within one of its own events, whose
+  // captures must outlive it.
+  const std::shared_ptr<State::Running> Last = this->Inner->take(Call.Value);
+  this->Inner->Events.defer([Last] {});
 }
 
 } // namespace camphornotch
--- a/packages/daemon/settings_func.cpp
+++ b/packages/net/link_settings_func.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Parts of the settings as the tasks of packages/net take them.
 
-#include "daemon/settings_func.h"
+#include "net/link_settings_func.h"
 
 #include <random>
 
--- a/packages/daemon/settings_func.h
+++ b/packages/net/link_settings_func.h
@@ -1,8 +1,8 @@
 /// @file
 /// Parts of the settings as the tasks of packages/net take them.
 
-#ifndef CAMPHORNOTCH_DAEMON_SETTINGS_FUNC_H
-#define CAMPHORNOTCH_DAEMON_SETTINGS_FUNC_H
+#ifndef CAMPHORNOTCH_NET_LINK_SETTINGS_FUNC_H
+#define CAMPHORNOTCH_NET_LINK_SETTINGS_FUNC_H
 
 #include "base/settings_type.h"
 #include "net/http_type.h"
@@ -28,4 +28,4 @@
 
 } // namespace camphornotch
 
-#endif // CAMPHORNOTCH_DAEMON_SETTINGS_FUNC_H
+#endif // CAMPHORNOTCH_NET_LINK_SETTINGS_FUNC_H
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -582,3 +582,16 @@
   3: optional SubmissionEndRecord End,
   4: optional ItemProgressRecord Progress,
 }
+
+/** What there is of the text of an item that may be submitted again. */
+struct LeftoverText {
+  1: string Item,
+  2: bool Whole,           // the text is complete
+  3: list<TextEvent> Events,
+}
+
+/** Texts that an ended submission leaves behind. */
+struct LeftoverRecord {
+  1: string Submission,
+  2: list<LeftoverText> Texts,
+}
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -107,6 +107,14 @@
   return decode<wire::BatchRecord>(Bytes);
 }
 
+std::string encodeLeftovers(const wire::LeftoverRecord &Record) {
+  return encode(Record);
+}
+
+Result<wire::LeftoverRecord> decodeLeftovers(std::string_view Bytes) {
+  return decode<wire::LeftoverRecord>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -55,6 +55,14 @@
 /// @return the record, or what is wrong with it.
 Result<wire::BatchRecord> decodeBatchRecord(std::string_view Bytes);
 
+/// @param Record the record.
+/// @return its encoding, as a partition keeps it.
+std::string encodeLeftovers(const wire::LeftoverRecord &Record);
+
+/// @param Bytes one record of leftovers.
+/// @return the record, or what is wrong with it.
+Result<wire::LeftoverRecord> decodeLeftovers(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
