--- /dev/null
+++ b/standins/store/store_server.cpp
@@ -0,0 +1,191 @@
+/// @file
+/// The stand-in of the platform's partitioned store, over HTTP, with faults.
+
+#include "standins/store/store_server.h"
+
+#include "base/clock_func.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace camphornotch::standin {
+
+namespace {
+
+/// @param Exchange a call.
+/// @param Status the status.
+/// @param Body the body.
+void reply(const std::shared_ptr<HttpExchange> &Exchange, int Status,
+           const std::string &Body) {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Body = Body;
+  Exchange->answer(Response);
+}
+
+/// @param Exchange a call.
+/// @param Name a number in its query.
+/// @param Other its value if it is absent.
+/// @return the number.
+int64_t numberOf(const std::shared_ptr<HttpExchange> &Exchange,
+                 const char *Name, int64_t Other) {
+  const std::string Text = queryParameter(Exchange->request().Query, Name);
+  return Text.empty() ? Other : std::stoll(Text);
+}
+
+} // namespace
+
+StandinStoreServer::StandinStoreServer(Loop &Events, int64_t Partitions)
+    : Events(Events), State(Partitions) {
+  auto Made =
+      HttpServer::listen(Events, HttpServerConfig{},
+                         [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                           this->handle(Exchange);
+                         });
+  this->Server = std::move(Made.value());
+}
+
+void StandinStoreServer::put(const std::string &Topic, const std::string &Key,
+                             const std::string &Value) {
+  this->State.put(Topic, Key, Value);
+  this->wakeReads();
+}
+
+void StandinStoreServer::handle(const std::shared_ptr<HttpExchange> &Exchange) {
+  if (this->Silent) {
+    this->Unanswered.push_back(Exchange);
+    return;
+  }
+  if (this->Busy) {
+    reply(Exchange, 503, "{}");
+    return;
+  }
+  const std::string &Path = Exchange->request().Path;
+  if (Path == "/-/log-append")
+    this->onAppend(Exchange);
+  else if (Path == "/-/log-read")
+    this->onRead(Exchange);
+  else if (Path == "/-/log-newest")
+    this->onNewest(Exchange);
+  else if (Path == "/-/log-join")
+    this->onMember(Exchange, true);
+  else if (Path == "/-/log-leave")
+    this->onMember(Exchange, false);
+  else
+    reply(Exchange, 404, "{}");
+}
+
+void StandinStoreServer::onAppend(
+    const std::shared_ptr<HttpExchange> &Exchange) {
+  const std::string Topic = queryParameter(Exchange->request().Query, "topic");
+  const int64_t Part = numberOf(Exchange, "part", 0);
+  const int64_t At = numberOf(Exchange, "at", -1);
+  const auto Carry = [this, Topic, Part, At,
+                      Records = standinRecords(Exchange->request().Body)] {
+    const auto Offset = this->State.append(
+        Topic, Part, Records, At < 0 ? std::nullopt : std::optional(At));
+    this->wakeReads();
+    return Offset;
+  };
+  if (this->Fault == AppendFault::Refuse) {
+    reply(Exchange, 503, "{}");
+    return;
+  }
+  if (this->Fault == AppendFault::Late)
+    this->Events.callAfter(this->LateBy, [Carry] { Carry(); });
+  if (this->Fault == AppendFault::LoseAnswer)
+    Carry();
+  if (this->Fault != AppendFault::None) {
+    this->Unanswered.push_back(Exchange);
+    return;
+  }
+  const auto Offset = Carry();
+  const int64_t End = this->State.partition(Topic, Part).end();
+  nlohmann::json Body{{"end", End}};
+  if (Offset.has_value())
+    Body["offset"] = *Offset;
+  reply(Exchange, Offset.has_value() ? 200 : 412, Body.dump());
+}
+
+void StandinStoreServer::onRead(const std::shared_ptr<HttpExchange> &Exchange) {
+  auto Read = std::make_shared<Waiting>();
+  Read->Exchange = Exchange;
+  Read->Topic = queryParameter(Exchange->request().Query, "topic");
+  Read->Part = numberOf(Exchange, "part", 0);
+  Read->From = numberOf(Exchange, "from", 0);
+  const StandinPartition &Where =
+      this->State.partition(Read->Topic, Read->Part);
+  if (Read->From < Where.First) {
+    reply(Exchange, 410, nlohmann::json{{"first", Where.First}}.dump());
+    return;
+  }
+  const int64_t Wait = numberOf(Exchange, "wait_ms", 0);
+  if (Where.end() > Read->From || Wait == 0) {
+    this->answerRead(*Read);
+    return;
+  }
+  this->Reads.push_back(Read);
+  this->Events.callAfter(Millis{Wait}, [this, Read] {
+    if (!Read->Done)
+      this->answerRead(*Read);
+  });
+}
+
+void StandinStoreServer::answerRead(Waiting &Read) {
+  Read.Done = true;
+  const StandinPartition &Where = this->State.partition(Read.Topic, Read.Part);
+  if (Read.From < Where.First) {
+    reply(Read.Exchange, 410, nlohmann::json{{"first", Where.First}}.dump());
+    return;
+  }
+  const std::vector<std::string> Records(
+      Where.Records.begin() + (Read.From - Where.First), Where.Records.end());
+  reply(Read.Exchange, 200,
+        standinNumber(static_cast<uint64_t>(Where.end()), 8) +
+            standinNumber(static_cast<uint64_t>(Where.First), 8) +
+            standinBytes(Records));
+}
+
+void StandinStoreServer::wakeReads() {
+  for (const auto &Read : this->Reads)
+    if (!Read->Done &&
+        this->State.partition(Read->Topic, Read->Part).end() > Read->From)
+      this->answerRead(*Read);
+  std::erase_if(this->Reads, [](const auto &Read) { return Read->Done; });
+}
+
+void StandinStoreServer::onNewest(
+    const std::shared_ptr<HttpExchange> &Exchange) {
+  const std::string Topic = queryParameter(Exchange->request().Query, "topic");
+  nlohmann::json Items = nlohmann::json::array();
+  for (const auto &[Key, Record] : this->State.newest(Topic))
+    Items.push_back({{"key", Key},
+                     {"value", absl::Base64Escape(Record.first)},
+                     {"offset", Record.second}});
+  reply(Exchange, 200,
+        nlohmann::json{{"items", Items},
+                       {"has_more", false},
+                       {"end", this->State.partition(Topic, 0).end()}}
+            .dump());
+}
+
+void StandinStoreServer::onMember(const std::shared_ptr<HttpExchange> &Exchange,
+                                  bool Joins) {
+  const auto Asked = nlohmann::json::parse(Exchange->request().Body);
+  const std::string Member = Asked.at("member");
+  nlohmann::json Parts = nlohmann::json::array();
+  if (Joins) {
+    const std::string Topic = Asked.at("topics").at(0);
+    for (const int64_t Part :
+         this->State.join(Member, Millis{Asked.at("ttl_ms")}, steadyNow()))
+      Parts.push_back({Topic, Part, 0});
+  } else {
+    this->State.leave(Member);
+  }
+  reply(
+      Exchange, 200,
+      nlohmann::json{{"generation", this->State.generation()}, {"parts", Parts}}
+          .dump());
+}
+
+} // namespace camphornotch::standin
--- /dev/null
+++ b/tests/batch/item_scheduler_test.cpp
@@ -0,0 +1,180 @@
+/// @file
+/// Which items run next, and where.
+
+#include "core/batch/item_scheduler_base.h"
+#include "core/batch/leftover_table_base.h"
+#include "wire/codec_func.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A scheduler before some engines of model "m".
+struct SchedulerFixture {
+  /// The scheduler.
+  ItemScheduler Scheduler;
+  /// The engines.
+  EndpointPool Pool{Geography{"dc", {}}};
+  /// The time.
+  Millis Now = seconds(10);
+  /// The route of all submissions.
+  Route By;
+
+  /// @param Engines how many engines.
+  /// @param Slots slots of each.
+  SchedulerFixture(int Engines, int64_t Slots) {
+    this->By.Services = {{"s", 1}};
+    for (int Index = 0; Index < Engines; ++Index) {
+      EndpointRecord Record;
+      Record.Id = EndpointId{"e" + std::to_string(Index)};
+      Record.Service = "s";
+      Record.DataCentre = "dc";
+      Record.Slots = Slots;
+      Record.Versions["m"] = 5;
+      this->Pool.put(std::move(Record));
+    }
+  }
+
+  /// Adds a submission.
+  /// @param Id its id.
+  /// @param Hints expected length of each item; groups are pairs.
+  /// @param Wanted groups that the caller waits for.
+  /// @param MinVersion the oldest version that will do.
+  void submit(const std::string &Id, const std::vector<int64_t> &Hints,
+              int64_t Wanted = 0, int64_t MinVersion = 5) {
+    SubmissionState State;
+    State.Record.Id = Id;
+    State.Record.Model = "m";
+    State.Record.MinVersion = MinVersion;
+    State.Record.WantedGroups = Wanted;
+    for (size_t Index = 0; Index < Hints.size(); ++Index) {
+      wire::BatchItemField Item;
+      Item.Id = "i" + std::to_string(Index);
+      Item.Group = "g" + std::to_string(Index / 2);
+      Item.LengthHint = Hints[Index];
+      State.Record.Items.push_back(Item);
+    }
+    this->Scheduler.add(State, this->By);
+  }
+
+  /// @return what starts now, as "submission/item" in order.
+  std::vector<std::string> plan() {
+    std::vector<std::string> Names;
+    for (const StartItem &Start : this->Scheduler.plan(this->Pool, this->Now))
+      Names.push_back(Start.Key.Submission.Value + "/" + Start.Key.Item.Value);
+    return Names;
+  }
+};
+
+} // namespace
+
+Test(itemScheduler, enoughSlots_allStartAtOnce) {
+  SchedulerFixture Each(3, 2);
+  Each.submit("s", {1, 2, 3, 4, 5, 6});
+  cr_assert_eq(Each.plan().size(), 6U);
+  cr_assert(Each.plan().empty());
+}
+
+Test(itemScheduler, fewSlots_longestOfTheWantedGroupsFirst) {
+  SchedulerFixture Each(1, 2);
+  // Group lengths: g0 10, g1 90, g2 50; two are wanted, so g1 is left last.
+  Each.submit("s", {10, 5, 90, 80, 50, 40}, 2);
+  const std::vector<std::string> First = Each.plan();
+  cr_assert_eq(First.size(), 2U);
+  cr_assert(First[0] == "s/i4");
+  cr_assert(First[1] == "s/i5");
+}
+
+Test(itemScheduler, olderSubmission_goesFirst) {
+  SchedulerFixture Each(1, 1);
+  Each.submit("old", {1});
+  Each.submit("new", {99});
+  cr_assert(Each.plan().at(0) == "old/i0");
+}
+
+Test(itemScheduler, noEngineWithTheVersion_waits) {
+  SchedulerFixture Each(2, 2);
+  Each.submit("s", {1}, 0, 6);
+  cr_assert(Each.plan().empty());
+  Each.Pool.versionSeen(EndpointId{"e1"}, "m", 6);
+  cr_assert_eq(Each.plan().size(), 1U);
+}
+
+Test(itemScheduler, brokenItem_goesToAnotherEngine) {
+  SchedulerFixture Each(2, 2);
+  Each.submit("s", {1});
+  const auto First = Each.Scheduler.plan(Each.Pool, Each.Now);
+  Each.Pool.ended(First[0].Endpoint, WorkEnd::Broken, Millis{0}, Each.Now);
+  Each.Scheduler.setBack(First[0].Key, ItemSetback::Broken, First[0].Endpoint,
+                         Each.Now);
+  cr_assert(Each.Scheduler.plan(Each.Pool, Each.Now).empty());
+  Each.Now += seconds(1);
+  const auto Second = Each.Scheduler.plan(Each.Pool, Each.Now);
+  cr_assert_eq(Second.size(), 1U);
+  cr_assert(Second[0].Endpoint != First[0].Endpoint);
+}
+
+Test(itemScheduler, itemThatBreaksEngines_waitsLongerEachTime) {
+  SchedulerFixture Each(1, 1);
+  Each.submit("s", {1});
+  const ItemKey Key{SubmissionId{"s"}, ItemId{"i0"}};
+  Millis Before{0};
+  for (int Times = 0; Times < 5; ++Times) {
+    Each.Scheduler.plan(Each.Pool, Each.Now);
+    Each.Scheduler.setBack(Key, ItemSetback::Broken, EndpointId{"e0"},
+                           Each.Now);
+    const Millis Wait = Each.Scheduler.find(Key)->NotBefore - Each.Now;
+    cr_assert(Wait > Before);
+    Before = Wait;
+    Each.Now += seconds(10);
+  }
+}
+
+Test(itemScheduler, endedSubmission_leavesNothing) {
+  SchedulerFixture Each(1, 1);
+  Each.submit("s", {1, 2});
+  Each.plan();
+  const auto Running = Each.Scheduler.dropAll(SubmissionId{"s"});
+  cr_assert_eq(Running.size(), 1U);
+  cr_assert_eq(Each.Scheduler.waiting() + Each.Scheduler.running(), 0U);
+}
+
+Test(leftovers, textThatFits_isUsed) {
+  wire::LeftoverRecord Record;
+  wire::LeftoverText Text;
+  Text.Item = "i";
+  wire::TextEvent Event;
+  Event.Version = 4;
+  Text.Events = {Event, Event};
+  Text.Events[1].Version = 5;
+  Record.Texts = {Text};
+  LeftoverTable Table;
+  cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
+  const StoredText *Found = Table.find(ItemId{"i"});
+  cr_assert(Found != nullptr);
+  cr_assert(fits(*Found, 4, false));
+  cr_assert(!fits(*Found, 5, false), "an event is too old");
+  cr_assert(!fits(*Found, 4, true), "two versions made it");
+}
+
+Test(leftovers, lessText_doesNotReplaceMore) {
+  LeftoverTable Table;
+  wire::LeftoverRecord Record;
+  wire::LeftoverText Text;
+  Text.Item = "i";
+  Text.Events.resize(3);
+  Record.Texts = {Text};
+  cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
+  Record.Texts[0].Events.resize(1);
+  cr_assert(Table.apply(encodeLeftovers(Record), seconds(2)).has_value());
+  cr_assert_eq(Table.find(ItemId{"i"})->Events.size(), 3U);
+  Table.forget(seconds(5));
+  cr_assert(Table.find(ItemId{"i"}) == nullptr);
+}
+
+Test(leftovers, garbage_isAnError) {
+  LeftoverTable Table;
+  cr_assert(Table.apply("\xff\xff\xff", seconds(1)).has_error());
+}
--- /dev/null
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -0,0 +1,190 @@
+/// @file
+/// The choice of endpoints.
+
+#include "core/gateway/endpoint_pool_base.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// Three endpoints of one service, one a data centre.
+struct PoolFixture {
+  /// The pool.
+  EndpointPool Pool{
+      Geography{"dc-a", {{"dc-a", "r1"}, {"dc-b", "r1"}, {"dc-c", "r2"}}}};
+  /// The time.
+  Millis Now = seconds(100);
+
+  /// Registers an endpoint.
+  /// @param Name its id.
+  /// @param DataCentre where.
+  /// @param Version its version of model "m"; 0: a plain service.
+  void add(const std::string &Name, const std::string &DataCentre,
+           int64_t Version = 0) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Name};
+    Record.Service = "s";
+    Record.DataCentre = DataCentre;
+    Record.Slots = 2;
+    Record.Where = Address{"10.0.0." + std::to_string(++this->Last), 80};
+    if (Version > 0)
+      Record.Versions["m"] = Version;
+    this->Pool.put(std::move(Record));
+  }
+
+  /// @param Query what is wanted.
+  /// @return the chosen one's id; empty: none.
+  std::string chosen(const EndpointQuery &Query = {"s", "", 0, {}, false}) {
+    const EndpointState *State = this->Pool.choose(Query, this->Now);
+    return State == nullptr ? "" : State->Record.Id.Value;
+  }
+
+  /// Lets an endpoint answer once.
+  /// @param Name which.
+  /// @param Took how long it took.
+  void answer(const std::string &Name, Millis Took) {
+    this->Pool.begun(EndpointId{Name});
+    this->Pool.ended(EndpointId{Name}, WorkEnd::Answered, Took, this->Now);
+  }
+
+private:
+  /// Addresses given out.
+  int Last = 0;
+};
+
+} // namespace
+
+Test(endpointPool, nothingMeasured_theNearestIsChosen) {
+  PoolFixture Each;
+  Each.add("far", "dc-c");
+  Each.add("near", "dc-b");
+  Each.add("here", "dc-a");
+  cr_assert(Each.chosen() == "here");
+}
+
+Test(endpointPool, nearestIsSlowed_anotherOfTheRegionIsChosen) {
+  PoolFixture Each;
+  Each.add("near", "dc-b");
+  Each.add("here", "dc-a");
+  Each.answer("near", Millis{25});
+  for (int Times = 0; Times < 20; ++Times)
+    Each.answer("here", Millis{120});
+  cr_assert(Each.chosen() == "near");
+}
+
+Test(endpointPool, oldMeasurement_noLongerSpeaksAgainst) {
+  PoolFixture Each;
+  Each.add("near", "dc-b");
+  Each.add("here", "dc-a");
+  Each.answer("near", Millis{25});
+  for (int Times = 0; Times < 20; ++Times)
+    Each.answer("here", Millis{120});
+  Each.Now += seconds(10);
+  cr_assert(Each.chosen() == "here");
+}
+
+Test(endpointPool, drainingEndpoint_isNotChosen) {
+  PoolFixture Each;
+  Each.add("here", "dc-a");
+  EndpointRecord Record = Each.Pool.find(EndpointId{"here"})->Record;
+  Record.Draining = true;
+  cr_assert(Each.Pool.put(Record));
+  cr_assert(Each.chosen().empty());
+}
+
+Test(endpointPool, sameIdBornAgain_startsWithNothingKnown) {
+  PoolFixture Each;
+  Each.add("here", "dc-a");
+  Each.Pool.begun(EndpointId{"here"});
+  EndpointRecord Record = Each.Pool.find(EndpointId{"here"})->Record;
+  Record.BornMs = 5;
+  cr_assert(Each.Pool.put(Record));
+  cr_assert_eq(Each.Pool.find(EndpointId{"here"})->Outstanding, 0);
+}
+
+Test(endpointPool, brokenEndpoint_isAvoidedForAWhile) {
+  PoolFixture Each;
+  Each.add("near", "dc-b");
+  Each.add("here", "dc-a");
+  Each.Pool.begun(EndpointId{"here"});
+  Each.Pool.ended(EndpointId{"here"}, WorkEnd::Broken, Millis{0}, Each.Now);
+  cr_assert(Each.chosen() == "near");
+  Each.Now += seconds(5);
+  cr_assert(Each.chosen() == "here");
+}
+
+Test(endpointPool, brokenEndpoint_isChosenIfItIsTheOnlyOne) {
+  PoolFixture Each;
+  Each.add("here", "dc-a");
+  Each.Pool.begun(EndpointId{"here"});
+  Each.Pool.ended(EndpointId{"here"}, WorkEnd::Broken, Millis{0}, Each.Now);
+  cr_assert(Each.chosen() == "here");
+}
+
+Test(endpointPool, olderVersion_isNotEligible) {
+  PoolFixture Each;
+  Each.add("old", "dc-a", 3);
+  Each.add("new", "dc-c", 4);
+  cr_assert(Each.chosen({"s", "m", 4, {}, false}) == "new");
+  cr_assert(Each.chosen({"s", "m", 5, {}, false}).empty());
+}
+
+Test(endpointPool, engineThatLoadsTheModel_isNotEligible) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.LoadingModel = "m";
+  Load.Versions["m"] = 3;
+  Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
+                         Each.Now);
+  cr_assert(Each.chosen({"s", "m", 3, {}, false}).empty());
+  cr_assert(!Each.chosen({"s", "", 0, {}, false}).empty());
+}
+
+Test(endpointPool, othersWork_countsBySlots) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.Running = 2;
+  Load.Versions["m"] = 3;
+  const Address Where = Each.Pool.find(EndpointId{"here"})->Record.Where;
+  Each.Pool.loadReported(Where, Load, Each.Now);
+  cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
+  cr_assert_eq(Each.Pool.freeSlots({"s", "m", 3, {}, true}, Each.Now), 0);
+  Load.Running = 0;
+  Each.Pool.loadReported(Where, Load, Each.Now);
+  cr_assert(Each.chosen({"s", "m", 3, {}, true}) == "here");
+}
+
+Test(endpointPool, staleReport_isNotUsed) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.Running = 2;
+  Load.Versions["m"] = 3;
+  Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
+                         Each.Now);
+  Each.Now += seconds(5);
+  cr_assert(Each.chosen({"s", "m", 3, {}, true}) == "here");
+}
+
+Test(endpointPool, slowPace_namesAFasterEngineWithAFreeSlot) {
+  PoolFixture Each;
+  Each.add("slow", "dc-a", 3);
+  Each.add("fast", "dc-b", 3);
+  for (int Times = 0; Times < 20; ++Times) {
+    Each.Pool.paceSeen(EndpointId{"slow"}, Millis{120}, Each.Now);
+    Each.Pool.paceSeen(EndpointId{"fast"}, Millis{40}, Each.Now);
+  }
+  const EndpointQuery Query{"s", "m", 3, {}, true};
+  const EndpointState *Other =
+      Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now);
+  cr_assert(Other != nullptr);
+  cr_assert(Other->Record.Id.Value == "fast");
+  cr_assert(Each.Pool.faster(EndpointId{"fast"}, Query, Each.Now) == nullptr);
+  Each.Pool.begun(EndpointId{"fast"});
+  Each.Pool.begun(EndpointId{"fast"});
+  cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) == nullptr);
+}
--- /dev/null
+++ b/tests/gateway/forward_plan_test.cpp
@@ -0,0 +1,194 @@
+/// @file
+/// Where a request is sent, and how it ends.
+
+#include "core/gateway/forward_plan_base.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// Endpoints "a" and "b", and a plan for one request.
+struct PlanFixture {
+  /// The endpoints.
+  EndpointPool Pool{Geography{"dc", {}}};
+  /// The time.
+  Millis Now = seconds(10);
+  /// What the request needs.
+  ForwardNeed Need;
+
+  /// Registers the endpoints.
+  PlanFixture() {
+    this->add("a");
+    this->add("b");
+    this->Need.By.Kind = RouteKind::Idempotent;
+    this->Need.By.Attempts = 2;
+    this->Need.By.Objective = Millis{200};
+    this->Need.Service = "s";
+    this->Need.Arrived = this->Now;
+    this->Need.Deadline = this->Now + Millis{1000};
+  }
+
+  /// @param Name the endpoint's id.
+  void add(const std::string &Name) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Name};
+    Record.Service = "s";
+    Record.DataCentre = "dc";
+    Record.Slots = 4;
+    this->Pool.put(std::move(Record));
+  }
+
+  /// Asks for a send and notes it.
+  /// @param Plan the plan.
+  /// @return where it went; empty: no send.
+  std::string send(ForwardPlan &Plan) {
+    const ForwardStep Step = Plan.next(this->Pool, this->Now);
+    const auto *Send = std::get_if<SendAttempt>(&Step);
+    if (Send == nullptr)
+      return "";
+    Plan.begun(Send->Endpoint, this->Now);
+    this->Pool.begun(Send->Endpoint);
+    return Send->Endpoint.Value;
+  }
+
+  /// @param Plan the plan.
+  /// @return the status with which it ends; 0: it does not end now.
+  int status(ForwardPlan &Plan) {
+    const ForwardStep Step = Plan.next(this->Pool, this->Now);
+    const auto *End = std::get_if<EndRequest>(&Step);
+    return End == nullptr ? 0 : End->Status;
+  }
+};
+
+} // namespace
+
+Test(forwardPlan, refusedNotRun_goesToTheOther) {
+  PlanFixture Each;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Plan.ended(EndpointId{First}, AttemptEnd::Refused, Each.Now);
+  const std::string Second = Each.send(Plan);
+  cr_assert(!Second.empty());
+  cr_assert(First != Second);
+  cr_assert(!Plan.mayHaveRun());
+}
+
+Test(forwardPlan, allRefuse_endsWith503InTimeToComeBack) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::AtMostOnce;
+  ForwardPlan Plan(Each.Need);
+  int Status = 0;
+  for (int Round = 0; Round < 40 && Status == 0; ++Round) {
+    const std::string At = Each.send(Plan);
+    if (!At.empty())
+      Plan.ended(EndpointId{At}, AttemptEnd::Refused, Each.Now);
+    Status = Each.status(Plan);
+    Each.Now += Millis{10};
+  }
+  cr_assert_eq(Status, 503);
+  cr_assert(Each.Now <= Each.Need.Arrived + Millis{100});
+}
+
+Test(forwardPlan, atMostOnce_mayHaveRun_isNeverSentAgainNorRefused) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::AtMostOnce;
+  Each.Need.By.Attempts = 4;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  cr_assert_eq(Each.status(Plan), 502);
+}
+
+Test(forwardPlan, atMostOnce_silent_endsWith504AtItsDeadline) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::AtMostOnce;
+  ForwardPlan Plan(Each.Need);
+  cr_assert(!Each.send(Plan).empty());
+  Each.Now += Millis{900};
+  cr_assert(Each.send(Plan).empty());
+  cr_assert_eq(Each.status(Plan), 0);
+  Each.Now = Each.Need.Deadline;
+  cr_assert_eq(Each.status(Plan), 504);
+}
+
+Test(forwardPlan, idempotentAndSilent_secondEndpointAfterHalfTheObjective) {
+  PlanFixture Each;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Each.Now += Millis{50};
+  cr_assert(Each.send(Plan).empty());
+  Each.Now += Millis{60};
+  const std::string Second = Each.send(Plan);
+  cr_assert(!Second.empty());
+  cr_assert(First != Second);
+  Each.Now += Millis{500};
+  cr_assert(Each.send(Plan).empty(), "no more endpoints than attempts");
+}
+
+Test(forwardPlan, attemptsThatMayHaveRun_areNeverMoreThanAllowed) {
+  PlanFixture Each;
+  Each.add("c");
+  ForwardPlan Plan(Each.Need);
+  for (int Times = 0; Times < 2; ++Times) {
+    const std::string At = Each.send(Plan);
+    cr_assert(!At.empty());
+    Plan.ended(EndpointId{At}, AttemptEnd::Failed, Each.Now);
+  }
+  cr_assert_eq(Each.status(Plan), 502);
+}
+
+Test(forwardPlan, connectionNotMade_doesNotCountAsAnAttempt) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::AtMostOnce;
+  Each.Need.By.Attempts = 1;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Plan.ended(EndpointId{First}, AttemptEnd::NotSent, Each.Now);
+  cr_assert(!Each.send(Plan).empty());
+}
+
+Test(forwardPlan, noEndpoint_isRefusedAtOnceWithATimeToComeBack) {
+  PlanFixture Each;
+  Each.Need.Service = "unknown";
+  ForwardPlan Plan(Each.Need);
+  const ForwardStep Step = Plan.next(Each.Pool, Each.Now);
+  const auto *End = std::get_if<EndRequest>(&Step);
+  cr_assert(End != nullptr);
+  cr_assert_eq(End->Status, 503);
+  cr_assert(End->RetryAfter > Millis{0});
+}
+
+Test(forwardPlan, endpointsOwnFailure_isPassedOnWhenNothingBetterCame) {
+  PlanFixture Each;
+  Each.Need.By.Attempts = 1;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Plan.ended(EndpointId{First}, AttemptEnd::Errored, Each.Now);
+  const ForwardStep Step = Plan.next(Each.Pool, Each.Now);
+  cr_assert(std::holds_alternative<PassFailure>(Step));
+}
+
+Test(forwardPlan, streamThatMayNotResume_hasNoSecondEndpoint) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::Stream;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Each.Now += Millis{400};
+  cr_assert(Each.send(Plan).empty());
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  cr_assert_eq(Each.status(Plan), 502);
+}
+
+Test(forwardPlan, resumableStream_goesOnElsewhereAfterABreak) {
+  PlanFixture Each;
+  Each.Need.By.Kind = RouteKind::Stream;
+  Each.Need.By.Resumable = true;
+  ForwardPlan Plan(Each.Need);
+  const std::string First = Each.send(Plan);
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  const std::string Second = Each.send(Plan);
+  cr_assert(!Second.empty());
+  cr_assert(First != Second);
+}
--- /dev/null
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -0,0 +1,266 @@
+/// @file
+/// Batch submissions through real tasks, store calls that are lost or late,
+/// and owners that change.
+
+#include "gateway_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+Test(batch, submissionAtOneGateway_hasEqualResultsAtBoth) {
+  GatewayFixture Net;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 5)).Status, 202);
+  const platform::Json First = Net.results(0, "s", 5);
+  const platform::Json Second = Net.results(1, "s", 5);
+  cr_assert_eq(First.size(), 5U);
+  cr_assert(First == Second);
+  for (const platform::Json &Result : First) {
+    cr_assert(Result["state"] == "completed");
+    cr_assert(Result["text"] == "e1\ne2\ne3\ne4");
+    cr_assert(Result["versions"] == platform::Json({3}));
+    cr_assert(std::string(Result["score"]).starts_with("receipt-c"));
+  }
+}
+
+Test(batch, submissionSentTwiceToTwoGateways_runsOnce) {
+  GatewayFixture Net;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 3)).Status, 202);
+  cr_assert_eq(Net.ask(1, GatewayFixture::submission("s", 3)).Status, 202);
+  cr_assert_eq(Net.results(0, "s", 3).size(), 3U);
+  cr_assert_eq(Net.ask(1, GatewayFixture::submission("s", 3)).Status, 202);
+  Net.pass(Millis{200});
+  cr_assert_eq(Net.results(1, "s", 3).size(), 3U);
+  for (const auto &[Item, Runs] : Net.Engine.Runs)
+    cr_assert_eq(Runs.size(), 1U);
+}
+
+Test(batch, unknownSubmission_is404AndUnknownStore503) {
+  GatewayFixture Net(1);
+  HttpCall Call;
+  Call.Path = "/-/lots/none";
+  cr_assert_eq(Net.ask(0, Call).Status, 404);
+  Net.Store.Busy = true;
+  cr_assert_eq(Net.ask(0, Call).Status, 503);
+}
+
+Test(batch, brokenSubmission_is400AndLeavesNothing) {
+  GatewayFixture Net(1);
+  HttpCall Call = GatewayFixture::submission("s", 1);
+  Call.Body = "{\"items\":5}";
+  const HttpResponse Answer = Net.ask(0, Call);
+  cr_assert_eq(Answer.Status, 400);
+  cr_assert(Answer.Body.find("items") != std::string::npos);
+  cr_assert_eq(Net.Store.state().partition("batch", 0).end() +
+                   Net.Store.state().partition("batch", 1).end(),
+               0);
+}
+
+Test(batch, appendThatNeverHappens_isRefusedOnlyIfTheStoreSaidSo) {
+  GatewayFixture Net(1);
+  Net.Store.Fault = standin::AppendFault::Refuse;
+  HttpCall Call = GatewayFixture::submission("s", 1);
+  Call.Headers.push_back({"X-Camphornotch-Request-Deadline", "400"});
+  const HttpResponse Answer = Net.ask(0, Call);
+  cr_assert_eq(Answer.Status, 503);
+  cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
+}
+
+Test(batch, appendWithoutAnswer_isNeverCalledNotRun) {
+  for (const auto Fault :
+       {standin::AppendFault::LoseAnswer, standin::AppendFault::LoseCall,
+        standin::AppendFault::Late}) {
+    GatewayFixture Net(1);
+    Net.Store.Fault = Fault;
+    HttpCall Call = GatewayFixture::submission("s", 1);
+    Call.Headers.push_back({"X-Camphornotch-Request-Deadline", "400"});
+    cr_assert_eq(Net.ask(0, Call).Status, 504);
+  }
+}
+
+Test(batch, appendThatTookEffectWithoutAnswer_isAcceptedOnceOnRepeat) {
+  GatewayFixture Net;
+  Net.Store.Fault = standin::AppendFault::LoseAnswer;
+  HttpCall Call = GatewayFixture::submission("s", 2);
+  Call.Headers.push_back({"X-Camphornotch-Request-Deadline", "400"});
+  cr_assert_eq(Net.ask(0, Call).Status, 504);
+  Net.Store.Fault = standin::AppendFault::None;
+  cr_assert_eq(Net.ask(1, GatewayFixture::submission("s", 2)).Status, 202);
+  cr_assert_eq(Net.results(0, "s", 2).size(), 2U);
+  for (const auto &[Item, Runs] : Net.Engine.Runs)
+    cr_assert_eq(Runs.size(), 1U, "%s ran %zu times", Item.c_str(),
+                 Runs.size());
+}
+
+Test(batch, appendThatTakesEffectLate_changesNothingAnyMore) {
+  GatewayFixture Net;
+  Net.Store.Fault = standin::AppendFault::Late;
+  Net.Store.LateBy = Millis{700};
+  HttpCall Call = GatewayFixture::submission("s", 2);
+  Call.Headers.push_back({"X-Camphornotch-Request-Deadline", "300"});
+  cr_assert_eq(Net.ask(0, Call).Status, 504);
+  Net.Store.Fault = standin::AppendFault::None;
+  cr_assert_eq(Net.ask(1, GatewayFixture::submission("s", 2)).Status, 202);
+  const platform::Json Before = Net.results(1, "s", 2);
+  Net.pass(Millis{900});
+  cr_assert(Net.results(0, "s", 2) == Before);
+  cr_assert_eq(Before.size(), 2U);
+}
+
+Test(batch, resultsWithLostAnswers_areListedOnce) {
+  GatewayFixture Net;
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 2)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 2; }));
+  Net.Store.Fault = standin::AppendFault::LoseAnswer;
+  Net.Engine.release();
+  Net.pass(Millis{300});
+  Net.Store.Fault = standin::AppendFault::None;
+  const platform::Json First = Net.results(0, "s", 2);
+  cr_assert_eq(First.size(), 2U);
+  Net.pass(Millis{1'500});
+  cr_assert(Net.results(1, "s", 2) == First);
+}
+
+Test(batch, twoOwnersOfOnePartition_listEachItemOnce) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 3)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 3; }));
+  // The first owner does not hear of its loss before it has its results.
+  Net.Store.state().leave("gateway-0");
+  Net.add("gateway-1");
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() >= 4; }));
+  Net.Engine.release();
+  const platform::Json First = Net.results(0, "s", 3);
+  cr_assert_eq(First.size(), 3U);
+  Net.pass(Millis{300});
+  cr_assert(Net.results(1, "s", 3) == First);
+  std::set<std::string> Items;
+  for (const platform::Json &Result : First)
+    Items.insert(Result["id"]);
+  cr_assert_eq(Items.size(), 3U);
+}
+
+Test(batch, handOver_letsTheNextOwnerGoOnAfterTheLastEvent) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.pass(Millis{50});
+  bool Left = false;
+  Net.Gateways[0]->Batches->handOver([&] { Left = true; });
+  cr_assert(turnUntil(Net.Events, [&] { return Left; }));
+  Net.Engine.Hold = false;
+  Net.add("gateway-1");
+  const platform::Json Read = Net.results(1, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), 2U);
+  cr_assert_eq(Net.Engine.Runs["s-0"][1], 2, "the second run goes on");
+}
+
+Test(batch, brokenStream_goesOnAfterTheLastWholeEvent) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.pass(Millis{50});
+  Net.Engine.Hold = false;
+  Net.Engine.breakHeld();
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert_eq(Net.Engine.Runs["s-0"].back(), 2);
+}
+
+Test(batch, endedSubmission_startsNothingMoreAndStaysReadable) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 2)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 2; }));
+  HttpCall End;
+  End.Method = "DELETE";
+  End.Path = "/-/lots/s";
+  cr_assert_eq(Net.ask(0, End).Status, 200);
+  cr_assert_eq(Net.ask(0, End).Status, 200);
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Net.Engine.Held[0]->gone() && Net.Engine.Held[1]->gone();
+  }));
+  HttpCall Read;
+  Read.Path = "/-/lots/s";
+  cr_assert_eq(Net.ask(0, Read).Status, 200);
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), 1U);
+}
+
+Test(batch, itemBody_isServedAtEveryGateway) {
+  GatewayFixture Net;
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  HttpCall Call;
+  Call.Path = "/-/items/s?id=s-0";
+  cr_assert(Net.ask(1, Call).Body == "hi");
+  Call.Path = "/-/items/s?id=other";
+  cr_assert_eq(Net.ask(1, Call).Status, 404);
+}
+
+Test(batch, scoringCallThatAlwaysFails_givesTheItemUp) {
+  GatewayFixture Net(1);
+  Net.Engine.ScoreStatus = 500;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "dead");
+}
+
+Test(batch, longPoll_isAnsweredByTheResult) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  HttpCall Call;
+  Call.Target = Net.Gateways[0]->target();
+  Call.Path = "/-/lots/s";
+  Call.Headers = {{"X-Camphornotch-Wait-Timeout", "1000"}};
+  std::string Body;
+  HttpEvents Tell;
+  Tell.Finished = [&](const HttpResponse &Response) { Body = Response.Body; };
+  Net.Caller.start(Call, std::move(Tell));
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.Engine.release();
+  cr_assert(turnUntil(Net.Events, [&] { return !Body.empty(); }));
+  cr_assert_eq(platform::Json::parse(Body)["results"].size(), 1U);
+}
+
+Test(batch, itemsOfAnEarlierSubmission_areNotRunAgainIfTheirTextFits) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  HttpCall First = GatewayFixture::submission("s", 1);
+  cr_assert_eq(Net.ask(0, First).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.pass(Millis{50});
+  HttpCall End;
+  End.Method = "DELETE";
+  End.Path = "/-/lots/s";
+  cr_assert_eq(Net.ask(0, End).Status, 200);
+  Net.Engine.Hold = false;
+  First.Headers = {{"X-Camphornotch-Request-Id", "again"}};
+  cr_assert_eq(Net.ask(0, First).Status, 202);
+  const platform::Json Read = Net.results(0, "again", 1);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert_eq(Net.Engine.Runs["s-0"].back(), 2);
+}
+
+Test(batch, lostHistory_answersUnsureInPlaceOfNotFound) {
+  GatewayFixture Net(1);
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+  for (int64_t Part = 0; Part < 2; ++Part) {
+    Net.Store.state().append("batch", Part, {"x"}, std::nullopt);
+    Net.Store.state().dropHistory("batch", Part);
+  }
+  Net.add("gateway-1");
+  HttpCall Call;
+  Call.Path = "/-/lots/s";
+  Net.pass(Millis{300});
+  cr_assert_eq(Net.ask(1, Call).Status, 503);
+  cr_assert_eq(Net.ask(0, Call).Status, 200);
+}
--- /dev/null
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -0,0 +1,325 @@
+/// @file
+/// Gateways' tasks on the loopback, before a stand-in of the store and engines
+/// that the test commands.
+
+#ifndef CAMPHORNOTCH_TESTS_GATEWAY_TASKS_GATEWAY_FIXTURE_H
+#define CAMPHORNOTCH_TESTS_GATEWAY_TASKS_GATEWAY_FIXTURE_H
+
+#include "base/clock_func.h"
+#include "gateway/batch_task_base.h"
+#include "platform/json_internal.h"
+#include "standins/store/store_server.h"
+#include "tests/net/net_fixture.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphornotch {
+
+/// An engine and a scoring service behind one address.
+class FakeEngine {
+public:
+  /// @param Events the loop.
+  explicit FakeEngine(Loop &Events) {
+    auto Made = HttpServer::listen(
+        Events, HttpServerConfig{},
+        [this](const std::shared_ptr<HttpExchange> &One) { this->take(One); });
+    this->Server = std::move(Made.value());
+  }
+
+  /// @return where it listens.
+  Address where() const { return Address{"127.0.0.1", this->Server->port()}; }
+
+  /// Sends all held streams on to their end.
+  void release() {
+    this->Hold = false;
+    for (const auto &One : this->Held)
+      this->finish(One, this->HeldFrom[One.get()]);
+    this->Held.clear();
+  }
+
+  /// Breaks all held streams off.
+  void breakHeld() {
+    for (const auto &One : this->Held)
+      One->abort();
+    this->Held.clear();
+  }
+
+  /// Events of each item.
+  int64_t EventCount = 4;
+  /// The version that makes events.
+  int64_t Version = 3;
+  /// Whether streams stop after two events until release().
+  bool Hold = false;
+  /// Status of the answers to scoring calls.
+  int ScoreStatus = 200;
+  /// Runs by item, with the events that the caller already had.
+  std::map<std::string, std::vector<int64_t>> Runs;
+  /// Streams that wait.
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+
+private:
+  /// @param One a request.
+  void take(const std::shared_ptr<HttpExchange> &One) {
+    const HttpRequest &Request = One->request();
+    const std::string Id(
+        findHeader(Request.Headers, "x-camphornotch-request-id"));
+    HttpResponse Head;
+    Head.Headers = {{"X-Camphornotch-Request-Id", Id},
+                    {"X-Camphornotch-Response-Signature", "receipt-" + Id}};
+    if (Request.Path.starts_with("/score/")) {
+      Head.Status = this->ScoreStatus;
+      One->answer(Head);
+      return;
+    }
+    const std::string Last(findHeader(Request.Headers, "last-event-id"));
+    const int64_t Had = Last.empty() ? 0 : std::stoll(Last);
+    this->Runs[Id].push_back(Had);
+    Head.ContentType = "text/event-stream";
+    Head.Headers.push_back(
+        {"X-Camphornotch-Weight-Versions", std::to_string(this->Version)});
+    One->start(Head);
+    if (!this->Hold) {
+      this->finish(One, Had);
+      return;
+    }
+    constexpr int64_t HeldAfter = 2;
+    for (int64_t Event = Had + 1; Event <= Had + HeldAfter; ++Event)
+      this->writeEvent(One, Event);
+    this->HeldFrom[One.get()] = Had + HeldAfter;
+    this->Held.push_back(One);
+  }
+
+  /// @param One a stream.
+  /// @param Event the event's number.
+  static void writeEvent(const std::shared_ptr<HttpExchange> &One,
+                         int64_t Event) {
+    One->write("id: " + std::to_string(Event) + "\ndata: e" +
+               std::to_string(Event) + "\n\n");
+  }
+
+  /// @param One a stream.
+  /// @param Had events sent.
+  void finish(const std::shared_ptr<HttpExchange> &One, int64_t Had) {
+    for (int64_t Event = Had + 1; Event <= this->EventCount; ++Event)
+      FakeEngine::writeEvent(One, Event);
+    One->finish();
+  }
+
+  /// Events sent on streams that wait.
+  std::map<HttpExchange *, int64_t> HeldFrom;
+  /// The server.
+  std::unique_ptr<HttpServer> Server;
+};
+
+/// One gateway's tasks, with a server for callers.
+class FakeGateway {
+public:
+  /// @param Events the loop.
+  /// @param Store where the store listens.
+  /// @param Name the host's name.
+  /// @param Engine the engine.
+  FakeGateway(Loop &Events, HttpTarget Store, const std::string &Name,
+              const FakeEngine &Engine)
+      : Http(Events), Client(Events, Http, std::move(Store)),
+        Pool(Geography{"dc", {}}), Forward(Events, Http, Pool, Counts) {
+    this->Settings.Common.Host = Name;
+    this->Settings.Partitions = 2;
+    this->Settings.RecordBytes = 4096;
+    this->Settings.SubmissionLifetime = seconds(60);
+    this->setRoutes();
+    this->setEngine(Engine);
+    this->Batches = std::make_unique<BatchTask>(
+        BatchTaskParts{Events, Http, Client, Pool, Forward, Counts},
+        this->Settings, [this]() -> const RouteTable & { return this->Routes; },
+        [](const std::string &, int64_t) {});
+    auto Made = HttpServer::listen(
+        Events, HttpServerConfig{},
+        [this](const std::shared_ptr<HttpExchange> &One) { this->take(One); });
+    this->Server = std::move(Made.value());
+  }
+
+  /// @return where callers connect to.
+  HttpTarget target() const {
+    return HttpTarget{"127.0.0.1", this->Server->port()};
+  }
+
+  /// The settings.
+  GatewaySettings Settings;
+  /// The routes.
+  RouteTable Routes;
+  /// Counters.
+  Metrics Counts;
+  /// Sends everything.
+  HttpClient Http;
+  /// The store.
+  platform::StoreClient Client;
+  /// The endpoints.
+  EndpointPool Pool;
+  /// Scoring calls.
+  ForwardTask Forward;
+  /// Batch submissions.
+  std::unique_ptr<BatchTask> Batches;
+
+private:
+  /// One route for submissions, one for scoring calls.
+  void setRoutes() {
+    Route Rollout;
+    Rollout.Host = "h";
+    Rollout.Prefix = "/roll/";
+    Rollout.Kind = RouteKind::Rollout;
+    Rollout.Attempts = 3;
+    Rollout.Services = {{"llm", 1}};
+    Route Score;
+    Score.Host = "h";
+    Score.Prefix = "/score/";
+    Score.Attempts = 2;
+    Score.Services = {{"desk", 1}};
+    this->Routes.Version = 1;
+    this->Routes.Routes = {Rollout, Score};
+  }
+
+  /// @param Engine serves both services.
+  void setEngine(const FakeEngine &Engine) {
+    for (const char *Service : {"llm", "desk"}) {
+      EndpointRecord Record;
+      Record.Id = EndpointId{std::string("i-") + Service};
+      Record.Service = Service;
+      Record.DataCentre = "dc";
+      Record.Slots = 8;
+      Record.Where = Engine.where();
+      Record.Versions["m"] = Engine.Version;
+      this->Pool.put(std::move(Record));
+    }
+  }
+
+  /// @param One a caller's request.
+  void take(const std::shared_ptr<HttpExchange> &One) {
+    const platform::CallerAsk Ask =
+        platform::decodeCallerRequest(One->request());
+    if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Ask))
+      this->Batches->submit(One, *Routed, this->Routes.Routes[0]);
+    else if (const auto *Read = std::get_if<platform::ResultsRead>(&Ask))
+      this->Batches->readResults(One, *Read);
+    else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
+      this->Batches->readBody(One, *Body);
+    else
+      this->Batches->endSubmission(One,
+                                   std::get<platform::SubmissionEnding>(Ask));
+  }
+
+  /// For callers.
+  std::unique_ptr<HttpServer> Server;
+};
+
+/// Two gateways, one engine, one store, and a caller.
+struct GatewayFixture {
+  /// The loop.
+  Loop Events;
+  /// The store.
+  standin::StandinStoreServer Store{this->Events, 2};
+  /// The engine.
+  FakeEngine Engine{this->Events};
+  /// The gateways.
+  std::vector<std::unique_ptr<FakeGateway>> Gateways;
+  /// The caller's client.
+  HttpClient Caller{this->Events};
+
+  /// @param Count how many gateways.
+  explicit GatewayFixture(int Count = 2) {
+    for (int Index = 0; Index < Count; ++Index)
+      this->add("gateway-" + std::to_string(Index));
+  }
+
+  /// Starts a gateway.
+  /// @param Name its name.
+  void add(const std::string &Name) {
+    this->Gateways.push_back(std::make_unique<FakeGateway>(
+        this->Events, this->Store.target(), Name, this->Engine));
+    this->Gateways.back()->Batches->begin();
+  }
+
+  /// Sends a call and waits for its answer.
+  /// @param At the gateway's index.
+  /// @param Call the call.
+  /// @return the answer; status 0: none.
+  HttpResponse ask(size_t At, HttpCall Call) {
+    Call.Target = this->Gateways[At]->target();
+    Call.Host = "h";
+    Call.Reuse = false;
+    HttpResponse Answer;
+    Answer.Status = 0;
+    bool Over = false;
+    HttpEvents Tell;
+    Tell.Finished = [&](HttpResponse Response) {
+      Answer = std::move(Response);
+      Over = true;
+    };
+    Tell.Failed = [&](const HttpFailure &) { Over = true; };
+    this->Caller.start(std::move(Call), std::move(Tell));
+    turnUntil(this->Events, [&] { return Over; });
+    return Answer;
+  }
+
+  /// @param Id the submission's id.
+  /// @param Items its items.
+  /// @return the call that submits it.
+  static HttpCall submission(const std::string &Id, int Items) {
+    platform::Json Body;
+    Body["model"] = "m";
+    Body["min_version"] = 3;
+    for (int Index = 0; Index < Items; ++Index) {
+      platform::Json Item;
+      Item["id"] = Id + "-" + std::to_string(Index);
+      Item["path"] = "/roll/x";
+      Item["body"] = "aGk=";
+      Item["group"] = "g";
+      Item["scoring_call"] = {{"id", "c" + std::to_string(Index)},
+                              {"host", "h"},
+                              {"path", "/score/x"},
+                              {"body", ""}};
+      Body["items"].push_back(Item);
+    }
+    HttpCall Call;
+    Call.Method = "POST";
+    Call.Path = "/roll/1";
+    Call.Headers = {{"X-Camphornotch-Request-Id", Id}};
+    Call.Body = Body.dump();
+    return Call;
+  }
+
+  /// Reads a submission until it has a number of results.
+  /// @param At the gateway's index.
+  /// @param Id the submission.
+  /// @param Count how many results.
+  /// @return the results.
+  platform::Json results(size_t At, const std::string &Id, size_t Count) {
+    constexpr int MostReads = 40;
+    platform::Json Read;
+    for (int Times = 0; Times < MostReads; ++Times) {
+      HttpCall Call;
+      Call.Path = "/-/lots/" + Id;
+      const HttpResponse Answer = this->ask(At, Call);
+      if (Answer.Status == 200)
+        Read = platform::Json::parse(Answer.Body)["results"];
+      if (Read.size() >= Count)
+        return Read;
+      this->pass(Millis{50});
+    }
+    return Read;
+  }
+
+  /// Lets time pass.
+  /// @param Span how long.
+  void pass(Millis Span) {
+    const Millis End = steadyNow() + Span;
+    turnUntil(this->Events, [&] { return steadyNow() >= End; });
+  }
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_TESTS_GATEWAY_TASKS_GATEWAY_FIXTURE_H
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,249 @@
+/// @file
+/// The HTTP client against answers that are broken, late or too long.
+
+#include "net_fixture.h"
+#include "scripted_server.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A client before a scripted server, and what the client told.
+struct ClientFixture {
+  /// The loop.
+  Loop Events;
+  /// The client.
+  HttpClient Client{this->Events};
+  /// The server.
+  ScriptedServer Server;
+  /// The answers, in order.
+  std::vector<HttpResponse> Answers;
+  /// The failures, in order.
+  std::vector<HttpFailure> Failures;
+
+  /// Starts a call.
+  /// @param Reuse whether a kept connection may carry it.
+  /// @param Body its body.
+  void start(bool Reuse = true, std::string Body = "x") {
+    HttpCall Call;
+    Call.Target = this->Server.target();
+    Call.Method = "POST";
+    Call.Body = std::move(Body);
+    Call.Reuse = Reuse;
+    HttpEvents Tell;
+    Tell.Finished = [this](HttpResponse Response) {
+      this->Answers.push_back(std::move(Response));
+    };
+    Tell.Failed = [this](const HttpFailure &Failure) {
+      this->Failures.push_back(Failure);
+    };
+    this->Client.start(std::move(Call), std::move(Tell));
+  }
+
+  /// @param Index a connection.
+  /// @param Count a number of requests.
+  /// @return whether they arrived on it.
+  bool arrives(size_t Index, size_t Count) {
+    return turnUntil(this->Events,
+                     [&] { return this->Server.hasRequests(Index, Count); });
+  }
+
+  /// @return whether the calls so far have ended.
+  /// @param Count how many.
+  bool ends(size_t Count) {
+    return turnUntil(this->Events, [&] {
+      return this->Answers.size() + this->Failures.size() >= Count;
+    });
+  }
+
+  /// Lets some turns pass.
+  void settle() {
+    int Turns = 0;
+    turnUntil(this->Events, [&] { return ++Turns > 5; });
+  }
+};
+
+/// A whole answer.
+constexpr std::string_view GoodAnswer =
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+} // namespace
+
+Test(httpClient, badContentLength_isAFailureOfTheCall) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n"
+                     "content-length: banana\r\n\r\n");
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Failures.size(), 1U);
+  cr_assert(!Net.Failures[0].NotSent);
+}
+
+Test(httpClient, badTransferEncoding_isAFailureOfTheCall) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n"
+                     "transfer-encoding: chunked\r\n\r\nzz\r\n");
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Failures.size(), 1U);
+}
+
+Test(httpClient, truncatedAnswer_isAFailure) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf");
+  Net.Server.end(0);
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Failures.size(), 1U);
+}
+
+Test(httpClient, answerWithoutLength_thatEnds_isMarkedUnframed) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\n\r\nall of it");
+  Net.Server.end(0);
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Answers.size(), 1U);
+  cr_assert(!Net.Answers[0].Framed);
+  cr_assert(Net.Answers[0].Body == "all of it");
+}
+
+Test(httpClient, answerWithoutLength_thatIsReset_isAFailure) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\n\r\npart");
+  Net.settle();
+  Net.Server.reset(0);
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Failures.size(), 1U);
+}
+
+Test(httpClient, extraAnswer_closesTheConnectionAndHurtsNoOther) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, std::string(GoodAnswer) +
+                         "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad");
+  cr_assert(Net.ends(1));
+  cr_assert(Net.Answers.at(0).Body == "ok");
+  Net.start();
+  cr_assert(Net.arrives(1, 1), "the second call has a connection of its own");
+  Net.Server.send(1, GoodAnswer);
+  cr_assert(Net.ends(2));
+  cr_assert(Net.Answers.at(1).Body == "ok");
+}
+
+Test(httpClient, extraAnswerLate_closesTheIdleConnection) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, GoodAnswer);
+  cr_assert(Net.ends(1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad");
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+  Net.start();
+  cr_assert(Net.arrives(1, 1));
+  Net.Server.send(1, GoodAnswer);
+  cr_assert(Net.ends(2));
+  cr_assert(Net.Answers.at(1).Body == "ok");
+}
+
+Test(httpClient, secondCall_usesTheKeptConnection) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, GoodAnswer);
+  cr_assert(Net.ends(1));
+  Net.start();
+  cr_assert(Net.arrives(0, 2));
+  Net.Server.send(0, GoodAnswer);
+  cr_assert(Net.ends(2));
+  cr_assert_eq(Net.Server.poll(), 1U);
+}
+
+Test(httpClient, keepAliveOfOneSecond_isNotUsedForLong) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\n"
+                     "content-length: 2\r\n\r\nok");
+  cr_assert(Net.ends(1));
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+}
+
+Test(httpClient, earlyAnswer_beforeTheBodyIsRead_arrivesAndIsNotKept) {
+  ClientFixture Net;
+  const std::string Large(size_t{32} << 20, 'b');
+  Net.start(true, Large);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.poll() == 1; }));
+  Net.Server.send(0, "HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno");
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Answers.at(0).Status, 413);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }),
+            "what is left of the body would reach another request");
+}
+
+Test(httpClient, interimAnswer_isPassedOver) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, std::string("HTTP/1.1 100 Continue\r\n\r\n") +
+                         std::string(GoodAnswer));
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Answers.at(0).Status, 200);
+}
+
+Test(httpClient, answerInSingleBytes_isUnderstood) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  for (const char Byte : GoodAnswer) {
+    Net.Server.send(0, std::string_view(&Byte, 1));
+    Net.settle();
+  }
+  cr_assert(Net.ends(1));
+  cr_assert(Net.Answers.at(0).Body == "ok");
+}
+
+Test(httpClient, cancelWithinChunk_keepsWhatTheChunkUses) {
+  ClientFixture Net;
+  const auto Held = std::make_shared<int>(7);
+  const std::weak_ptr<int> Watch = Held;
+  bool AliveAfterCancel = false;
+  HttpCallId Id;
+  HttpCall Call;
+  Call.Target = Net.Server.target();
+  HttpEvents Tell;
+  {
+    std::shared_ptr<int> Captured = Held;
+    Tell.Chunk = [&, Captured = std::move(Captured)](std::string_view) {
+      Net.Client.cancel(Id);
+      AliveAfterCancel = Watch.use_count() >= 2;
+    };
+  }
+  Id = Net.Client.start(std::move(Call), std::move(Tell));
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart");
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+  cr_assert(AliveAfterCancel);
+}
+
+Test(httpClient, connectTimeout_failsAsNotSent) {
+  ClientFixture Net;
+  HttpCall Call;
+  // A listener whose queue is full takes no further connection.
+  Call.Target = HttpTarget{"127.0.0.1", 9};
+  Call.ConnectTimeout = Millis{50};
+  bool NotSent = false;
+  HttpEvents Tell;
+  Tell.Failed = [&](const HttpFailure &Failure) { NotSent = Failure.NotSent; };
+  Net.Client.start(std::move(Call), std::move(Tell));
+  cr_assert(turnUntil(Net.Events, [&] { return NotSent; }));
+}
--- /dev/null
+++ b/tests/net/scripted_server.h
@@ -0,0 +1,149 @@
+/// @file
+/// A server that sends the bytes a test gives it, for answers that no server
+/// should give.
+
+#ifndef CAMPHORNOTCH_TESTS_NET_SCRIPTED_SERVER_H
+#define CAMPHORNOTCH_TESTS_NET_SCRIPTED_SERVER_H
+
+#include "net/http_type.h"
+
+#include <arpa/inet.h>
+#include <cstdint>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace camphornotch {
+
+/// Listens on the loopback; the test accepts, reads and writes by hand.
+class ScriptedServer {
+public:
+  /// Opens the socket.
+  ScriptedServer() {
+    this->Listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address = {};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
+         sizeof(Address));
+    listen(this->Listener, 16);
+    fcntl(this->Listener, F_SETFL, O_NONBLOCK);
+    socklen_t Length = sizeof(Address);
+    getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Address),
+                &Length);
+    this->Target = HttpTarget{"127.0.0.1", ntohs(Address.sin_port)};
+  }
+  /// Closes everything.
+  ~ScriptedServer() {
+    for (const int Each : this->Connections)
+      close(Each);
+    close(this->Listener);
+  }
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+  /// @return where it listens.
+  const HttpTarget &target() const { return this->Target; }
+
+  /// Takes in what arrived.
+  /// @return connections accepted so far.
+  size_t poll() {
+    for (;;) {
+      const int Made = accept(this->Listener, nullptr, nullptr);
+      if (Made < 0)
+        break;
+      fcntl(Made, F_SETFL, O_NONBLOCK);
+      this->Connections.push_back(Made);
+      this->Inputs.emplace_back();
+    }
+    for (size_t Index = 0; Index < this->Connections.size(); ++Index)
+      this->readOn(Index);
+    return this->Connections.size();
+  }
+
+  /// @param Index a connection.
+  /// @return what it brought so far.
+  const std::string &input(size_t Index) { return this->Inputs.at(Index); }
+
+  /// @param Index a connection.
+  /// @return whether whole heads of that many requests arrived on it.
+  bool hasRequests(size_t Index, size_t Count) {
+    this->poll();
+    if (Index >= this->Inputs.size())
+      return false;
+    size_t Found = 0;
+    size_t At = 0;
+    while ((At = this->Inputs[Index].find("\r\n\r\n", At)) !=
+           std::string::npos) {
+      ++Found;
+      At += 1;
+    }
+    return Found >= Count;
+  }
+
+  /// Sends bytes.
+  /// @param Index the connection.
+  /// @param Bytes the bytes.
+  void send(size_t Index, std::string_view Bytes) {
+    ::send(this->Connections.at(Index), Bytes.data(), Bytes.size(),
+           MSG_NOSIGNAL);
+  }
+
+  /// Closes a connection in an orderly way.
+  /// @param Index the connection.
+  void end(size_t Index) { shutdown(this->Connections.at(Index), SHUT_WR); }
+
+  /// Resets a connection.
+  /// @param Index the connection.
+  void reset(size_t Index) {
+    const linger Hard{1, 0};
+    setsockopt(this->Connections.at(Index), SOL_SOCKET, SO_LINGER, &Hard,
+               sizeof(Hard));
+    close(this->Connections.at(Index));
+    this->Connections.at(Index) = -1;
+  }
+
+  /// @param Index a connection.
+  /// @return whether the other side closed it.
+  bool closed(size_t Index) {
+    this->poll();
+    return this->Closed.size() > Index && this->Closed[Index];
+  }
+
+private:
+  /// @param Index a connection to read from.
+  void readOn(size_t Index) {
+    this->Closed.resize(this->Connections.size(), false);
+    if (this->Connections[Index] < 0)
+      return;
+    char Buffer[4096];
+    for (;;) {
+      const ssize_t Got =
+          recv(this->Connections[Index], Buffer, sizeof(Buffer), MSG_DONTWAIT);
+      if (Got == 0)
+        this->Closed[Index] = true;
+      if (Got <= 0)
+        return;
+      this->Inputs[Index].append(Buffer, static_cast<size_t>(Got));
+    }
+  }
+
+  /// The listening socket.
+  int Listener = -1;
+  /// Where it listens.
+  HttpTarget Target;
+  /// The connections.
+  std::vector<int> Connections;
+  /// What each brought.
+  std::vector<std::string> Inputs;
+  /// Whether the other side closed each.
+  std::vector<bool> Closed;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_TESTS_NET_SCRIPTED_SERVER_H
