--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -169,6 +169,9 @@
   case WorkEnd::Refused:
     State.AvoidUntil = std::max(State.AvoidUntil, Now + AvoidRefusing);
     return;
+  case WorkEnd::Misdirected:
+    State.AvoidUntil = Now + AvoidMost;
+    return;
   case WorkEnd::Broken:
   case WorkEnd::Silent: {
     const auto Doublings = std::min<int64_t>(State.Failures, 8);
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -55,11 +55,12 @@
 
 /// How a piece of work at an endpoint ended, for the judgement of the endpoint.
 enum class WorkEnd : uint8_t {
-  Answered,  ///< It gave its answer.
-  Refused,   ///< It said that it did not run the work.
-  Broken,    ///< The connection broke, or the answer was no answer.
-  Silent,    ///< Nothing came in the time allowed.
-  Abandoned, ///< We gave up for reasons of our own.
+  Answered,    ///< It gave its answer.
+  Refused,     ///< It said that it did not run the work.
+  Misdirected, ///< Another endpoint has its address.
+  Broken,      ///< The connection broke, or the answer was no answer.
+  Silent,      ///< Nothing came in the time allowed.
+  Abandoned,   ///< We gave up for reasons of our own.
 };
 
 /// How far an endpoint is.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -209,7 +209,9 @@
   const Attempt &Made = Each->Attempts.at(Number);
   const bool Stream = Each->Plan.need().By.Kind == RouteKind::Stream;
   if (Made.Head.NotRun) {
-    this->endAttempt(Id, Number, AttemptEnd::Refused, WorkEnd::Refused,
+    this->endAttempt(Id, Number, AttemptEnd::Refused,
+                     Made.Head.Misdirected ? WorkEnd::Misdirected
+                                           : WorkEnd::Refused,
                      concat("status ", Response.Status));
     return;
   }
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -254,7 +254,9 @@
   if (Each == nullptr || Each->Call.Value == 0)
     return;
   if (Each->Head.NotRun) {
-    this->setBack(Key, ItemSetback::NotRun, WorkEnd::Refused,
+    this->setBack(Key, ItemSetback::NotRun,
+                  Each->Head.Misdirected ? WorkEnd::Misdirected
+                                         : WorkEnd::Refused,
                   concat("status ", Response.Status));
     return;
   }
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/loads/engine_place_func.h"
 #include "platform/engine_func.h"
 #include "platform/operator_func.h"
 
@@ -23,6 +24,8 @@
 constexpr Millis FencePause{200};
 constexpr int StatusOk = 200;
 constexpr int StatusAccepted = 202;
+/// Another engine has the address.
+constexpr int StatusMisdirected = 421;
 
 } // namespace
 
@@ -134,20 +137,11 @@
 }
 
 void Loader::place() {
-  EnginePlace Place{0, 0};
-  this->Engine = EndpointId{};
-  for (const auto &[Id, State] : this->Pool.all()) {
-    if (State.Record.Service != this->Settings.EngineService ||
-        State.Record.Draining)
-      continue;
-    if (State.Record.Where == this->Settings.Engine) {
-      this->Engine = Id;
-      Place.Rank = Place.Count;
-    }
-    ++Place.Count;
-  }
-  if (!this->Engine.Value.empty())
-    this->Controller.placed(Place, steadyNow());
+  const auto Own = findOwnEngine(this->Pool.all(), this->Settings.EngineService,
+                                 this->Settings.Engine, this->WrongIds);
+  this->Engine = Own.has_value() ? Own->Id : EndpointId{};
+  if (Own.has_value())
+    this->Controller.placed(Own->Place, steadyNow());
 }
 
 void Loader::askEngine() {
@@ -198,7 +192,8 @@
   this->Controller.sent(steadyNow());
   this->LoadingModel = Order.Model;
   HttpEvents Tell;
-  Tell.Finished = [this, Order](const HttpResponse &Response) {
+  Tell.Finished = [this, Order,
+                   Engine = this->Engine](const HttpResponse &Response) {
     const bool Accepted =
         Response.Status == StatusOk || Response.Status == StatusAccepted;
     logLine(LogLevel::Info, "order answered",
@@ -207,6 +202,10 @@
              {"status", concat(Response.Status)}});
     if (!Accepted)
       this->LoadingModel.clear();
+    if (Response.Status == StatusMisdirected) {
+      this->WrongIds.insert(Engine);
+      this->place();
+    }
     this->Controller.answered(Accepted, steadyNow());
   };
   Tell.Failed = [this, Order](const HttpFailure &Failure) {
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -13,6 +13,7 @@
 #include "net/metrics_base.h"
 
 #include <memory>
+#include <set>
 
 namespace camphornotch {
 
@@ -68,6 +69,8 @@
   LoadController Controller;
   /// The engine's id; empty: not registered.
   EndpointId Engine;
+  /// Ids at the engine's address that it said not to have.
+  std::set<EndpointId> WrongIds;
   /// The last report; none yet if Sequence is below 0.
   EngineReport Report;
   /// The model of the order that the engine carries out; empty: none.
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -188,3 +188,13 @@
   Each.Pool.begun(EndpointId{"fast"});
   cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) == nullptr);
 }
+
+Test(endpointPool, addressOfAnotherEndpoint_isAvoidedLongerThanAFullOne) {
+  PoolFixture Each;
+  Each.add("stale", "dc-a", 3);
+  Each.Pool.begun(EndpointId{"stale"});
+  Each.Pool.ended(EndpointId{"stale"}, WorkEnd::Misdirected, Millis{0},
+                  Each.Now);
+  Each.Now += seconds(1);
+  cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
+}
