--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -61,7 +61,7 @@
 
 void EndpointPool::remove(const EndpointId &Id) { this->Endpoints.erase(Id); }
 
-void EndpointPool::loadReported(const Address &Where, EngineLoad Load,
+void EndpointPool::loadReported(const Address &Where, const EngineLoad &Load,
                                 Millis Now) {
   for (auto &[Id, State] : this->Endpoints) {
     if (State.Record.Where != Where)
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -54,7 +54,7 @@
   /// @param Where the engine's address.
   /// @param Load the words.
   /// @param Now the time.
-  void loadReported(const Address &Where, EngineLoad Load, Millis Now);
+  void loadReported(const Address &Where, const EngineLoad &Load, Millis Now);
 
   /// Chooses the endpoint with the least expected time: its own typical time,
   /// stretched by the work already there. Answers the load of many short
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -167,7 +167,7 @@
   this->Leftovers.forgetOld();
 }
 
-void BatchTask::handOver(std::function<void()> Done) {
+void BatchTask::handOver(const std::function<void()> &Done) {
   this->Leaving = true;
   this->Items.stop();
   this->Items.saveAll();
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -65,16 +65,16 @@
                   return this->follower(this->partitionOf(Id)).fold().find(Id);
                 },
                 [this]() -> const RouteTable & { return this->Routes(); },
-                [this](wire::ItemResultRecord Result) {
+                [this](const wire::ItemResultRecord &Result) {
                   wire::BatchRecord Record;
                   const SubmissionId Id{Result.Submission};
-                  Record.__set_Result(std::move(Result));
+                  Record.__set_Result(Result);
                   this->note(Record, Id, AppendPolicy{});
                 },
-                [this](wire::ItemProgressRecord Progress) {
+                [this](const wire::ItemProgressRecord &Progress) {
                   wire::BatchRecord Record;
                   const SubmissionId Id{Progress.Submission};
-                  Record.__set_Progress(std::move(Progress));
+                  Record.__set_Progress(Progress);
                   this->note(Record, Id,
                              AppendPolicy{steadyNow() + MemberLifetime});
                 }}) {
@@ -140,7 +140,7 @@
   const Millis Left = std::min(CallerAppendTime, Asked.TimeLeft);
   const size_t Count = Read.value().Items.size();
   wire::BatchRecord Record;
-  Record.__set_Submission(std::move(Read.value()));
+  Record.__set_Submission(Read.value());
   this->Appender.append(
       Where, Record, AppendPolicy{Now + Left},
       [this, Exchange, Id, Count, Now](AppendEnd End) {
@@ -270,7 +270,7 @@
         wire::SubmissionEndRecord End;
         End.Submission = Id.Value;
         wire::BatchRecord Record;
-        Record.__set_End(std::move(End));
+        Record.__set_End(End);
         this->Appender.append(
             this->partitionOf(Id), Record,
             AppendPolicy{steadyNow() + CallerAppendTime},
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -81,7 +81,7 @@
   /// Hands all partitions over: progress is noted, runs end, the group is
   /// left. Waiting reads are answered.
   /// @param Done called when that is so.
-  void handOver(std::function<void()> Done);
+  void handOver(const std::function<void()> &Done);
 
   /// @return the items' scheduler, for metrics.
   const ItemScheduler &scheduler() const { return this->Items.scheduler(); }
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -357,7 +357,7 @@
   for (const wire::ModelVersion &Each : State.Versions)
     Load.Versions[Each.Model] = Each.Version;
   this->Pool.loadReported(Address{Where.value().Address, Where.value().Port},
-                          std::move(Load), steadyNow());
+                          Load, steadyNow());
   if (this->Batches.scheduler().waiting() > 0)
     this->Batches.wake();
 }
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -336,7 +336,7 @@
            {"cause", Cause}});
   this->Scheduler.drop(Key);
   this->forget(Key);
-  this->Tell.Result(std::move(Record));
+  this->Tell.Result(Record);
 }
 
 void ItemTask::save(const ItemKey &Key, Run &Each) {
@@ -351,7 +351,7 @@
                            static_cast<std::ptrdiff_t>(Each.Saved),
                        Each.Events.end());
   Each.Saved = Each.Events.size();
-  this->Tell.Progress(std::move(Record));
+  this->Tell.Progress(Record);
 }
 
 void ItemTask::saveAll() {
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -22,9 +22,9 @@
   /// @return the routes in force.
   std::function<const RouteTable &()> Routes;
   /// An item has its result.
-  std::function<void(wire::ItemResultRecord)> Result;
+  std::function<void(const wire::ItemResultRecord &)> Result;
   /// Events of an item that may outlast this process.
-  std::function<void(wire::ItemProgressRecord)> Progress;
+  std::function<void(const wire::ItemProgressRecord &)> Progress;
 };
 
 /// Owns the runs of the items of this process's partitions.
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -111,7 +111,7 @@
   this->Events.callAfter(RetryPause, [this] { this->readOn(); });
 }
 
-void PartitionFollower::refresh(std::function<void(bool)> Done) {
+void PartitionFollower::refresh(const std::function<void(bool)> &Done) {
   this->Store.read(this->Where, this->Next, Millis{0},
                    [this, Done](const StoreResult<ReadPage> &Page) {
                      if (!Page.has_value()) {
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -36,7 +36,7 @@
 
   /// Reads up to the partition's present end.
   /// @param Done called with whether that was reached.
-  void refresh(std::function<void(bool Reached)> Done);
+  void refresh(const std::function<void(bool Reached)> &Done);
 
   /// @return the folded state.
   const PartitionFold &fold() const { return this->Fold; }
--- a/tests/loads/engine_place_test.cpp
+++ b/tests/loads/engine_place_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// A loader's engine among entries that may be old.
 
+#include "core/gateway/endpoint_pool_base.h"
 #include "core/loads/engine_place_func.h"
 
 #include <criterion/criterion.h>
