--- a/packages/base/log_func.cpp
+++ b/packages/base/log_func.cpp
@@ -3,6 +3,9 @@
 
 #include "base/log_func.h"
 
+#include "base/clock_func.h"
+
+#include <algorithm>
 #include <array>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -11,6 +14,7 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
+#include <utility>
 
 namespace camphornotch {
 
@@ -32,6 +36,40 @@
   return Fields;
 }
 
+/// Lines of each kind that are written in a second; far above what a gateway
+/// writes on the sites' heaviest days, and cheap enough to write.
+constexpr int64_t MaxLinesPerSecond = 2'000;
+
+/// Counts the lines of one kind, so that their volume is bounded.
+struct LineBudget {
+  /// The second that is being counted.
+  int64_t Second = -1;
+  /// Lines asked for in it.
+  int64_t Asked = 0;
+
+  /// @param Now the present second.
+  /// @return lines dropped in the second before, if this one has just begun.
+  int64_t begin(int64_t Now) {
+    if (Now == this->Second)
+      return 0;
+    this->Second = Now;
+    const int64_t Dropped =
+        std::max<int64_t>(std::exchange(this->Asked, 0) - MaxLinesPerSecond, 0);
+    return Dropped;
+  }
+
+  /// @return whether one more line may be written.
+  bool take() { return ++this->Asked <= MaxLinesPerSecond; }
+};
+
+/// @param Level a level.
+/// @return the budget of its lines: warnings and errors have one of their own.
+LineBudget &budgetOf(LogLevel Level) {
+  static LineBudget Plain;
+  static LineBudget Severe;
+  return Level >= LogLevel::Warn ? Severe : Plain;
+}
+
 /// @return the logger of the process.
 log4cxx::LoggerPtr processLogger() {
   static const log4cxx::LoggerPtr Logger =
@@ -91,6 +129,14 @@
   const log4cxx::LevelPtr Wanted = toLevel(Level);
   if (!Logger->isEnabledFor(Wanted))
     return;
+  constexpr int64_t MillisASecond = 1000;
+  LineBudget &Budget = budgetOf(Level);
+  const int64_t Dropped = Budget.begin(steadyNow().Count / MillisASecond);
+  if (Dropped > 0)
+    Logger->forcedLog(log4cxx::Level::getWarn(),
+                      "log lines dropped: " + std::to_string(Dropped));
+  if (!Budget.take())
+    return;
   log4cxx::MDC::put("host", processFields().Host);
   log4cxx::MDC::put("role", processFields().Role);
   for (const LogField &Field : Fields)
--- /dev/null
+++ b/tests/base/log_test.cpp
@@ -0,0 +1,38 @@
+/// @file
+/// The volume of log lines.
+
+#include "base/clock_func.h"
+#include "base/log_func.h"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+using namespace camphornotch;
+
+Test(logLine, manyLinesInASecond_areBoundedAndCounted) {
+  char Name[] = "/tmp/camphornotch-log-XXXXXX";
+  cr_assert(mkstemp(Name) >= 0);
+  CommonSettings Settings;
+  Settings.LogFile = Name;
+  Settings.LogLevel = "info";
+  setupLogging(Settings);
+  constexpr int Asked = 20'000;
+  const Millis Begin = steadyNow();
+  for (int Index = 0; Index < Asked; ++Index)
+    logLine(LogLevel::Info, "filler");
+  const int64_t Seconds = (steadyNow() - Begin).Count / 1000 + 2;
+  logLine(LogLevel::Error, "still written");
+  std::ifstream File(Name);
+  int64_t Fillers = 0;
+  bool Severe = false;
+  for (std::string Line; std::getline(File, Line);) {
+    Fillers += Line.find("filler") != std::string::npos ? 1 : 0;
+    Severe = Severe || Line.find("still written") != std::string::npos;
+  }
+  cr_assert(Fillers <= 2'000 * Seconds);
+  cr_assert(Fillers < Asked);
+  cr_assert(Severe);
+  std::remove(Name);
+}
