Add: [Gateway] Requests that break three endpoints are quarantined everywhere

Cause: a request may crash each engine that begins to run it and comes again at any host; nothing but its attempts bounded how many engines it broke, and an item was tried every 2 s for good.

Change: gateways report broken connections by digest through the loaders; the third endpoint ends the request with 502; an item waits up to 20 s after breaks in a row, a connection that could not be made is no break.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -20,7 +20,7 @@
 /// what breaks the engines.
 constexpr Millis BreakDelay{50};
 /// Longest wait after a break.
-constexpr Millis BreakDelayMost{2'000};
+constexpr Millis BreakDelayMost{20'000};
 /// Wait after an answer of status 500.
 constexpr Millis FailDelay{100};
 /// Wait for an engine to load newer weights.
@@ -159,7 +159,7 @@
     Item.NotBefore = Now + FailDelay;
     return;
   case ItemSetback::Broken: {
-    const auto Doublings = std::min<int64_t>(Item.Breaks, 6);
+    const auto Doublings = std::min<int64_t>(Item.Breaks, 10);
     Item.NotBefore =
         Now + std::min(BreakDelay * (1LL << Doublings), BreakDelayMost);
     ++Item.Breaks;
--- /dev/null
+++ b/packages/core/gateway/suspect_table_base.cpp
@@ -0,0 +1,50 @@
+/// @file
+/// Requests that break each endpoint that begins to run them.
+
+#include "core/gateway/suspect_table_base.h"
+
+#include "base/hash_func.h"
+
+#include <algorithm>
+
+namespace camphornotch {
+
+namespace {
+
+/// Endpoints broken by one request after which it is quarantined: the third
+/// crash ends it, by the platform's rules.
+constexpr int64_t QuarantineBreaks = 3;
+/// How long a report counts; such a request comes again within a minute.
+constexpr Millis ReportLifetime{60'000};
+
+} // namespace
+
+RequestDigest digestOf(std::string_view Host, std::string_view Path,
+                       std::string_view Body) {
+  const uint64_t Hash = hashBytes(Body, hashBytes(Path, hashBytes(Host)));
+  return RequestDigest{static_cast<int64_t>(Hash)};
+}
+
+bool SuspectTable::add(RequestDigest Digest, const EndpointId &Endpoint,
+                       Millis Now) {
+  return this->Breaks[Digest].insert_or_assign(Endpoint, Now).second;
+}
+
+bool SuspectTable::isQuarantined(RequestDigest Digest, Millis Now) const {
+  const auto Found = this->Breaks.find(Digest);
+  if (Found == this->Breaks.end())
+    return false;
+  return std::ranges::count_if(Found->second, [Now](const auto &Each) {
+           return Now - Each.second < ReportLifetime;
+         }) >= QuarantineBreaks;
+}
+
+void SuspectTable::forgetOld(Millis Now) {
+  std::erase_if(this->Breaks, [Now](const auto &Each) {
+    return std::ranges::all_of(Each.second, [Now](const auto &Break) {
+      return Now - Break.second >= ReportLifetime;
+    });
+  });
+}
+
+} // namespace camphornotch
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -254,6 +254,11 @@
 
 void ForwardTask::onFailed(ForwardId Id, uint64_t Number,
                            const HttpFailure &Failure) {
+  const Running *Each = this->find(Id);
+  const bool Sent =
+      Each != nullptr && Each->Attempts.contains(Number) && !Failure.NotSent;
+  if (Sent && Each->Sink.Broken && Each->Attempts.at(Number).Head.Status == 0)
+    Each->Sink.Broken(Each->Attempts.at(Number).Endpoint);
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptEnd::NotSent : AttemptEnd::Failed,
                    WorkEnd::Broken, Failure.Cause.Message);
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -37,6 +37,9 @@
   /// An endpoint failed the request itself, with a status of 500 or more, and
   /// it may be sent again; may be left empty.
   std::function<void(int Status)> Errored;
+  /// The connection broke while an endpoint had the request and had answered
+  /// nothing; may be left empty.
+  std::function<void(const EndpointId &)> Broken;
   /// The head of a stream.
   std::function<void(HttpResponse)> StreamStart;
   /// Whole events of a stream.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -39,6 +39,7 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusHeadTooLarge = 431;
+constexpr int StatusBadGateway = 502;
 constexpr int StatusUnavailable = 503;
 
 /// Upper bounds of the request histogram's buckets, in seconds.
@@ -60,21 +61,25 @@
             HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
       Pool(Geography{Settings.Common.DataCentre,
                      parseRegions(Settings.Regions)}),
-      Peers(Events, this->Settings.Common, Store, Values,
-            PeerTaskEvents{[this](const KeyedRecord &Record) {
-                             this->onPublished(Record);
-                           },
-                           [this](const wire::EngineStatePush &State) {
-                             this->onEngineState(State);
-                           },
-                           [](const wire::WeightsAnnounce &) {},
-                           [this](const HostId &) {
-                             const std::map<std::string, int64_t> Known =
-                                 this->Demands;
-                             this->Demands.clear();
-                             for (const auto &[Model, Version] : Known)
-                               this->demand(Model, Version);
-                           }}),
+      Peers(
+          Events, this->Settings.Common, Store, Values,
+          PeerTaskEvents{
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [this](const wire::EngineStatePush &State) {
+                this->onEngineState(State);
+              },
+              [](const wire::WeightsAnnounce &) {},
+              [this](const wire::CrashReport &Report) {
+                for (const int64_t Digest : Report.Digests)
+                  this->Suspects.add(RequestDigest{Digest},
+                                     EndpointId{Report.Endpoint}, steadyNow());
+              },
+              [this](const HostId &) {
+                const std::map<std::string, int64_t> Known = this->Demands;
+                this->Demands.clear();
+                for (const auto &[Model, Version] : Known)
+                  this->demand(Model, Version);
+              }}),
       Published(
           Events, Store, std::string(platform::OperatorTopic),
           KeyedFollowerEvents{
@@ -236,6 +241,13 @@
                       const platform::RoutedRequest &Asked, const Route &By) {
   const HttpRequest &Request = Exchange->request();
   const Millis Now = steadyNow();
+  const RequestDigest Digest =
+      digestOf(Request.Authority, wholePath(Request), Request.Body);
+  if (this->Suspects.isQuarantined(Digest, Now)) {
+    this->Counts.countRefusal(RefusalReason::Quarantined);
+    this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
+    return;
+  }
   Millis TimeLeft = Asked.TimeLeft == Never ? DefaultTimeLeft : Asked.TimeLeft;
   if (By.Timeout > Millis{0})
     TimeLeft = std::min(TimeLeft, By.Timeout);
@@ -267,6 +279,9 @@
              {"config", concat(Version)}});
   };
   ForwardSink Sink;
+  Sink.Broken = [this, Digest](const EndpointId &Endpoint) {
+    this->reportBroken(Digest, Endpoint);
+  };
   Sink.Answer = [Exchange, Log](const HttpResponse &Response) {
     Log(Response.Status, "endpoint");
     Exchange->answer(Response);
@@ -375,6 +390,19 @@
   this->Peers.broadcast(Message);
 }
 
+void Gateway::reportBroken(RequestDigest Digest, const EndpointId &Endpoint) {
+  const Millis Now = steadyNow();
+  this->Suspects.forgetOld(Now);
+  if (!this->Suspects.add(Digest, Endpoint, Now))
+    return;
+  wire::CrashReport Report;
+  Report.Endpoint = Endpoint.Value;
+  Report.Digests = {Digest.Value};
+  wire::PeerMessage Message;
+  Message.__set_CrashReportMsg(Report);
+  this->Peers.broadcast(Message);
+}
+
 void Gateway::beginStop() {
   if (this->StopAt > Millis{0})
     return;
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_GATEWAY_GATEWAY_BASE_H
 
 #include "base/settings_type.h"
+#include "core/gateway/suspect_table_base.h"
 #include "gateway/batch_task_base.h"
 #include "gateway/directory_task_base.h"
 #include "gateway/forward_task_base.h"
@@ -61,6 +62,11 @@
   /// @param Model the model.
   /// @param Version the version.
   void demand(const std::string &Model, int64_t Version);
+  /// Tells all gateways that a connection broke while an endpoint had a
+  /// request.
+  /// @param Digest the request.
+  /// @param Endpoint the endpoint.
+  void reportBroken(RequestDigest Digest, const EndpointId &Endpoint);
   /// @return why this gateway takes no callers; empty: it does.
   std::string_view whyNotReady() const;
   /// Stops in an orderly way.
@@ -86,6 +92,8 @@
   RouteTable Routes;
   /// The endpoints.
   EndpointPool Pool;
+  /// Requests that break endpoints.
+  SuspectTable Suspects;
   /// Links to loaders.
   PeerTask Peers;
   /// Addresses of loaders linked to, by engine address.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -167,8 +167,9 @@
     this->onFinished(Key, Response);
   };
   Tell.Failed = [this, Key](const HttpFailure &Failure) {
-    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
-                  Failure.Cause.Message);
+    this->setBack(Key,
+                  Failure.NotSent ? ItemSetback::NotRun : ItemSetback::Broken,
+                  WorkEnd::Broken, Failure.Cause.Message);
   };
   Each.Call = this->Http.start(std::move(Call), std::move(Tell));
   logLine(LogLevel::Info, "item started",
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -34,19 +34,19 @@
       Store(Events, Http,
             HttpTarget{Settings.LoaderStore.Ip, Settings.LoaderStore.Port}),
       Pool(Geography{Settings.Common.DataCentre, {}}),
-      Peers(Events, this->Settings.Common, Store, Values,
-            PeerTaskEvents{[this](const KeyedRecord &Record) {
-                             this->onPublished(Record);
-                           },
-                           [](const wire::EngineStatePush &) {},
-                           [this](const wire::WeightsAnnounce &Demand) {
-                             this->Controller.demanded(Demand.Model,
-                                                       Demand.Version);
-                           },
-                           [this](const HostId &Peer) {
-                             if (this->Report.Sequence >= 0)
-                               this->Peers.send(Peer, this->stateMessage());
-                           }}),
+      Peers(
+          Events, this->Settings.Common, Store, Values,
+          PeerTaskEvents{
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [](const wire::EngineStatePush &) {},
+              [this](const wire::WeightsAnnounce &Demand) {
+                this->Controller.demanded(Demand.Model, Demand.Version);
+              },
+              [this](const wire::CrashReport &Report) { this->passOn(Report); },
+              [this](const HostId &Peer) {
+                if (this->Report.Sequence >= 0)
+                  this->Peers.send(Peer, this->stateMessage());
+              }}),
       Published(
           Events, Store, std::string(platform::OperatorTopic),
           KeyedFollowerEvents{
@@ -121,6 +121,19 @@
   this->Controller.named(*Model, Version.value(), steadyNow());
 }
 
+void Loader::passOn(const wire::CrashReport &Report) {
+  bool News = false;
+  for (const int64_t Digest : Report.Digests)
+    News |= this->Suspects.add(RequestDigest{Digest},
+                               EndpointId{Report.Endpoint}, steadyNow());
+  this->Suspects.forgetOld(steadyNow());
+  if (!News)
+    return;
+  wire::PeerMessage Message;
+  Message.__set_CrashReportMsg(Report);
+  this->Peers.broadcast(Message);
+}
+
 void Loader::takeFence() {
   const std::string Mark = this->Settings.Common.Host;
   this->Store.append(PartitionId{FenceTopic, 0}, std::span(&Mark, 1),
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_GATEWAY_LOADER_BASE_H
 
 #include "base/settings_type.h"
+#include "core/gateway/suspect_table_base.h"
 #include "core/loads/load_controller_base.h"
 #include "gateway/directory_task_base.h"
 #include "gateway/peer_task_base.h"
@@ -32,6 +33,9 @@
 private:
   /// @param Record what an operator or trainer published.
   void onPublished(const KeyedRecord &Record);
+  /// Passes a gateway's report on to the other gateways, once.
+  /// @param Report a request that broke an endpoint.
+  void passOn(const wire::CrashReport &Report);
   /// Takes a fencing number from the store, once.
   void takeFence();
   /// Asks the engine what it does.
@@ -59,6 +63,8 @@
   PublishedValues Values;
   /// The endpoints.
   EndpointPool Pool;
+  /// Reports that were passed on.
+  SuspectTable Suspects;
   /// Links to gateways.
   PeerTask Peers;
   /// Follows what is published.
--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -90,6 +90,8 @@
     this->Tell.EngineState(Message.EngineStateMsg);
   if (Message.__isset.WeightsAnnounceMsg)
     this->Tell.VersionDemanded(Message.WeightsAnnounceMsg);
+  if (Message.__isset.CrashReportMsg)
+    this->Tell.EndpointBroken(Message.CrashReportMsg);
   if (Message.__isset.StoreCallMsg)
     this->onStoreCall(Peer, Message.StoreCallMsg);
   if (Message.__isset.StoreReplyMsg) {
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -23,6 +23,8 @@
   std::function<void(const wire::EngineStatePush &)> EngineState;
   /// A gateway says which version its work needs.
   std::function<void(const wire::WeightsAnnounce &)> VersionDemanded;
+  /// A request broke an endpoint.
+  std::function<void(const wire::CrashReport &)> EndpointBroken;
   /// A peer can be reached.
   std::function<void(const HostId &)> Up;
 };
@@ -50,6 +52,9 @@
   /// @param Where the address.
   void disconnect(const HttpTarget &Where) { this->Hub.disconnect(Where); }
 
+  /// @return whether any peer can be reached.
+  bool hasPeers() const { return !this->Hub.peers().empty(); }
+
   /// Sends a message to all peers.
   /// @param Message the message.
   void broadcast(const wire::PeerMessage &Message);
--- /dev/null
+++ b/tests/gateway_tasks/peer_task_test.cpp
@@ -0,0 +1,136 @@
+/// @file
+/// Links between gateways and loaders on the loopback.
+
+#include "gateway/peer_task_base.h"
+#include "standins/store/store_server.h"
+#include "tests/net/net_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// One process's links, with its own view of what is published.
+struct PeerHost {
+  /// Where it listens.
+  CommonSettings Settings;
+  /// What it knows.
+  PublishedValues Values;
+  /// Its client of the store.
+  HttpClient Http;
+  /// The store.
+  platform::StoreClient Store;
+  /// Broken endpoints it was told of.
+  std::vector<wire::CrashReport> Crashes;
+  /// The links.
+  std::unique_ptr<PeerTask> Peers;
+  /// Where it can be linked to.
+  HttpTarget Where;
+
+  /// @param Events the loop.
+  /// @param StoreAt the store, or an address where none answers.
+  /// @param Name the host's name.
+  PeerHost(Loop &Events, HttpTarget StoreAt, const std::string &Name)
+      : Http(Events), Store(Events, Http, std::move(StoreAt)) {
+    this->Settings.Host = Name;
+    this->Settings.Role = "loader";
+    this->Settings.ListenLinks = Address{"127.0.0.1", 0};
+    this->Settings.Heartbeat = Millis{50};
+    this->Settings.LinkSilence = Millis{400};
+    this->Settings.ConnectTimeout = Millis{400};
+    this->Settings.ReconnectDelay = Millis{20};
+    this->Settings.MaxAnswerBytesHeld = 1 << 20;
+    PeerTaskEvents Tell;
+    Tell.Published = [this](const KeyedRecord &Record) {
+      if (this->Values.take(Record))
+        this->Peers->announce();
+    };
+    Tell.EngineState = [](const wire::EngineStatePush &) {};
+    Tell.VersionDemanded = [](const wire::WeightsAnnounce &) {};
+    Tell.Up = [](const HostId &) {};
+    Tell.EndpointBroken = [this](const wire::CrashReport &Report) {
+      this->Crashes.push_back(Report);
+    };
+    this->Peers = std::make_unique<PeerTask>(
+        Events, this->Settings, this->Store, this->Values, std::move(Tell));
+    this->Store.setRelay([this](const platform::RawStoreCall &Call,
+                                platform::RawStoreReply Reply) {
+      return this->Peers->relay(Call, std::move(Reply));
+    });
+    this->Where = HttpTarget{"127.0.0.1", this->Peers->listen().value()};
+  }
+};
+
+/// A port on which nothing listens.
+const HttpTarget Nowhere{"127.0.0.1", 9};
+
+} // namespace
+
+Test(peers, valueKnownToOne_reachesTheOthersThroughIt) {
+  Loop Events;
+  PeerHost Middle(Events, Nowhere, "loader");
+  PeerHost Left(Events, Nowhere, "gateway-l");
+  PeerHost Right(Events, Nowhere, "gateway-r");
+  Left.Peers->connect(Middle.Where);
+  Right.Peers->connect(Middle.Where);
+  Left.Values.take(KeyedRecord{"config", "new", 7});
+  Left.Peers->announce();
+  cr_assert(
+      turnUntil(Events, [&] { return Right.Values.newestOffset() == 7; }));
+  cr_assert(Right.Values.all().at("config").Value == "new");
+}
+
+Test(peers, olderValue_neverReplacesANewerOne) {
+  PublishedValues Values;
+  cr_assert(Values.take(KeyedRecord{"config", "new", 7}));
+  cr_assert(!Values.take(KeyedRecord{"config", "old", 3}));
+  cr_assert(!Values.take(KeyedRecord{"config", "same", 7}));
+  cr_assert(Values.all().at("config").Value == "new");
+}
+
+Test(peers, storeTurnsOneAway_itsAppendGoesThroughAPeer) {
+  Loop Events;
+  standin::StandinStoreServer Store(Events, 2);
+  PeerHost Served(Events, Store.target(), "loader");
+  PeerHost Turned(Events, Nowhere, "gateway");
+  Turned.Peers->connect(Served.Where);
+  bool Linked = false;
+  cr_assert(turnUntil(Events, [&] {
+    wire::PeerMessage Probe;
+    Probe.__set_ConfigPullMsg(wire::ConfigPull());
+    Linked = Linked || Served.Peers->hasPeers();
+    return Linked && Turned.Peers->hasPeers();
+  }));
+  int64_t Offset = -1;
+  const std::string Record = "record";
+  Turned.Store.append(PartitionId{"t", 1}, std::span(&Record, 1), Millis{1'000},
+                      [&](const StoreResult<int64_t> &Done) {
+                        Offset = Done.has_value() ? Done.value() : -2;
+                      });
+  cr_assert(turnUntil(Events, [&] { return Offset != -1; }));
+  cr_assert_eq(Offset, 0);
+  cr_assert_eq(Store.state().partition("t", 1).Records.size(), 1U);
+}
+
+Test(peers, brokenEndpoint_isToldToAllThroughALoader) {
+  Loop Events;
+  PeerHost Middle(Events, Nowhere, "loader");
+  PeerHost Left(Events, Nowhere, "gateway-l");
+  PeerHost Right(Events, Nowhere, "gateway-r");
+  Left.Peers->connect(Middle.Where);
+  Right.Peers->connect(Middle.Where);
+  cr_assert(turnUntil(Events, [&] {
+    return Left.Peers->hasPeers() && Right.Peers->hasPeers();
+  }));
+  wire::CrashReport Report;
+  Report.Endpoint = "i-1";
+  Report.Digests = {17};
+  wire::PeerMessage Message;
+  Message.__set_CrashReportMsg(Report);
+  Left.Peers->broadcast(Message);
+  cr_assert(turnUntil(Events, [&] { return !Middle.Crashes.empty(); }));
+  Middle.Peers->broadcast(Message);
+  cr_assert(turnUntil(Events, [&] { return !Right.Crashes.empty(); }));
+  cr_assert(Right.Crashes[0].Endpoint == "i-1");
+}
