Change: [Gateway] Items move when another engine is 1.4 times as fast

Cause: engines are slowed 2.5 times for 600 ms by neighbours and up to fourfold for 8 s; with 1.7 a long item stays on one that is half slower.

Change: the factor of EndpointPool::faster; a test plays both sides of it.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -19,7 +19,7 @@
 constexpr double NewPart = 0.2;
 /// How many times as fast another engine must be for a stream to move there:
 /// above the differences between sound engines of the sites.
-constexpr double MuchFaster = 1.7;
+constexpr double MuchFaster = 1.4;
 /// A loader's words older than this are not used: several of its intervals.
 constexpr Millis LoadMaxAge{1'500};
 /// Time that an endpoint is avoided after its first failure; doubles.
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -198,3 +198,19 @@
   Each.Now += seconds(1);
   cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
 }
+
+Test(endpointPool, engineHalfAsFastAgain_isReasonToMoveALongStream) {
+  PoolFixture Each;
+  Each.add("slow", "dc-a", 3);
+  Each.add("fast", "dc-b", 3);
+  for (int Times = 0; Times < 20; ++Times) {
+    Each.Pool.paceSeen(EndpointId{"slow"}, Millis{60}, Each.Now);
+    Each.Pool.paceSeen(EndpointId{"fast"}, Millis{40}, Each.Now);
+  }
+  const EndpointQuery Query{"s", "m", 3, {}, true};
+  cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) != nullptr);
+  for (int Times = 0; Times < 20; ++Times)
+    Each.Pool.paceSeen(EndpointId{"slow"}, Millis{50}, Each.Now);
+  cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) == nullptr,
+            "sound engines differ by as much");
+}
