Codechange: [Gateway] One piece for followed values, partitions and reloads

Cause: gateway and loader set up the follower of published values and the reload signal alike, two tasks placed keys in partitions alike.

Change: loggedFollowing, logReload, partitionFor.

--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -4,9 +4,9 @@
 #include "gateway/batch_task_base.h"
 
 #include "base/clock_func.h"
-#include "base/hash_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/store/store_func.h"
 
 #include <utility>
 
@@ -85,10 +85,7 @@
 }
 
 PartitionId BatchTask::partitionOf(const SubmissionId &Id) const {
-  const uint64_t Hash = hashBytes(Id.Value);
-  return PartitionId{
-      BatchTopic, static_cast<int64_t>(
-                      Hash % static_cast<uint64_t>(this->Settings.Partitions))};
+  return partitionFor(BatchTopic, Id.Value, this->Settings.Partitions);
 }
 
 PartitionFollower &BatchTask::follower(const PartitionId &Where) {
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -80,16 +80,11 @@
                 for (const auto &[Model, Version] : Known)
                   this->demand(Model, Version);
               }}),
-      Published(
-          Events, Store, std::string(platform::OperatorTopic),
-          KeyedFollowerEvents{
-              [this](const KeyedRecord &Record) { this->onPublished(Record); },
-              [](const std::set<std::string> &) {},
-              [](const Error &Cause) {
-                logLine(LogLevel::Warn, "published values lost",
-                        {{"cause", Cause.Message}});
-              },
-              [] { logLine(LogLevel::Info, "published values answer"); }}),
+      Published(Events, Store, std::string(platform::OperatorTopic),
+                loggedFollowing("published values",
+                                [this](const KeyedRecord &Record) {
+                                  this->onPublished(Record);
+                                })),
       Directory(Events, Store, Pool,
                 [this] {
                   this->linkLoaders();
@@ -140,12 +135,7 @@
   if (!Fronted.has_value())
     return Fronted.error();
   this->Front = std::move(Fronted.value());
-  this->Events.takeSignals(
-      [this](int) { this->beginStop(); },
-      [](int) {
-        logLine(LogLevel::Info, "settings changed; they hold from the next "
-                                "start");
-      });
+  this->Events.takeSignals([this](int) { this->beginStop(); }, logReload);
   this->Published.begin();
   this->Directory.begin();
   this->Batches.begin();
--- a/packages/gateway/gateway_settings_func.cpp
+++ b/packages/gateway/gateway_settings_func.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/gateway_settings_func.h"
 
+#include "base/log_func.h"
 #include "base/text_func.h"
 
 #include <absl/strings/numbers.h>
@@ -25,6 +26,11 @@
   return Regions;
 }
 
+void logReload(int Signal) {
+  logLine(LogLevel::Info, "settings changed; they hold from the next start",
+          {{"signal", concat(Signal)}});
+}
+
 Millis parseGrace(std::string_view Seconds) {
   constexpr double MillisASecond = 1000.0;
   double Value = 0;
--- a/packages/gateway/gateway_settings_func.h
+++ b/packages/gateway/gateway_settings_func.h
@@ -16,6 +16,10 @@
 /// @return region by data centre.
 std::map<std::string, std::string> parseRegions(std::string_view Text);
 
+/// Says that changed settings hold from the next start.
+/// @param Signal the signal that told of the change.
+void logReload(int Signal);
+
 /// @param Seconds a number of seconds, as the settings were checked for.
 /// @return the span.
 Millis parseGrace(std::string_view Seconds);
--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -21,6 +21,19 @@
 
 } // namespace
 
+KeyedFollowerEvents
+loggedFollowing(std::string What,
+                std::function<void(const KeyedRecord &)> Record) {
+  KeyedFollowerEvents Tell;
+  Tell.Record = std::move(Record);
+  Tell.Complete = [](const std::set<std::string> &) {};
+  Tell.Lost = [What](const Error &Cause) {
+    logLine(LogLevel::Warn, concat(What, " lost"), {{"cause", Cause.Message}});
+  };
+  Tell.Back = [What] { logLine(LogLevel::Info, concat(What, " answers")); };
+  return Tell;
+}
+
 KeyedFollower::KeyedFollower(Loop &Events, platform::StoreClient &Store,
                              std::string Topic, KeyedFollowerEvents Tell)
     : Events(Events), Store(Store), Topic(std::move(Topic)),
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -25,6 +25,13 @@
   std::function<void()> Back;
 };
 
+/// @param What names the topic's contents in log lines.
+/// @param Record takes the records.
+/// @return events that log when the store is lost and when it answers again.
+KeyedFollowerEvents
+loggedFollowing(std::string What,
+                std::function<void(const KeyedRecord &)> Record);
+
 /// Follows one topic from begin() until the process ends.
 class KeyedFollower {
 public:
--- a/packages/gateway/leftover_task_base.cpp
+++ b/packages/gateway/leftover_task_base.cpp
@@ -4,9 +4,9 @@
 #include "gateway/leftover_task_base.h"
 
 #include "base/clock_func.h"
-#include "base/hash_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/store/store_func.h"
 #include "wire/codec_func.h"
 
 #include <memory>
@@ -33,10 +33,7 @@
       RecordBytes(RecordBytes) {}
 
 PartitionId LeftoverTask::partitionOf(std::string_view Route) const {
-  const uint64_t Hash = hashBytes(Route);
-  return PartitionId{
-      LeftoverTopic,
-      static_cast<int64_t>(Hash % static_cast<uint64_t>(this->Partitions))};
+  return partitionFor(LeftoverTopic, Route, this->Partitions);
 }
 
 void LeftoverTask::write(std::string_view Route,
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/loads/engine_place_func.h"
+#include "gateway/gateway_settings_func.h"
 #include "platform/engine_func.h"
 #include "platform/operator_func.h"
 
@@ -47,16 +48,11 @@
                 if (this->Report.Sequence >= 0)
                   this->Peers.send(Peer, this->stateMessage());
               }}),
-      Published(
-          Events, Store, std::string(platform::OperatorTopic),
-          KeyedFollowerEvents{
-              [this](const KeyedRecord &Record) { this->onPublished(Record); },
-              [](const std::set<std::string> &) {},
-              [](const Error &Cause) {
-                logLine(LogLevel::Warn, "published values lost",
-                        {{"cause", Cause.Message}});
-              },
-              [] { logLine(LogLevel::Info, "published values answer"); }}),
+      Published(Events, Store, std::string(platform::OperatorTopic),
+                loggedFollowing("published values",
+                                [this](const KeyedRecord &Record) {
+                                  this->onPublished(Record);
+                                })),
       Directory(Events, Store, Pool, [this] { this->place(); }) {
   this->Report.Sequence = -1;
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
@@ -88,10 +84,7 @@
         logLine(LogLevel::Info, "loader ended");
         this->Events.stop();
       },
-      [](int) {
-        logLine(LogLevel::Info, "settings changed; they hold from the next "
-                                "start");
-      });
+      logReload);
   this->Published.begin();
   this->Directory.begin();
   this->takeFence();
