Fix: [Batch] A text on a single-version route could hold two versions

Cause: read while reviewing: an item that went on at another engine, or over a change of weights, joined events of two versions although its route allows one.

Change: such a text begins anew when its version changes; progress of another run is not used for it. Gauges of items, partitions, requests and configuration at /metrics; dead members and a parameter are gone.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -75,6 +75,7 @@
     Added.Service = By.Services.empty() ? "" : By.Services.front().Service;
     Added.Model = State.Record.Model;
     Added.MinVersion = State.Record.MinVersion;
+    Added.SingleVersion = By.SingleVersion;
     Added.Priority = By.Priority;
     Added.Arrival = Arrival;
     Added.Group = Item.Group;
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -20,6 +20,8 @@
   std::string Model;
   /// The oldest version that may make its text.
   int64_t MinVersion = 0;
+  /// Whether one version must make all of its text.
+  bool SingleVersion = false;
   /// Rank of its route; 0 goes first.
   int64_t Priority = 0;
   /// Order of its submission among those of this process.
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -229,12 +229,6 @@
   return Found == this->Endpoints.end() ? nullptr : &Found->second;
 }
 
-bool EndpointPool::anyServes(const EndpointQuery &Query) const {
-  return std::ranges::any_of(this->Endpoints, [&](const auto &Each) {
-    return this->eligible(Each.second, Query);
-  });
-}
-
 int64_t EndpointPool::freeSlots(const EndpointQuery &Query, Millis Now) const {
   int64_t Free = 0;
   for (const auto &[Id, State] : this->Endpoints)
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -106,10 +106,6 @@
     return this->Endpoints;
   }
 
-  /// @param Query what is wanted; slots are not looked at.
-  /// @return whether any endpoint could ever do as things stand.
-  bool anyServes(const EndpointQuery &Query) const;
-
   /// @param Query what is wanted.
   /// @param Now the time.
   /// @return places free for more work, over all endpoints that will do.
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -115,7 +115,7 @@
   ++this->Runs;
 }
 
-void ForwardPlan::ended(const EndpointId &Endpoint, AttemptEnd End, Millis) {
+void ForwardPlan::ended(const EndpointId &Endpoint, AttemptEnd End) {
   this->Running.erase(Endpoint);
   this->Tried.insert(Endpoint);
   switch (End) {
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -86,8 +86,7 @@
   /// Notes how an attempt ended that gave no final answer.
   /// @param Endpoint where.
   /// @param End how.
-  /// @param Now the time.
-  void ended(const EndpointId &Endpoint, AttemptEnd End, Millis Now);
+  void ended(const EndpointId &Endpoint, AttemptEnd End);
 
   /// @return whether the request may have run.
   bool mayHaveRun() const { return this->MaybeRun; }
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -273,7 +273,7 @@
   Each->Attempts.erase(Number);
   const Millis Now = steadyNow();
   this->Pool.ended(Made.Endpoint, Work, Millis{0}, Now);
-  Each->Plan.ended(Made.Endpoint, End, Now);
+  Each->Plan.ended(Made.Endpoint, End);
   logLine(LogLevel::Info, "attempt gave no final answer",
           {{"request_id", Each->Request.RequestId},
            {"endpoint", Made.Endpoint.Value},
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -162,6 +162,7 @@
     Response.Status = Why.empty() ? StatusOk : StatusUnavailable;
     Response.Body = Why.empty() ? "ready" : Why;
   } else if (Exchange->request().Path == "/metrics") {
+    this->setGauges();
     Response.Body = this->Counts.text();
   } else {
     Response.Status = StatusNotFound;
@@ -169,6 +170,23 @@
   Exchange->answer(Response);
 }
 
+void Gateway::setGauges() {
+  const ItemScheduler &Items = this->Batches.scheduler();
+  const auto Set = [this](const char *Name, const char *Help, double Value) {
+    this->Counts.gauge(Name, Help).Set(Value);
+  };
+  Set("items_waiting", "Items that wait for an engine.",
+      static_cast<double>(Items.waiting()));
+  Set("items_running", "Items at engines or being scored.",
+      static_cast<double>(Items.running()));
+  Set("partitions_owned", "Partitions that this gateway owns.",
+      static_cast<double>(this->Batches.owned()));
+  Set("requests_open", "Requests that are being forwarded.",
+      static_cast<double>(this->Forward.running()));
+  Set("config_version", "Version of the configuration in force.",
+      static_cast<double>(this->Routes.Version));
+}
+
 void Gateway::refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
                      std::string_view Reason, Millis RetryAfter) {
   logLine(LogLevel::Info, "request refused",
@@ -330,18 +348,18 @@
 }
 
 void Gateway::linkLoaders() {
-  std::map<HttpTarget, bool> Wanted;
+  std::set<HttpTarget> Wanted;
   for (const auto &[Id, State] : this->Pool.all()) {
     const ServiceInfo *Service =
         findService(this->Routes, State.Record.Service);
     if (Service != nullptr && Service->Engine.has_value())
-      Wanted[HttpTarget{State.Record.Where.Ip,
-                        this->Settings.Common.ListenLinks.Port}] = true;
+      Wanted.insert(HttpTarget{State.Record.Where.Ip,
+                               this->Settings.Common.ListenLinks.Port});
   }
-  for (const auto &[Where, Linked] : Wanted)
+  for (const HttpTarget &Where : Wanted)
     if (!this->Loaders.contains(Where))
       this->Peers.connect(Where);
-  for (const auto &[Where, Linked] : this->Loaders)
+  for (const HttpTarget &Where : this->Loaders)
     if (!Wanted.contains(Where))
       this->Peers.disconnect(Where);
   this->Loaders = std::move(Wanted);
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -15,6 +15,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 namespace camphornotch {
 
@@ -32,6 +33,8 @@
 private:
   /// @param Exchange a request to the address of probes and metrics.
   void onProbe(const std::shared_ptr<HttpExchange> &Exchange);
+  /// Brings the gauges up to date.
+  void setGauges();
   /// @param Exchange a request of a caller.
   void onRequest(const std::shared_ptr<HttpExchange> &Exchange);
   /// @param Exchange a request of a caller.
@@ -97,7 +100,7 @@
   /// Links to loaders.
   PeerTask Peers;
   /// Addresses of loaders linked to, by engine address.
-  std::map<HttpTarget, bool> Loaders;
+  std::set<HttpTarget> Loaders;
   /// Versions demanded, by model.
   std::map<std::string, int64_t> Demands;
   /// Follows what is published.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -137,12 +137,14 @@
   if (Each.Chain == 0) {
     Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
     const auto Stored = State->Progress.find(Key.Item);
-    if (Stored != State->Progress.end())
+    const ScheduledItem *Wanted = this->Scheduler.find(Key);
+    // What another run made may be of another version.
+    const bool Usable = Wanted != nullptr && !Wanted->SingleVersion;
+    if (Usable && Stored != State->Progress.end())
       Each.Events = Stored->second.Events;
   }
   Each.Endpoint = Start.Endpoint;
-  Each.BeganAt = steadyNow();
-  Each.LastAt = Each.BeganAt;
+  Each.LastAt = steadyNow();
   Each.HadAtStart = Each.Events.size();
   Each.Rest.clear();
   Each.Version = -1;
@@ -224,6 +226,12 @@
   Each->Rest.erase(0, Start);
 }
 
+bool ItemTask::mixesVersions(const ItemKey &Key, const Run &Each) const {
+  const ScheduledItem *Wanted = this->Scheduler.find(Key);
+  return Wanted != nullptr && Wanted->SingleVersion && !Each.Events.empty() &&
+         Each.Events.front().Version != Each.Version;
+}
+
 bool ItemTask::takeEvent(const ItemKey &Key, Run &Each, std::string_view Text) {
   Result<platform::EngineEvent> Read = platform::decodeEngineEvent(Text);
   if (!Read.has_value())
@@ -236,6 +244,12 @@
     if (const ScheduledItem *Wanted = this->Scheduler.find(Key))
       this->Pool.versionSeen(Each.Endpoint, Wanted->Model, Each.Version);
   }
+  if (this->mixesVersions(Key, Each)) {
+    Each.Events.clear();
+    Each.Saved = 0;
+    Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
+    return false;
+  }
   const Millis Now = steadyNow();
   if (Each.Events.size() > Each.HadAtStart)
     this->Pool.paceSeen(Each.Endpoint, Now - Each.LastAt, Now);
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -85,8 +85,6 @@
     EndpointId Endpoint;
     /// The call at the engine.
     HttpCallId Call;
-    /// When the call began.
-    Millis BeganAt{0};
     /// When the last event came.
     Millis LastAt{0};
     /// Events had when the call began.
@@ -128,6 +126,11 @@
   /// @return whether it follows the one before.
   bool takeEvent(const ItemKey &Key, Run &Each, std::string_view Text);
   /// @param Key the item.
+  /// @param Each its run.
+  /// @return whether the next event is of another version than the first, on
+  ///         a route where one must make all of the text.
+  bool mixesVersions(const ItemKey &Key, const Run &Each) const;
+  /// @param Key the item.
   /// @param Response the end of the answer.
   void onFinished(const ItemKey &Key, const HttpResponse &Response);
   /// Ends the call at the engine; the item waits for another.
--- a/tests/gateway/forward_plan_test.cpp
+++ b/tests/gateway/forward_plan_test.cpp
@@ -68,7 +68,7 @@
   PlanFixture Each;
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
-  Plan.ended(EndpointId{First}, AttemptEnd::Refused, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::Refused);
   const std::string Second = Each.send(Plan);
   cr_assert(!Second.empty());
   cr_assert(First != Second);
@@ -83,7 +83,7 @@
   for (int Round = 0; Round < 40 && Status == 0; ++Round) {
     const std::string At = Each.send(Plan);
     if (!At.empty())
-      Plan.ended(EndpointId{At}, AttemptEnd::Refused, Each.Now);
+      Plan.ended(EndpointId{At}, AttemptEnd::Refused);
     Status = Each.status(Plan);
     Each.Now += Millis{10};
   }
@@ -97,7 +97,7 @@
   Each.Need.By.Attempts = 4;
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
-  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed);
   cr_assert_eq(Each.status(Plan), 502);
 }
 
@@ -134,7 +134,7 @@
   for (int Times = 0; Times < 2; ++Times) {
     const std::string At = Each.send(Plan);
     cr_assert(!At.empty());
-    Plan.ended(EndpointId{At}, AttemptEnd::Failed, Each.Now);
+    Plan.ended(EndpointId{At}, AttemptEnd::Failed);
   }
   cr_assert_eq(Each.status(Plan), 502);
 }
@@ -145,7 +145,7 @@
   Each.Need.By.Attempts = 1;
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
-  Plan.ended(EndpointId{First}, AttemptEnd::NotSent, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::NotSent);
   cr_assert(!Each.send(Plan).empty());
 }
 
@@ -165,7 +165,7 @@
   Each.Need.By.Attempts = 1;
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
-  Plan.ended(EndpointId{First}, AttemptEnd::Errored, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::Errored);
   const ForwardStep Step = Plan.next(Each.Pool, Each.Now);
   cr_assert(std::holds_alternative<PassFailure>(Step));
 }
@@ -177,7 +177,7 @@
   const std::string First = Each.send(Plan);
   Each.Now += Millis{400};
   cr_assert(Each.send(Plan).empty());
-  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed);
   cr_assert_eq(Each.status(Plan), 502);
 }
 
@@ -187,7 +187,7 @@
   Each.Need.By.Resumable = true;
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
-  Plan.ended(EndpointId{First}, AttemptEnd::Failed, Each.Now);
+  Plan.ended(EndpointId{First}, AttemptEnd::Failed);
   const std::string Second = Each.send(Plan);
   cr_assert(!Second.empty());
   cr_assert(First != Second);
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -264,3 +264,18 @@
   cr_assert_eq(Net.ask(1, Call).Status, 503);
   cr_assert_eq(Net.ask(0, Call).Status, 200);
 }
+
+Test(batch, singleVersionRoute_neverMixesVersionsInOneText) {
+  GatewayFixture Net(1);
+  Net.Gateways[0]->Routes.Routes[0].SingleVersion = true;
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.pass(Millis{50});
+  Net.Engine.Hold = false;
+  Net.Engine.Version = 4;
+  Net.Engine.breakHeld();
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert(Read[0]["versions"] == platform::Json({4}));
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+}
