--- /dev/null
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -0,0 +1,241 @@
+/// @file
+/// What callers get for the answers that endpoints give, good and bad.
+
+#include "base/clock_func.h"
+#include "gateway/forward_task_base.h"
+#include "tests/net/net_fixture.h"
+#include "tests/net/scripted_server.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// One endpoint whose bytes the test writes, and one request to it.
+struct ForwardFixture {
+  /// The loop.
+  Loop Events;
+  /// Sends the requests.
+  HttpClient Http{this->Events};
+  /// The endpoints.
+  EndpointPool Pool{Geography{"dc", {}}};
+  /// Counters.
+  Metrics Counts;
+  /// The endpoint.
+  ScriptedServer Server;
+  /// The task.
+  ForwardTask Forward{this->Events, this->Http, this->Pool, this->Counts};
+  /// The answer that was passed on; status 0: none.
+  HttpResponse Answer;
+  /// The refusal; status 0: none.
+  EndRequest Refused;
+  /// The parts of a stream.
+  std::string Stream;
+  /// How a stream ended: 'w' whole, 'b' broken off; 0: it did not.
+  char StreamEnd = 0;
+  /// The request.
+  ForwardId Id;
+
+  /// @param Kind what may be repeated.
+  /// @param Attempts most endpoints.
+  explicit ForwardFixture(RouteKind Kind, int64_t Attempts = 1) {
+    this->Answer.Status = 0;
+    EndpointRecord Record;
+    Record.Id = EndpointId{"i-1"};
+    Record.Service = "s";
+    Record.DataCentre = "dc";
+    Record.Slots = 4;
+    Record.Where =
+        Address{this->Server.target().Address, this->Server.target().Port};
+    this->Pool.put(std::move(Record));
+    ForwardJob Job;
+    Job.Need.By.Kind = Kind;
+    Job.Need.By.Attempts = Attempts;
+    Job.Need.By.Resumable = true;
+    Job.Need.By.Objective = Millis{200};
+    Job.Need.Service = "s";
+    Job.Need.Arrived = steadyNow();
+    Job.Need.Deadline = steadyNow() + Millis{1'500};
+    Job.Request.Path = "/a/b?c=d";
+    Job.Request.Host = "h.example";
+    Job.Request.Body = "body";
+    Job.Request.RequestId = "r1";
+    ForwardSink Sink;
+    Sink.Answer = [this](HttpResponse Response) {
+      this->Answer = std::move(Response);
+    };
+    Sink.Refuse = [this](const EndRequest &End) { this->Refused = End; };
+    Sink.StreamStart = [](const HttpResponse &) {};
+    Sink.StreamPart = [this](std::string_view Part) { this->Stream += Part; };
+    Sink.StreamEnd = [this](bool Whole) {
+      this->StreamEnd = Whole ? 'w' : 'b';
+    };
+    this->Id = this->Forward.start(std::move(Job), std::move(Sink));
+  }
+
+  /// @param Index a connection.
+  /// @return whether a request arrived on it.
+  bool arrives(size_t Index = 0) {
+    return turnUntil(this->Events,
+                     [&] { return this->Server.hasRequests(Index, 1); });
+  }
+
+  /// @return whether the request ended.
+  bool ends() {
+    return turnUntil(this->Events, [&] {
+      return this->Answer.Status != 0 || this->Refused.Status != 0 ||
+             this->StreamEnd != 0;
+    });
+  }
+
+  /// @param Status the status line's end.
+  /// @param More further headers.
+  /// @return an answer with id, receipt and a body of two bytes.
+  static std::string answer(const std::string &Status,
+                            const std::string &More = "") {
+    return "HTTP/1.1 " + Status +
+           "\r\nx-camphornotch-request-id: r1\r\n"
+           "x-camphornotch-response-signature: sig\r\n" +
+           More + "content-length: 2\r\n\r\nok";
+  }
+};
+
+} // namespace
+
+Test(forward, goodAnswer_isPassedOnWithItsReceipt) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  const std::string &Sent = Net.Server.input(0);
+  cr_assert(Sent.starts_with("POST /a/b?c=d HTTP/1.1\r\nhost: h.example\r\n"));
+  cr_assert(Sent.find("x-camphornotch-expected-instance: i-1") !=
+            std::string::npos);
+  cr_assert(Sent.find("x-camphornotch-request-deadline: ") !=
+            std::string::npos);
+  Net.Server.send(0, ForwardFixture::answer("200 OK"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Answer.Status, 200);
+  cr_assert(Net.Answer.Body == "ok");
+  cr_assert(findHeader(Net.Answer.Headers,
+                       "x-camphornotch-response-signature") == "sig");
+}
+
+Test(forward, answerToAnotherRequest_isNotPassedOn) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  std::string Bytes = ForwardFixture::answer("200 OK");
+  Bytes.replace(Bytes.find("r1"), 2, "r2");
+  Net.Server.send(0, Bytes);
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
+Test(forward, encodedAnswer_isNotPassedOn) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(
+      0, ForwardFixture::answer("200 OK", "content-encoding: gzip\r\n"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
+Test(forward, successWithoutReceipt_isNotPassedOn) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r1\r\n"
+                     "content-length: 2\r\n\r\nok");
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
+Test(forward, truncatedOrResetAnswer_isNeverCalledNotRun) {
+  for (const bool Reset : {false, true}) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    const std::string Bytes = ForwardFixture::answer("200 OK");
+    Net.Server.send(0, std::string_view(Bytes).substr(0, Bytes.size() - 1));
+    int Turns = 0;
+    turnUntil(Net.Events, [&] { return ++Turns > 5; });
+    if (Reset)
+      Net.Server.reset(0);
+    else
+      Net.Server.end(0);
+    cr_assert(Net.ends());
+    cr_assert_eq(Net.Refused.Status, 502);
+  }
+}
+
+Test(forward, refusalWithoutItsMark_isNotQuoted) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, ForwardFixture::answer("503 Busy"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
+Test(forward, refusalWithItsMark_endsAsNotRun) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  for (int Times = 0; Times < 40 && Net.Refused.Status == 0; ++Times) {
+    const size_t Count = Net.Server.poll();
+    for (size_t Index = 0; Index < Count; ++Index)
+      if (Net.Server.hasRequests(Index, 1) && !Net.Server.closed(Index))
+        Net.Server.send(Index,
+                        ForwardFixture::answer(
+                            "503 Busy", "x-camphornotch-not-executed: 1\r\n"));
+    Net.Events.runOnce(Millis{10});
+  }
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 503);
+  cr_assert(Net.Refused.RetryAfter > Millis{0});
+}
+
+Test(forward, misdirected_isNotRun) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(
+      0, ForwardFixture::answer("421 Misdirected", "connection: close\r\n"));
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Net.Pool.find(EndpointId{"i-1"})->AvoidUntil > Millis{0};
+  }));
+  cr_assert_eq(Net.Answer.Status, 0);
+}
+
+Test(forward, endpointsOwnFailure_isPassedOnAsItIs) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, ForwardFixture::answer("500 Oops"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Answer.Status, 500);
+  cr_assert(Net.Answer.Body == "ok");
+}
+
+Test(forward, callerLeaves_closesTheConnectionToTheEndpoint) {
+  ForwardFixture Net(RouteKind::Idempotent);
+  cr_assert(Net.arrives());
+  Net.Forward.cancel(Net.Id);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+  cr_assert_eq(Net.Forward.running(), 0U);
+}
+
+Test(forward, stream_passesWholeEventsAndResumesAfterTheLast) {
+  ForwardFixture Net(RouteKind::Stream, 3);
+  cr_assert(Net.arrives());
+  const std::string Head = "HTTP/1.1 200 OK\r\n"
+                           "x-camphornotch-request-id: r1\r\n"
+                           "x-camphornotch-response-signature: sig\r\n"
+                           "content-type: text/event-stream\r\n"
+                           "connection: close\r\ncontent-length: ";
+  const std::string First = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+  Net.Server.send(0, Head + "99\r\n\r\n" + First);
+  cr_assert(turnUntil(Net.Events, [&] { return !Net.Stream.empty(); }));
+  cr_assert(Net.Stream == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  Net.Server.reset(0);
+  cr_assert(Net.arrives(1));
+  cr_assert(Net.Server.input(1).find("last-event-id: 2") != std::string::npos);
+  const std::string Rest = "id: 3\ndata: c\n\n";
+  Net.Server.send(1, Head + std::to_string(Rest.size()) + "\r\n\r\n" + Rest);
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.StreamEnd, 'w');
+  cr_assert(Net.Stream.ends_with("data: b\n\nid: 3\ndata: c\n\n"));
+}
