Fix: [Batch] A submission taken over before the configuration never started

Cause: read while reviewing: a gateway that starts may read its partitions before the configuration; a submission without a route was logged and left until its partition was dealt anew.

Change: such submissions are kept and started with the next configuration.

--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -9,6 +9,7 @@
 #include "core/gateway/route_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphornotch {
 
@@ -118,7 +119,14 @@
         fits(*Text, State->Record.MinVersion, Single))
       this->Items.seed(ItemKey{Id, Name}, *Text);
   }
-  this->Items.adopt(*State);
+  if (!this->Items.adopt(*State))
+    this->Unrouted.insert(Id);
+}
+
+void BatchTask::routesChanged() {
+  for (const SubmissionId &Id : std::exchange(this->Unrouted, {}))
+    this->startItems(Id);
+  this->Items.wake();
 }
 
 void BatchTask::keepLeftovers(const SubmissionState &State) {
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -118,7 +118,7 @@
 }
 
 void BatchTask::submit(const std::shared_ptr<HttpExchange> &Exchange,
-                       const platform::RoutedRequest &Asked, const Route &) {
+                       const platform::RoutedRequest &Asked) {
   Result<wire::SubmissionRecord> Read =
       platform::decodeSubmission(Asked.RequestId, Exchange->request());
   if (!Read.has_value()) {
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -53,9 +53,8 @@
   /// Takes a submission.
   /// @param Exchange the request.
   /// @param Asked what its headers say.
-  /// @param By its route.
   void submit(const std::shared_ptr<HttpExchange> &Exchange,
-              const platform::RoutedRequest &Asked, const Route &By);
+              const platform::RoutedRequest &Asked);
 
   /// Serves a read of results.
   /// @param Exchange the request.
@@ -75,7 +74,10 @@
   void endSubmission(const std::shared_ptr<HttpExchange> &Exchange,
                      const platform::SubmissionEnding &Asked);
 
-  /// Looks at what waits, after endpoints or routes have changed.
+  /// Starts what had no route, after a new configuration.
+  void routesChanged();
+
+  /// Looks at what waits, after endpoints have changed.
   void wake() { this->Items.wake(); }
 
   /// Hands all partitions over: progress is noted, runs end, the group is
@@ -182,6 +184,8 @@
   std::set<PartitionId> Owned;
   /// Owned partitions whose submissions were taken over.
   std::set<PartitionId> Adopted;
+  /// Owned submissions for which there was no route yet.
+  std::set<SubmissionId> Unrouted;
   /// Reads that wait.
   std::map<uint64_t, WaitingRead> Reads;
   /// The last read's number.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -240,7 +240,7 @@
     return;
   }
   if (By->Kind == RouteKind::Rollout)
-    this->Batches.submit(Exchange, Asked, *By);
+    this->Batches.submit(Exchange, Asked);
   else
     this->forward(Exchange, Asked, *By);
 }
@@ -344,7 +344,7 @@
            {"routes", concat(Read.value().Routes.size())}});
   this->Routes = std::move(Read.value());
   this->linkLoaders();
-  this->Batches.wake();
+  this->Batches.routesChanged();
 }
 
 void Gateway::linkLoaders() {
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -56,16 +56,17 @@
   return findRoute(this->Tell.Routes(), State->Record.Host, State->Record.Path);
 }
 
-void ItemTask::adopt(const SubmissionState &State) {
+bool ItemTask::adopt(const SubmissionState &State) {
   const Route *By =
       findRoute(this->Tell.Routes(), State.Record.Host, State.Record.Path);
   if (By == nullptr) {
     logLine(LogLevel::Warn, "submission has no route",
             {{"submission", State.Record.Id}});
-    return;
+    return false;
   }
   this->Scheduler.add(State, *By);
   this->wake();
+  return true;
 }
 
 void ItemTask::drop(const SubmissionId &Id) {
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -41,7 +41,8 @@
 
   /// Takes over a submission's items that have no result.
   /// @param State the submission.
-  void adopt(const SubmissionState &State);
+  /// @return whether there is a route for it; without one nothing is done.
+  bool adopt(const SubmissionState &State);
 
   /// Gives an item the text that an earlier submission left of it.
   /// @param Key the item, before it was adopted.
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -279,3 +279,17 @@
   cr_assert(Read[0]["versions"] == platform::Json({4}));
   cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
 }
+
+Test(batch, submissionTakenOverBeforeTheConfiguration_startsWithIt) {
+  GatewayFixture Net(1);
+  const RouteTable Known = Net.Gateways[0]->Routes;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 0)).Status, 400);
+  Net.Gateways[0]->Routes = RouteTable{};
+  Net.Gateways[0]->Routes.Routes.resize(1);
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 2)).Status, 202);
+  Net.pass(Millis{300});
+  cr_assert(Net.Engine.Runs.empty());
+  Net.Gateways[0]->Routes = Known;
+  Net.Gateways[0]->Batches->routesChanged();
+  cr_assert_eq(Net.results(0, "s", 2).size(), 2U);
+}
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -201,7 +201,7 @@
     const platform::CallerAsk Ask =
         platform::decodeCallerRequest(One->request());
     if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Ask))
-      this->Batches->submit(One, *Routed, this->Routes.Routes[0]);
+      this->Batches->submit(One, *Routed);
     else if (const auto *Read = std::get_if<platform::ResultsRead>(&Ask))
       this->Batches->readResults(One, *Read);
     else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
