--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 KeyedFollowerEvents
-loggedFollowing(std::string What,
+loggedFollowing(const std::string &What,
                 std::function<void(const KeyedRecord &)> Record) {
   KeyedFollowerEvents Tell;
   Tell.Record = std::move(Record);
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -29,7 +29,7 @@
 /// @param Record takes the records.
 /// @return events that log when the store is lost and when it answers again.
 KeyedFollowerEvents
-loggedFollowing(std::string What,
+loggedFollowing(const std::string &What,
                 std::function<void(const KeyedRecord &)> Record);
 
 /// Follows one topic from begin() until the process ends.
