--- a/packages/core/agent/agent_base.cpp
+++ b/packages/core/agent/agent_base.cpp
@@ -72,6 +72,7 @@
   std::visit([&](const auto &Each) { this->on(Each, Now, Out); }, Event);
   this->askEntries(Now, Out);
   this->followHealth(Now, Out);
+  this->followConfig();
   const HoldingsChanged Holdings{this->Admission.running(),
                                  this->Store.ended()};
   const bool Changed =
@@ -105,7 +106,14 @@
 
 bool AgentController::ready() const {
   return this->State == Health::Up && !this->Leaving.leaving() &&
-         this->Boot.phase() == BootPhase::Standing;
+         this->Boot.phase() == BootPhase::Standing && this->Configured;
+}
+
+void AgentController::followConfig() {
+  const bool AllTold = this->AnyTold && this->Untold.empty();
+  if (AllTold && this->Boot.phase() == BootPhase::Standing &&
+      this->ConfigOffset >= this->NewestTold)
+    this->Configured = true;
 }
 
 void AgentController::on(const AgentTick & /*Event*/, Millis Now,
--- a/packages/core/agent/agent_base.h
+++ b/packages/core/agent/agent_base.h
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,8 @@
   /// @return the hash of the rules in force.
   [[nodiscard]] int64_t configHash() const { return this->ConfigHash; }
 
-  /// @return whether work can be taken: for readiness checks.
+  /// @return whether work can be taken, by rules that are not older than those
+  ///   before the boot: for readiness checks.
   [[nodiscard]] bool ready() const;
 
   /// @return counts since the boot.
@@ -186,6 +188,9 @@
   /// Opens, closes or holds admission as the endpoint and leaving demand.
   void followHealth(Millis Now, Actions &Out);
 
+  /// Notes whether the rules in force are as new as all that was told.
+  void followConfig();
+
   /// Sends a message to an entry.
   template <typename MessageT>
   static void tell(const HostId &Peer, const MessageT &Message, Actions &Out);
@@ -289,6 +294,15 @@
   bool ToldHeld = false;
   /// Offset of the rules in force.
   LogOffset ConfigOffset = NoOffset;
+  /// The newest rules that any entry has told of.
+  LogOffset NewestTold = NoOffset;
+  /// Whether any entry has told of its rules.
+  bool AnyTold = false;
+  /// Linked entries that have not told of their rules since the link.
+  std::set<HostId> Untold;
+  /// Whether the agent has had, at some moment since its boot, the newest
+  /// rules that all linked entries told of.
+  bool Configured = false;
   /// Hash of the rules in force.
   int64_t ConfigHash = 0;
   /// The rules in force as text: the base of changes, and what a fresh entry
--- a/packages/core/agent/agent_links.cpp
+++ b/packages/core/agent/agent_links.cpp
@@ -68,6 +68,7 @@
 
 void AgentController::on(const PeerUp &Event, Millis Now, Actions &Out) {
   this->Boot.onUp(Event.Peer);
+  this->Untold.insert(Event.Peer);
   const auto Found = this->Peers.find(Event.Peer);
   const bool Replaced =
       Found != this->Peers.end() && Found->second != Event.Boot;
@@ -83,6 +84,7 @@
 
 void AgentController::on(const PeerDown &Event, Millis Now, Actions & /*Out*/) {
   this->Boot.onDown(Event.Peer);
+  this->Untold.erase(Event.Peer);
   const auto Found = this->Peers.find(Event.Peer);
   if (Found != this->Peers.end())
     this->Orphans.emplace(Found->second, Now + this->Settings.OrphanAfter);
@@ -186,6 +188,10 @@
 
 void AgentController::said(const HostId &Peer, const wire::Heartbeat &Message,
                            Millis /*Now*/, Actions &Out) {
+  this->AnyTold = true;
+  this->Untold.erase(Peer);
+  this->NewestTold =
+      std::max(this->NewestTold, LogOffset{Message.ConfigOffset});
   if (LogOffset{Message.ConfigOffset} > this->ConfigOffset)
     Out.emplace_back(TellPeer{Peer, makePull(this->ConfigOffset)});
 }
--- a/tests/agent/config_push_test.cpp
+++ b/tests/agent/config_push_test.cpp
@@ -56,8 +56,53 @@
   return Offsets;
 }
 
+/// @param Offset the offset of an entry's rules.
+/// @return its heartbeat.
+wire::PeerMessage heartbeatWith(int64_t Offset) {
+  wire::PeerMessage Message;
+  wire::Heartbeat Beat;
+  Beat.ConfigOffset = Offset;
+  Message.__set_HeartbeatMsg(Beat);
+  return Message;
+}
+
 } // namespace
 
+Test(agentReady, fresh_agent_waits_for_the_rules_that_entries_tell_of) {
+  AgentFixture Fix;
+  cr_assert(!Fix.Agent.ready());
+  Fix.say(heartbeatWith(5));
+  cr_assert(!Fix.Agent.ready());
+  Fix.say(wholePush());
+  cr_assert(Fix.Agent.ready());
+  Fix.say(heartbeatWith(6));
+  cr_assert(Fix.Agent.ready(), "newer rules that are on their way");
+}
+
+Test(agentReady, fresh_agent_waits_for_each_linked_entry) {
+  AgentFixture Fix;
+  const HostId Other{"entry-2"};
+  Fix.handle(PeerUp{Other, BootId{6}});
+  Fix.say(heartbeatWith(-1));
+  cr_assert(!Fix.Agent.ready(), "the other entry may have rules");
+  Fix.handle(PeerSaid{Other, heartbeatWith(5)});
+  cr_assert(!Fix.Agent.ready());
+  Fix.say(wholePush());
+  cr_assert(Fix.Agent.ready());
+}
+
+Test(agentReady, entry_that_left_before_it_told_does_not_count) {
+  AgentFixture Fix;
+  Fix.handle(PeerDown{Fix.Entry});
+  cr_assert(!Fix.Agent.ready());
+}
+
+Test(agentReady, no_rules_published_is_ready) {
+  AgentFixture Fix;
+  Fix.say(heartbeatWith(-1));
+  cr_assert(Fix.Agent.ready());
+}
+
 Test(agentConfig, change_against_held_rules_is_applied) {
   AgentFixture Fix;
   Fix.say(wholePush());
