Feature: [Batch] Groups that come again start first

Cause: the scheduler set the group with the longest hint aside, since the caller does not wait for it.

Change: the record of leftovers names all items of open groups, also those without text. Groups with such items are never set aside and go before the others of their submission; the set-aside group is the longest of the rest.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -37,15 +37,31 @@
 }
 
 /// @param State a submission.
-/// @return each group's rank by expected length, the shortest first.
-std::map<std::string, int64_t> rankGroups(const SubmissionState &State) {
-  std::vector<std::pair<int64_t, std::string>> Order;
+/// @param Returned its items that an earlier submission left open.
+/// @return the groups that come again.
+std::set<std::string> returnedGroups(const SubmissionState &State,
+                                     const std::set<ItemId> &Returned) {
+  std::set<std::string> Groups;
+  for (const wire::BatchItemField &Item : State.Record.Items)
+    if (Returned.contains(ItemId{Item.Id}))
+      Groups.insert(Item.Group);
+  return Groups;
+}
+
+/// @param State a submission.
+/// @param Returned its groups that come again.
+/// @return each group's rank: those that come again, which the caller waits
+///   for in any case, then the others by expected length, the shortest first.
+std::map<std::string, int64_t>
+rankGroups(const SubmissionState &State,
+           const std::set<std::string> &Returned) {
+  std::vector<std::tuple<bool, int64_t, std::string>> Order;
   for (const auto &[Group, Length] : groupLengths(State))
-    Order.emplace_back(Length, Group);
+    Order.emplace_back(!Returned.contains(Group), Length, Group);
   std::ranges::sort(Order);
   std::map<std::string, int64_t> Ranks;
   for (size_t Rank = 0; Rank < Order.size(); ++Rank)
-    Ranks[Order[Rank].second] = static_cast<int64_t>(Rank);
+    Ranks[std::get<std::string>(Order[Rank])] = static_cast<int64_t>(Rank);
   return Ranks;
 }
 
@@ -54,17 +70,19 @@
 auto rankOf(const ScheduledItem *Item) {
   const bool Spare =
       Item->WantedGroups > 0 && Item->GroupRank >= Item->WantedGroups;
-  return std::tuple(Spare, Item->Priority, Item->Arrival, -Item->LengthHint,
-                    Item->GroupRank, Item->Key);
+  return std::tuple(Spare, Item->Priority, Item->Arrival, !Item->Returned,
+                    -Item->LengthHint, Item->GroupRank, Item->Key);
 }
 
 } // namespace
 
-void ItemScheduler::add(const SubmissionState &State, const Route &By) {
+void ItemScheduler::add(const SubmissionState &State, const Route &By,
+                        const std::set<ItemId> &Returned) {
   if (State.Ended)
     return;
   const int64_t Arrival = ++this->Arrivals;
-  const std::map<std::string, int64_t> Ranks = rankGroups(State);
+  const std::set<std::string> Again = returnedGroups(State, Returned);
+  const std::map<std::string, int64_t> Ranks = rankGroups(State, Again);
   const SubmissionId Id{State.Record.Id};
   for (const wire::BatchItemField &Item : State.Record.Items) {
     const ItemKey Key{Id, ItemId{Item.Id}};
@@ -80,6 +98,7 @@
     Added.Arrival = Arrival;
     Added.Group = Item.Group;
     Added.LengthHint = Item.LengthHint;
+    Added.Returned = Again.contains(Item.Group);
     Added.GroupRank = Ranks.at(Item.Group);
     Added.WantedGroups = State.Record.WantedGroups;
     this->Items.emplace(Key, std::move(Added));
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -26,7 +26,9 @@
   /// Adds the items of a submission that have no result yet.
   /// @param State the submission.
   /// @param By its route.
-  void add(const SubmissionState &State, const Route &By);
+  /// @param Returned those of its items that an earlier submission left open.
+  void add(const SubmissionState &State, const Route &By,
+           const std::set<ItemId> &Returned = {});
 
   /// Drops an item that has its result.
   /// @param Key which.
@@ -38,8 +40,9 @@
   std::vector<ItemKey> dropAll(const SubmissionId &Id);
 
   /// Chooses what starts now. Answers the load of whole steps that arrive at
-  /// once: older submissions first, then groups that the caller waits for,
-  /// then the longest items, so that the last to end started first.
+  /// once: groups that the caller waits for first, older submissions before
+  /// younger ones, groups that come again before others, and then the longest
+  /// items, so that the last to end started first.
   /// @param Pool the endpoints; each start is noted there.
   /// @param Now the time.
   /// @return the items to start, which count as running from now on.
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -30,7 +30,10 @@
   std::string Group;
   /// Expected output in tokens; 0: not said.
   int64_t LengthHint = 0;
-  /// Its group's place among the groups of the submission, by expected length.
+  /// Whether its group comes again: an earlier submission left it open.
+  bool Returned = false;
+  /// Its group's place among the groups of the submission: those that come
+  /// again, then the others by expected length.
   int64_t GroupRank = 0;
   /// Groups that the caller waits for.
   int64_t WantedGroups = 0;
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -112,14 +112,18 @@
   const Route *By =
       findRoute(this->Routes(), State->Record.Host, State->Record.Path);
   const bool Single = By != nullptr && By->SingleVersion;
+  std::set<ItemId> Returned;
   for (const wire::BatchItemField &Item : State->Record.Items) {
     const ItemId Name{Item.Id};
     const StoredText *Text = this->Leftovers.table().find(Name);
-    if (Text != nullptr && !State->Positions.contains(Name) &&
+    if (Text == nullptr)
+      continue;
+    Returned.insert(Name);
+    if (!State->Positions.contains(Name) &&
         fits(*Text, State->Record.MinVersion, Single))
       this->Items.seed(ItemKey{Id, Name}, *Text);
   }
-  if (!this->Items.adopt(*State))
+  if (!this->Items.adopt(*State, Returned))
     this->Unrouted.insert(Id);
 }
 
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -144,6 +144,10 @@
   return boost::outcome_v2::success();
 }
 
+HttpTarget Gateway::front() const {
+  return HttpTarget{this->Settings.Front.Ip, this->Front->port()};
+}
+
 std::string_view Gateway::whyNotReady() const {
   if (this->StopAt > Millis{0})
     return "stopping";
@@ -343,6 +347,8 @@
            {"offset", concat(Record.Offset)},
            {"routes", concat(Read.value().Routes.size())}});
   this->Routes = std::move(Read.value());
+  this->Front->setTimeouts(this->Routes.Limits.HeaderTimeout,
+                           this->Routes.Limits.IdleTimeout);
   this->linkLoaders();
   this->Batches.routesChanged();
 }
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -30,6 +30,10 @@
   /// @return nothing, or why an address cannot be had.
   Result<void> begin();
 
+  /// @return where callers connect to.
+  /// @pre begin() succeeded.
+  HttpTarget front() const;
+
 private:
   /// @param Exchange a request to the address of probes and metrics.
   void onProbe(const std::shared_ptr<HttpExchange> &Exchange);
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -58,8 +58,7 @@
       Text.Events = Done->second.Events;
     else if (Under != this->Runs.end())
       Text.Events = Under->second.Events;
-    if (!Text.Events.empty())
-      Record.Texts.push_back(std::move(Text));
+    Record.Texts.push_back(std::move(Text));
   }
   return Record;
 }
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -56,7 +56,8 @@
   return findRoute(this->Tell.Routes(), State->Record.Host, State->Record.Path);
 }
 
-bool ItemTask::adopt(const SubmissionState &State) {
+bool ItemTask::adopt(const SubmissionState &State,
+                     const std::set<ItemId> &Returned) {
   const Route *By =
       findRoute(this->Tell.Routes(), State.Record.Host, State.Record.Path);
   if (By == nullptr) {
@@ -64,7 +65,7 @@
             {{"submission", State.Record.Id}});
     return false;
   }
-  this->Scheduler.add(State, *By);
+  this->Scheduler.add(State, *By, Returned);
   this->wake();
   return true;
 }
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -41,8 +41,9 @@
 
   /// Takes over a submission's items that have no result.
   /// @param State the submission.
+  /// @param Returned those of its items that an earlier submission left open.
   /// @return whether there is a route for it; without one nothing is done.
-  bool adopt(const SubmissionState &State);
+  bool adopt(const SubmissionState &State, const std::set<ItemId> &Returned);
 
   /// Gives an item the text that an earlier submission left of it.
   /// @param Key the item, before it was adopted.
@@ -50,7 +51,8 @@
   void seed(const ItemKey &Key, const StoredText &Text);
 
   /// @param State a submission that ends.
-  /// @return the texts of its groups that its caller may not have whole.
+  /// @return the items of its groups that its caller may not have whole, with
+  ///   what there is of their texts.
   wire::LeftoverRecord leftovers(const SubmissionState &State) const;
 
   /// Ends all work for a submission.
--- /dev/null
+++ b/packages/net/head_watch_base.cpp
@@ -0,0 +1,60 @@
+/// @file
+/// Finds connections on which the head of a request arrives too slowly.
+
+#include "net/head_watch_internal.h"
+
+#include <string_view>
+#include <sys/socket.h>
+
+namespace camphornotch {
+
+namespace {
+
+/// Ends the head of a request.
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+/// @param Socket a connection.
+/// @return whether part of a head has arrived, and not its end. h2o keeps a
+///   request's head in the buffer until the request is answered.
+bool hasPartOfHead(const h2o_socket_t &Socket) {
+  const h2o_buffer_t &Input = *Socket.input;
+  const std::string_view Bytes(Input.bytes, Input.size);
+  return !Bytes.empty() && Bytes.find(HeadEnd) == std::string_view::npos;
+}
+
+} // namespace
+
+void HeadWatch::add(h2o_socket_t *Socket) {
+  auto Made = std::make_unique<Connection>();
+  Made->Watch = this;
+  Made->Socket = Socket;
+  Socket->on_close.cb = HeadWatch::onClosed;
+  Socket->on_close.data = Made.get();
+  this->Open[Socket] = std::move(Made);
+}
+
+int HeadWatch::look(Millis Now) {
+  int Late = 0;
+  for (const auto &[Socket, Each] : this->Open) {
+    if (!hasPartOfHead(*Socket)) {
+      Each->PartSince = Never;
+      continue;
+    }
+    if (Each->PartSince == Never)
+      Each->PartSince = Now;
+    if (this->Limit == Millis{0} || Now - Each->PartSince < this->Limit)
+      continue;
+    ++Late;
+    // The connection is h2o's: it closes it when it reads the end.
+    shutdown(h2o_socket_get_fd(Socket), SHUT_RDWR);
+    Each->PartSince = Now;
+  }
+  return Late;
+}
+
+void HeadWatch::onClosed(void *Data) {
+  const auto *Closed = static_cast<Connection *>(Data);
+  Closed->Watch->Open.erase(Closed->Socket);
+}
+
+} // namespace camphornotch
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -3,6 +3,10 @@
 
 #include "net/http_server_base.h"
 
+#include "base/clock_func.h"
+#include "base/log_func.h"
+#include "base/text_func.h"
+#include "net/head_watch_internal.h"
 #include "net/http_responder_internal.h"
 #include "net/listen_internal.h"
 
@@ -111,6 +115,8 @@
   HttpOpenRequests Requests;
   /// Exchanges by responder, for the look at waiting clients.
   std::unordered_map<HttpResponder *, HttpExchange::State *> Waiting;
+  /// Finds heads that arrive too slowly.
+  HeadWatch Heads;
   /// The next look at waiting clients.
   TimerId GoneCheck;
 
@@ -172,12 +178,27 @@
       h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
       if (Socket == nullptr)
         return;
-      h2o_accept(&Self->Accept, Socket);
+      Self->accept(Socket);
     }
   }
 
+  /// @param Socket a new connection.
+  void accept(h2o_socket_t *Socket) {
+    this->Heads.add(Socket);
+    h2o_accept(&this->Accept, Socket);
+  }
+
+  /// Looks for connections whose heads are late.
+  void checkHeads() {
+    const int Late = this->Heads.look(steadyNow());
+    if (Late > 0)
+      logLine(LogLevel::Warn, "connections with a late head closed",
+              {{"count", concat(Late)}});
+  }
+
   /// Looks for clients that closed while their request waits.
   void checkGone() {
+    this->checkHeads();
     std::vector<HttpResponder *> Closed;
     for (const auto &[Responder, Exchange] : this->Waiting)
       if (Responder->clientClosed())
@@ -207,7 +228,7 @@
     if (this->Listener == nullptr)
       return;
     while (h2o_socket_t *Socket = h2o_evloop_socket_accept(this->Listener))
-      h2o_accept(&this->Accept, Socket);
+      this->accept(Socket);
     h2o_socket_close(this->Listener);
     this->Listener = nullptr;
   }
@@ -317,6 +338,13 @@
 
 uint16_t HttpServer::port() const { return this->Inner->Port; }
 
+void HttpServer::setTimeouts(Millis Head, Millis Idle) {
+  this->Inner->Heads.setLimit(Head);
+  if (Idle > Millis{0})
+    this->Inner->Context.http1.req_timeout.timeout =
+        static_cast<uint64_t>(Idle.Count);
+}
+
 size_t HttpServer::inFlight() const {
   return this->Inner->Requests.Open.size();
 }
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -86,7 +86,7 @@
   /// Largest request body; larger ones get 413.
   size_t MaxBodyBytes = size_t{8} << 20;
   /// Time for a client to send its request, and for a kept connection to stay
-  /// idle: h2o has one limit for both.
+  /// idle, until setTimeouts() is called.
   Millis RequestTimeout = seconds(30);
 };
 
@@ -111,6 +111,12 @@
   /// @return requests taken and not yet wholly answered.
   size_t inFlight() const;
 
+  /// Changes the limits, for open connections too.
+  /// @param Head time for the head of a request from its first byte; 0: that of
+  ///   an idle connection.
+  /// @param Idle time for a kept connection to stay idle; 0: as it is.
+  void setTimeouts(Millis Head, Millis Idle);
+
   /// Tells clients to close (GOAWAY, Connection: close); goes on accepting.
   void beginDrain();
 
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -583,7 +583,8 @@
   4: optional ItemProgressRecord Progress,
 }
 
-/** What there is of the text of an item that may be submitted again. */
+/** What there is, if anything, of the text of an item that may be submitted
+    again. */
 struct LeftoverText {
   1: string Item,
   2: bool Whole,           // the text is complete
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -42,8 +42,10 @@
   /// @param Hints expected length of each item; groups are pairs.
   /// @param Wanted groups that the caller waits for.
   /// @param MinVersion the oldest version that will do.
+  /// @param Returned items that come again.
   void submit(const std::string &Id, const std::vector<int64_t> &Hints,
-              int64_t Wanted = 0, int64_t MinVersion = 5) {
+              int64_t Wanted = 0, int64_t MinVersion = 5,
+              const std::set<ItemId> &Returned = {}) {
     SubmissionState State;
     State.Record.Id = Id;
     State.Record.Model = "m";
@@ -56,7 +58,7 @@
       Item.LengthHint = Hints[Index];
       State.Record.Items.push_back(Item);
     }
-    this->Scheduler.add(State, this->By);
+    this->Scheduler.add(State, this->By, Returned);
   }
 
   /// @return what starts now, as "submission/item" in order.
@@ -87,6 +89,21 @@
   cr_assert(First[1] == "s/i5");
 }
 
+Test(itemScheduler, longestGroupThatComesAgain_goesFirstInPlaceOfLast) {
+  SchedulerFixture Each(1, 2);
+  // Groups of two: i0 and i1 come again and are the longest, i2 to i5 do not.
+  Each.submit("s", {90, 10, 20, 20, 60, 60}, 2, 5, {ItemId{"i0"}});
+  const std::vector<std::string> Expected{"s/i0", "s/i1"};
+  cr_assert(Each.plan() == Expected);
+}
+
+Test(itemScheduler, groupThatComesAgain_leavesTheLongestOtherAsTheSpareOne) {
+  SchedulerFixture Each(1, 4);
+  Each.submit("s", {90, 10, 20, 20, 60, 60}, 2, 5, {ItemId{"i0"}});
+  const std::vector<std::string> Expected{"s/i0", "s/i1", "s/i2", "s/i3"};
+  cr_assert(Each.plan() == Expected);
+}
+
 Test(itemScheduler, olderSubmission_goesFirst) {
   SchedulerFixture Each(1, 1);
   Each.submit("old", {1});
--- /dev/null
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -0,0 +1,149 @@
+/// @file
+/// A whole gateway: what callers get for requests that are not in order, and
+/// before and after it has a configuration.
+
+#include "gateway/gateway_base.h"
+#include "gateway_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A configuration with a route for calls and one for submissions.
+constexpr const char *ConfigText = R"({"version":1,"routes":[
+  {"name":"a","host":"h","path_prefix":"/a/","kind":"safe","service":"s",
+   "timeout_ms":1500,"target_latency_ms":200,"attempts":2},
+  {"name":"b","host":"h","path_prefix":"/b/","kind":"rollout","service":"s"}],
+ "services":[{"name":"s"}],
+ "limits":{"header_bytes":1000,"body_bytes":2000,"header_timeout_ms":200,
+   "idle_timeout_ms":600000}})";
+
+/// A gateway before a stand-in of the store.
+struct WholeGateway {
+  /// The loop.
+  Loop Events;
+  /// The store.
+  standin::StandinStoreServer Store{this->Events, 2};
+  /// The gateway.
+  std::unique_ptr<Gateway> Tested;
+  /// The caller's client.
+  HttpClient Caller{this->Events};
+
+  /// Starts the gateway, without a configuration.
+  WholeGateway() {
+    GatewaySettings Settings;
+    Settings.Common.Host = "gateway-1";
+    Settings.Common.DataCentre = "dc";
+    Settings.Common.ListenHttp = Address{"127.0.0.1", 0};
+    Settings.Common.ListenLinks = Address{"127.0.0.1", 0};
+    Settings.Common.Heartbeat = Millis{500};
+    Settings.Common.LinkSilence = seconds(2);
+    Settings.Front = Address{"127.0.0.1", 0};
+    Settings.Store = Address{"127.0.0.1", this->Store.target().Port};
+    Settings.GraceSeconds = "8";
+    Settings.Partitions = 2;
+    Settings.RecordBytes = 4096;
+    Settings.SubmissionLifetime = seconds(60);
+    this->Tested = std::make_unique<Gateway>(this->Events, Settings);
+    cr_assert(this->Tested->begin().has_value());
+  }
+
+  /// Publishes the configuration and waits until it is in force.
+  void configure() {
+    this->Store.put("keyed.op", "config", ConfigText);
+    cr_assert(turnUntil(this->Events, [this] {
+      return this->ask("GET", "/nowhere/", {}).Status == 404;
+    }));
+  }
+
+  /// @param Method the method.
+  /// @param Path the path.
+  /// @param Body the body.
+  /// @param Headers headers.
+  /// @return the answer; status 0: none.
+  HttpResponse ask(std::string Method, std::string Path, std::string Body,
+                   HttpHeaders Headers = {}) {
+    HttpCall Call;
+    Call.Target = this->Tested->front();
+    Call.Host = "h";
+    Call.Method = std::move(Method);
+    Call.Path = std::move(Path);
+    Call.Body = std::move(Body);
+    Call.Headers = std::move(Headers);
+    Call.Headers.push_back({"X-Camphornotch-Request-Id", "r1"});
+    Call.Reuse = false;
+    HttpResponse Answer;
+    Answer.Status = 0;
+    bool Over = false;
+    HttpEvents Tell;
+    Tell.Finished = [&](HttpResponse Response) {
+      Answer = std::move(Response);
+      Over = true;
+    };
+    Tell.Failed = [&](const HttpFailure &) { Over = true; };
+    this->Caller.start(std::move(Call), std::move(Tell));
+    turnUntil(this->Events, [&] { return Over; });
+    return Answer;
+  }
+};
+
+} // namespace
+
+Test(gateway, withoutConfiguration_answers503WithRetryAfter) {
+  WholeGateway Net;
+  const HttpResponse Answer = Net.ask("GET", "/a/x", {});
+  cr_assert_eq(Answer.Status, 503);
+  cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
+}
+
+Test(gateway, pathWithoutRoute_answers404) {
+  WholeGateway Net;
+  Net.configure();
+  cr_assert_eq(Net.ask("GET", "/c/x", {}).Status, 404);
+}
+
+Test(gateway, bodyOverTheLimit_answers413AndStoresNothing) {
+  WholeGateway Net;
+  Net.configure();
+  for (const char *Path : {"/a/x", "/b/x"}) {
+    cr_assert_eq(Net.ask("POST", Path, std::string(2001, 'x')).Status, 413);
+    cr_assert_neq(Net.ask("POST", Path, std::string(2000, 'x')).Status, 413);
+  }
+  for (int64_t Part = 0; Part < 2; ++Part)
+    cr_assert_eq(Net.Store.state().partition("batch", Part).end(), 0);
+}
+
+Test(gateway, headOverTheLimit_answers431) {
+  WholeGateway Net;
+  Net.configure();
+  cr_assert_eq(
+      Net.ask("GET", "/a/x", {}, {{"x-long", std::string(1001, 'x')}}).Status,
+      431);
+  cr_assert_eq(Net.ask("GET", "/a/" + std::string(1001, 'x'), {}).Status, 431);
+}
+
+Test(gateway, slowHead_isClosedAtTheLimitOfTheConfiguration) {
+  WholeGateway Net;
+  Net.configure();
+  PlainSocket Client(Net.Tested->front().Port);
+  Client.send("GET /a/x HTTP/1.1\r\nhost: h\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Client.ended(); }));
+}
+
+Test(gateway, submissionThatCannotBeRead_answers400WithTheReason) {
+  WholeGateway Net;
+  Net.configure();
+  const HttpResponse Answer = Net.ask("POST", "/b/x", "{\"items\":5}");
+  cr_assert_eq(Answer.Status, 400);
+  cr_assert(!Answer.Body.empty());
+}
+
+Test(gateway, noEndpoint_isRefusedAtOnceAsNotRun) {
+  WholeGateway Net;
+  Net.configure();
+  const HttpResponse Answer = Net.ask("GET", "/a/x", {});
+  cr_assert_eq(Answer.Status, 503);
+  cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
+}
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// HTTP over the loopback: whole and streamed answers, bad input, stop.
 
+#include "base/clock_func.h"
 #include "net_fixture.h"
 
 #include <criterion/criterion.h>
@@ -92,6 +93,57 @@
   cr_assert_not(Handled);
 }
 
+Test(http, headThatNeverEnds_isClosedAtItsOwnLimit) {
+  HttpFixture Net;
+  bool Handled = false;
+  Net.Handler = [&](const std::shared_ptr<HttpExchange> &) { Handled = true; };
+  Net.Server->setTimeouts(Millis{200}, seconds(600));
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n");
+  cr_assert(turnUntil(Net.Events, [&] {
+    Client.send("x: y\r\n");
+    return Client.ended();
+  }));
+  cr_assert_not(Handled);
+}
+
+Test(http, slowBodyAndSlowAnswer_areNotBoundByTheLimitOfHeads) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Waiting;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> One) {
+    Waiting = std::move(One);
+  };
+  constexpr Millis Limit{150};
+  const auto PassLimit = [&] {
+    const Millis End = steadyNow() + Limit + Limit + Limit;
+    turnUntil(Net.Events, [&] { return steadyNow() >= End; });
+  };
+  Net.Server->setTimeouts(Limit, seconds(600));
+  PlainSocket Client(Net.Server->port());
+  Client.send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab");
+  PassLimit();
+  Client.send("cd");
+  cr_assert(turnUntil(Net.Events, [&] { return Waiting != nullptr; }));
+  PassLimit();
+  cr_assert_not(Client.ended());
+  echo(Waiting);
+  Waiting.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return !Client.received().empty(); }));
+  cr_assert_neq(Client.received().find("/|abcd"), std::string::npos);
+  PassLimit();
+  cr_assert_not(Client.ended(), "an idle connection has no head");
+}
+
+Test(http, idleConnection_isClosedAtItsLimit) {
+  HttpFixture Net;
+  Net.Handler = echo;
+  Net.Server->setTimeouts(Millis{0}, Millis{200});
+  PlainSocket Client(Net.Server->port());
+  Client.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Client.ended(); }));
+  cr_assert_neq(Client.received().find(" 200 "), std::string::npos);
+}
+
 Test(http, requestInSingleBytes_isUnderstood) {
   HttpFixture Net;
   Net.Handler = echo;
