Change: [Loads] Engines load a version two at a time, not one

Cause: an engine waited for its turn as if all models were loading at once.

Change: the delay of a turn does not count the other models.

Conclusion: kept; versionNamedAlone_isAtHalf* fails with the old delay.

--- a/packages/core/loads/load_controller_base.cpp
+++ b/packages/core/loads/load_controller_base.cpp
@@ -84,7 +84,7 @@
       std::max(this->Place.Count / LoadsAtOnceDivisor, LoadsAtOnceLeast);
   const int64_t Turn =
       this->Place.Rank / (ModelCount <= 1 ? Halves : ModelCount);
-  const Millis Delay{LoadTime.Count * Turn * ModelCount / AtOnce};
+  const Millis Delay{LoadTime.Count * Turn / AtOnce};
   return Now >= News.NamedAt + Delay;
 }
 
--- a/tests/loads/load_controller_test.cpp
+++ b/tests/loads/load_controller_test.cpp
@@ -119,6 +119,14 @@
   cr_assert(APer <= 3.5, "%f loads a version", APer);
 }
 
+Test(loadController, versionNamedAlone_isAtHalfOfTheEnginesBeforeTheNextStep) {
+  EnginesFixture All(9, {"a", "b"});
+  All.name("a", 2);
+  All.pass(Millis{3'400});
+  cr_assert_geq(All.with("a", 2), 4);
+  cr_assert(All.MostAtOnce <= 2, "%d loaded at once", All.MostAtOnce);
+}
+
 Test(loadController, twoModels_everyEngineKeepsBoth) {
   EnginesFixture All(9, {"a", "b"});
   for (int64_t Version = 2; Version < 8; ++Version) {
