Feature: [Batch] Items likely to be left open run a second time

Cause: a trainer ends a step without its longest group and submits that again two steps later, where it is waited for. Its text was made under versions that the later step does not take, so that an item of 181 events began anew and the step took its 7.3 s.

Change: once few groups of a step are open, the items of those that will be left over run a second time, from their first event, at engines that have the newest version and three slots to spare. Such texts are kept as leftovers beside the longer ones of older versions, and the next submission goes on from the longest that fits. A second run never makes a result and gives way to all else. itemRequest and EventStream serve both kinds of run; EndpointQuery asks for a number of free slots.

--- a/packages/core/batch/leftover_table_base.cpp
+++ b/packages/core/batch/leftover_table_base.cpp
@@ -9,30 +9,61 @@
 
 namespace camphornotch {
 
+namespace {
+
+/// @param One a text.
+/// @param Other a text.
+/// @return whether there is more of the second.
+bool hasLess(const StoredText &One, const StoredText &Other) {
+  return std::pair(One.Whole, One.Events.size()) <
+         std::pair(Other.Whole, Other.Events.size());
+}
+
+} // namespace
+
+int64_t oldestVersion(const std::vector<wire::TextEvent> &Text) {
+  if (Text.empty())
+    return -1;
+  return std::ranges::min(Text, {}, &wire::TextEvent::Version).Version;
+}
+
 Result<void> LeftoverTable::apply(std::string_view Bytes, Millis Now) {
   Result<wire::LeftoverRecord> Decoded = decodeLeftovers(Bytes);
   if (!Decoded.has_value())
     return Decoded.error();
   for (wire::LeftoverText &Each : Decoded.value().Texts) {
-    StoredText &Known = this->Texts[ItemId{Each.Item}];
+    const int64_t Oldest = oldestVersion(Each.Events);
+    StoredText Told{Each.Whole, std::move(Each.Events), Now};
+    StoredText &Known = this->Texts[ItemId{Each.Item}][Oldest];
+    Known.SeenAt = Now;
     // Never replaced by less.
-    if (Known.Whole ||
-        (!Each.Whole && Known.Events.size() > Each.Events.size()))
-      continue;
-    Known = StoredText{Each.Whole, std::move(Each.Events), Now};
+    if (hasLess(Known, Told))
+      Known = std::move(Told);
   }
   return boost::outcome_v2::success();
 }
 
-const StoredText *LeftoverTable::find(const ItemId &Item) const {
+const StoredText *LeftoverTable::best(const ItemId &Item, int64_t MinVersion,
+                                      bool SingleVersion) const {
   const auto Found = this->Texts.find(Item);
-  return Found == this->Texts.end() ? nullptr : &Found->second;
+  if (Found == this->Texts.end())
+    return nullptr;
+  const StoredText *Best = nullptr;
+  for (const auto &[Oldest, Text] : Found->second)
+    if (fits(Text, MinVersion, SingleVersion) &&
+        (Best == nullptr || hasLess(*Best, Text)))
+      Best = &Text;
+  return Best;
 }
 
 void LeftoverTable::forget(Millis SeenBefore) {
-  std::erase_if(this->Texts, [SeenBefore](const auto &Each) {
-    return Each.second.SeenAt < SeenBefore;
-  });
+  const auto IsOld = [SeenBefore](const auto &Text) {
+    return Text.second.SeenAt < SeenBefore;
+  };
+  for (auto &[Item, Known] : this->Texts)
+    std::erase_if(Known, IsOld);
+  std::erase_if(this->Texts,
+                [](const auto &Each) { return Each.second.empty(); });
 }
 
 bool fits(const StoredText &Text, int64_t MinVersion, bool SingleVersion) {
--- a/packages/core/batch/leftover_table_base.h
+++ b/packages/core/batch/leftover_table_base.h
@@ -5,9 +5,12 @@
 #define CAMPHORNOTCH_CORE_BATCH_LEFTOVER_TABLE_BASE_H
 
 #include "base/error_type.h"
+#include "base/millis_type.h"
 #include "core/batch/batch_type.h"
 
+#include <map>
 #include <string_view>
+#include <vector>
 
 namespace camphornotch {
 
@@ -32,18 +35,30 @@
   Result<void> apply(std::string_view Bytes, Millis Now);
 
   /// @param Item an item.
-  /// @return its text, or null.
-  const StoredText *find(const ItemId &Item) const;
+  /// @return whether a submission left it open.
+  bool knows(const ItemId &Item) const { return this->Texts.contains(Item); }
+
+  /// @param Item an item.
+  /// @param MinVersion the oldest version that may have made its text.
+  /// @param SingleVersion whether one version must make all of it.
+  /// @return the longest of its texts that fits, or null.
+  const StoredText *best(const ItemId &Item, int64_t MinVersion,
+                         bool SingleVersion) const;
 
   /// Forgets texts of a certain age.
   /// @param SeenBefore those learnt before this time.
   void forget(Millis SeenBefore);
 
 private:
-  /// The texts.
-  std::map<ItemId, StoredText> Texts;
+  /// The texts: one for each version that is the oldest in one, as a longer
+  /// text of older versions may not fit where a shorter one does.
+  std::map<ItemId, std::map<int64_t, StoredText>> Texts;
 };
 
+/// @param Text the events of a text.
+/// @return the oldest version that made one of them; -1: there are none.
+int64_t oldestVersion(const std::vector<wire::TextEvent> &Text);
+
 /// @param Text a stored text.
 /// @param MinVersion the oldest version that may have made it.
 /// @param SingleVersion whether one version must make all of it.
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -72,6 +72,23 @@
   }
 }
 
+int64_t EndpointPool::versionOf(const EndpointState &State,
+                                const std::string &Model) {
+  const ModelVersions &Versions =
+      State.Load.has_value() ? State.Load->Versions : State.Record.Versions;
+  const auto Version = Versions.find(Model);
+  return Version == Versions.end() ? 0 : Version->second;
+}
+
+int64_t EndpointPool::newestVersion(std::string_view Service,
+                                    const std::string &Model) const {
+  int64_t Newest = 0;
+  for (const auto &[Id, State] : this->Endpoints)
+    if (State.Record.Service == Service)
+      Newest = std::max(Newest, EndpointPool::versionOf(State, Model));
+  return Newest;
+}
+
 bool EndpointPool::eligible(const EndpointState &State,
                             const EndpointQuery &Query) const {
   const EndpointRecord &Record = State.Record;
@@ -80,10 +97,8 @@
     return false;
   if (Query.Model.empty())
     return true;
-  const ModelVersions &Versions =
-      State.Load.has_value() ? State.Load->Versions : Record.Versions;
-  const auto Version = Versions.find(std::string(Query.Model));
-  if (Version == Versions.end() || Version->second < Query.MinVersion)
+  if (EndpointPool::versionOf(State, std::string(Query.Model)) <
+      std::max<int64_t>(Query.MinVersion, 1))
     return false;
   return !State.Load.has_value() || State.Load->LoadingModel != Query.Model;
 }
@@ -132,8 +147,9 @@
   for (const auto &[Id, State] : this->Endpoints) {
     if (!this->eligible(State, Query))
       continue;
-    if (Query.NeedsSlot && (Now < State.AvoidUntil ||
-                            this->workAt(State, Now) >= State.Record.Slots))
+    if (Query.FreeSlots > 0 &&
+        (Now < State.AvoidUntil ||
+         this->workAt(State, Now) + Query.FreeSlots > State.Record.Slots))
       continue;
     const double Time = this->expectedTime(State, Now);
     if (Best == nullptr || Time < BestTime) {
@@ -206,7 +222,7 @@
   if (Present == nullptr || !EndpointPool::isMeasured(*Present, Now))
     return nullptr;
   Query.Except.insert(Id);
-  Query.NeedsSlot = true;
+  Query.FreeSlots = 1;
   const EndpointState *Other = this->choose(Query, Now);
   const bool Worth = Other != nullptr &&
                      EndpointPool::isMeasured(*Other, Now) &&
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -31,8 +31,8 @@
   int64_t MinVersion = 0;
   /// Endpoints that will not do.
   std::set<EndpointId> Except;
-  /// Whether an endpoint whose slots are all taken will not do.
-  bool NeedsSlot = false;
+  /// Slots that must be free there; 0: it may be full.
+  int64_t FreeSlots = 0;
 };
 
 /// Keeps the endpoints; deterministic, without I/O.
@@ -90,6 +90,12 @@
   const EndpointState *faster(const EndpointId &Id, EndpointQuery Query,
                               Millis Now) const;
 
+  /// @param Service a service.
+  /// @param Model a model.
+  /// @return the newest version that any of its engines has; 0: none.
+  int64_t newestVersion(std::string_view Service,
+                        const std::string &Model) const;
+
   /// Notes that an engine has the version that its answer named.
   /// @param Id the engine.
   /// @param Model the model.
@@ -112,6 +118,11 @@
   int64_t freeSlots(const EndpointQuery &Query, Millis Now) const;
 
 private:
+  /// @param State an engine.
+  /// @param Model a model.
+  /// @return the version that it has; 0: none.
+  static int64_t versionOf(const EndpointState &State,
+                           const std::string &Model);
   /// @param State an endpoint.
   /// @param Query what is wanted.
   /// @return whether it will do, but for its load.
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -115,12 +115,12 @@
   std::set<ItemId> Returned;
   for (const wire::BatchItemField &Item : State->Record.Items) {
     const ItemId Name{Item.Id};
-    const StoredText *Text = this->Leftovers.table().find(Name);
-    if (Text == nullptr)
+    if (!this->Leftovers.table().knows(Name))
       continue;
     Returned.insert(Name);
-    if (!State->Positions.contains(Name) &&
-        fits(*Text, State->Record.MinVersion, Single))
+    const StoredText *Text =
+        this->Leftovers.table().best(Name, State->Record.MinVersion, Single);
+    if (Text != nullptr && !State->Positions.contains(Name))
       this->Items.seed(ItemKey{Id, Name}, *Text);
   }
   if (!this->Items.adopt(*State, Returned))
--- /dev/null
+++ b/packages/gateway/event_stream_base.cpp
@@ -0,0 +1,33 @@
+/// @file
+/// Takes the events of an item's text out of the bytes of an answer.
+
+#include "gateway/event_stream_base.h"
+
+namespace camphornotch {
+
+namespace {
+
+/// What ends an event.
+constexpr std::string_view EventEnd = "\n\n";
+
+} // namespace
+
+bool EventStream::add(std::string_view Part, const Taker &Take) {
+  this->Rest += Part;
+  size_t Start = 0;
+  for (;;) {
+    const size_t End = this->Rest.find(EventEnd, Start);
+    if (End == std::string::npos)
+      break;
+    const std::string_view Text =
+        std::string_view(this->Rest).substr(Start, End - Start);
+    Start = End + EventEnd.size();
+    Result<platform::EngineEvent> Event = platform::decodeEngineEvent(Text);
+    if (!Event.has_value() || !Take(Event.value()))
+      return false;
+  }
+  this->Rest.erase(0, Start);
+  return true;
+}
+
+} // namespace camphornotch
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/batch/fresh_run_func.h"
 
 namespace camphornotch {
 
@@ -14,6 +15,8 @@
 /// Time before the end of a submission within which its caller may not have
 /// read a result: callers read twice a second, from any region.
 constexpr Millis UnreadTime{1'500};
+/// Pause between looks for items that run a second time: five events.
+constexpr Millis FreshInterval{200};
 
 } // namespace
 
@@ -59,8 +62,52 @@
     else if (Under != this->Runs.end())
       Text.Events = Under->second.Events;
     Record.Texts.push_back(std::move(Text));
+    if (std::optional<wire::LeftoverText> Again = this->Fresh.leftover(Key))
+      Record.Texts.push_back(std::move(*Again));
   }
   return Record;
 }
 
+std::vector<ItemKey> ItemTask::likelyLeft(const SubmissionId &Id) const {
+  const SubmissionState *State = this->Tell.Submission(Id);
+  if (State == nullptr)
+    return {};
+  std::set<ItemId> Whole;
+  std::set<ItemId> Returned;
+  for (const wire::BatchItemField &Field : State->Record.Items) {
+    const ItemKey Key{Id, ItemId{Field.Id}};
+    const auto Under = this->Runs.find(Key);
+    const ScheduledItem *Item = this->Scheduler.find(Key);
+    if (Item == nullptr || (Under != this->Runs.end() && Under->second.Whole))
+      Whole.insert(Key.Item);
+    if (Item != nullptr && Item->Returned)
+      Returned.insert(Key.Item);
+  }
+  std::vector<ItemKey> Keys;
+  for (const ItemId &Item : likelyLeftOpen(*State, Whole, Returned))
+    Keys.push_back(ItemKey{Id, Item});
+  return Keys;
+}
+
+void ItemTask::runLeftAgain() {
+  const Millis Now = steadyNow();
+  if (Now - this->FreshLookedAt < FreshInterval)
+    return;
+  this->FreshLookedAt = Now;
+  std::set<SubmissionId> Submissions;
+  for (const auto &[Key, Each] : this->Runs)
+    Submissions.insert(Key.Submission);
+  for (const SubmissionId &Id : Submissions) {
+    for (const ItemKey &Key : this->likelyLeft(Id)) {
+      const ScheduledItem *Item = this->Scheduler.find(Key);
+      const auto Under = this->Runs.find(Key);
+      if (Item == nullptr || Under == this->Runs.end() ||
+          Under->second.Call.Value == 0)
+        continue;
+      this->Fresh.consider(Key, *Item, oldestVersion(Under->second.Events),
+                           *this->Tell.Submission(Id), Under->second.Endpoint);
+    }
+  }
+}
+
 } // namespace camphornotch
--- /dev/null
+++ b/packages/gateway/item_request_func.cpp
@@ -0,0 +1,35 @@
+/// @file
+/// The call that runs an item at an engine.
+
+#include "gateway/item_request_func.h"
+
+#include "platform/engine_func.h"
+
+namespace camphornotch {
+
+namespace {
+
+/// Time for a connection to an engine; the slowest link takes 24 ms.
+constexpr Millis ConnectTimeout{300};
+
+} // namespace
+
+HttpCall itemRequest(const SubmissionState &State,
+                     const wire::BatchItemField &Item, const EndpointRecord &At,
+                     size_t EventsHad) {
+  platform::EngineRequest Request;
+  Request.Where = At.Where;
+  Request.Instance = At.Id;
+  Request.Path = Item.Path;
+  Request.Host = State.Record.Host;
+  for (const wire::HeaderField &Header : Item.Headers)
+    Request.Headers.push_back(HttpHeader{Header.Name, Header.Value});
+  Request.Body = Item.Body;
+  Request.RequestId = Item.Id;
+  Request.EventsHad = static_cast<int64_t>(EventsHad);
+  HttpCall Call = platform::encodeEngineRequest(Request);
+  Call.ConnectTimeout = ConnectTimeout;
+  return Call;
+}
+
+} // namespace camphornotch
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/item_request_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,8 +16,6 @@
 
 namespace {
 
-/// Time for a connection to an engine; the slowest link takes 24 ms.
-constexpr Millis ConnectTimeout{300};
 /// Pause between looks at all runs.
 constexpr Millis LookInterval{50};
 /// Silence after which a run goes on elsewhere: events come each 40 ms, at
@@ -28,8 +27,6 @@
 constexpr size_t MoveAfterEvents = 3;
 /// Events that are noted as progress at once.
 constexpr size_t SaveEvents = 20;
-/// What ends an event.
-constexpr std::string_view EventEnd = "\n\n";
 
 constexpr int StatusOk = 200;
 constexpr int StatusServerError = 500;
@@ -40,7 +37,7 @@
 ItemTask::ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
                    ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell)
     : Events(Events), Http(Http), Pool(Pool), Forward(Forward), Counts(Counts),
-      Tell(std::move(Tell)), Draws(std::random_device{}()) {
+      Tell(std::move(Tell)), Fresh(Http, Pool), Draws(std::random_device{}()) {
   this->look();
 }
 
@@ -81,9 +78,11 @@
       Keys.push_back(Key);
   for (const ItemKey &Key : Keys)
     this->forget(Key);
+  this->Fresh.forgetAll(Id);
 }
 
 void ItemTask::listed(const ItemKey &Key) {
+  this->Fresh.stop(Key, "the item is listed");
   this->Scheduler.drop(Key);
   this->forget(Key);
 }
@@ -148,20 +147,9 @@
   Each.Endpoint = Start.Endpoint;
   Each.LastAt = steadyNow();
   Each.HadAtStart = Each.Events.size();
-  Each.Rest.clear();
+  Each.Stream.clear();
   Each.Version = -1;
-  platform::EngineRequest Request;
-  Request.Where = At->Record.Where;
-  Request.Instance = Start.Endpoint;
-  Request.Path = Item->Path;
-  Request.Host = State->Record.Host;
-  for (const wire::HeaderField &Header : Item->Headers)
-    Request.Headers.push_back(HttpHeader{Header.Name, Header.Value});
-  Request.Body = Item->Body;
-  Request.RequestId = Key.Item.Value;
-  Request.EventsHad = static_cast<int64_t>(Each.Events.size());
-  HttpCall Call = platform::encodeEngineRequest(Request);
-  Call.ConnectTimeout = ConnectTimeout;
+  HttpCall Call = itemRequest(*State, *Item, At->Record, Each.Events.size());
   HttpEvents Tell;
   Tell.Head = [this, Key](const HttpResponse &Head) {
     this->onHead(Key, Head);
@@ -210,22 +198,12 @@
   Run *Each = this->find(Key);
   if (Each == nullptr || Each->Head.Status != StatusOk || Each->Call.Value == 0)
     return;
-  Each->Rest += Part;
-  size_t Start = 0;
-  for (;;) {
-    const size_t End = Each->Rest.find(EventEnd, Start);
-    if (End == std::string::npos)
-      break;
-    const std::string_view Text =
-        std::string_view(Each->Rest).substr(Start, End - Start);
-    Start = End + EventEnd.size();
-    if (!this->takeEvent(Key, *Each, Text)) {
-      this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
-                    "an event does not follow the one before");
-      return;
-    }
-  }
-  Each->Rest.erase(0, Start);
+  const bool Good = Each->Stream.add(Part, [&](platform::EngineEvent &Event) {
+    return this->takeEvent(Key, *Each, Event);
+  });
+  if (!Good)
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
+                  "an event does not follow the one before");
 }
 
 bool ItemTask::mixesVersions(const ItemKey &Key, const Run &Each) const {
@@ -234,11 +212,8 @@
          Each.Events.front().Version != Each.Version;
 }
 
-bool ItemTask::takeEvent(const ItemKey &Key, Run &Each, std::string_view Text) {
-  Result<platform::EngineEvent> Read = platform::decodeEngineEvent(Text);
-  if (!Read.has_value())
-    return false;
-  platform::EngineEvent &Event = Read.value();
+bool ItemTask::takeEvent(const ItemKey &Key, Run &Each,
+                         platform::EngineEvent &Event) {
   if (Event.Id != static_cast<int64_t>(Each.Events.size()) + 1)
     return false;
   if (Event.Version >= 0) {
@@ -292,7 +267,7 @@
       this->report(Key, false, "", "the engines failed it too often");
     return;
   }
-  if (!Each->Rest.empty() || Each->Events.empty()) {
+  if (!Each->Stream.atEventEnd() || Each->Events.empty()) {
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
                   "the stream ended within an event");
     return;
@@ -355,6 +330,7 @@
            {"state", Completed ? "completed" : "dead"},
            {"cause", Cause}});
   this->Scheduler.drop(Key);
+  this->Fresh.stop(Key, "the item has its result");
   this->forget(Key);
   this->Tell.Result(Record);
 }
@@ -395,10 +371,13 @@
   for (const ItemKey &Key : Silent)
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Silent,
                   "no event in time");
+  this->Fresh.dropSilent();
   if (!this->Stopped)
     this->moveSlow();
   if (this->Scheduler.waiting() > 0)
     this->wake();
+  else if (!this->Stopped)
+    this->runLeftAgain();
 }
 
 void ItemTask::moveSlow() {
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -8,6 +8,7 @@
 #include "core/batch/leftover_table_base.h"
 #include "core/batch/partition_fold_base.h"
 #include "gateway/forward_task_base.h"
+#include "gateway/fresh_run_base.h"
 
 #include <functional>
 #include <map>
@@ -94,8 +95,8 @@
     size_t HadAtStart = 0;
     /// The version that makes the next event.
     int64_t Version = -1;
-    /// Bytes of an event that is not whole.
-    std::string Rest;
+    /// What is not taken of its answer yet.
+    EventStream Stream;
     /// What the head of the answer says.
     platform::EngineAnswer Head;
     /// The scoring call.
@@ -125,9 +126,9 @@
   void onChunk(const ItemKey &Key, std::string_view Part);
   /// @param Key the item.
   /// @param Each its run.
-  /// @param Text one event.
+  /// @param Event one event.
   /// @return whether it follows the one before.
-  bool takeEvent(const ItemKey &Key, Run &Each, std::string_view Text);
+  bool takeEvent(const ItemKey &Key, Run &Each, platform::EngineEvent &Event);
   /// @param Key the item.
   /// @param Each its run.
   /// @return whether the next event is of another version than the first, on
@@ -164,6 +165,11 @@
   void look();
   /// Moves runs off engines that are much slower than others.
   void moveSlow();
+  /// Runs items that their submissions will probably leave open a second time.
+  void runLeftAgain();
+  /// @param Id a submission.
+  /// @return those of its items that are likely to be left open.
+  std::vector<ItemKey> likelyLeft(const SubmissionId &Id) const;
   /// Notes a run's new events as progress.
   /// @param Key the item.
   /// @param Each its run.
@@ -196,6 +202,10 @@
   std::map<ItemKey, Run> Runs;
   /// Texts of items with a result, until their submissions end.
   std::map<ItemKey, FinishedText> Finished;
+  /// Second runs of items that will probably be left open.
+  FreshRuns Fresh;
+  /// When second runs were last considered.
+  Millis FreshLookedAt{0};
   /// Whether nothing more starts.
   bool Stopped = false;
   /// Whether a start is planned for the next turn.
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -169,11 +169,11 @@
   Record.Texts = {Text};
   LeftoverTable Table;
   cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
-  const StoredText *Found = Table.find(ItemId{"i"});
-  cr_assert(Found != nullptr);
-  cr_assert(fits(*Found, 4, false));
-  cr_assert(!fits(*Found, 5, false), "an event is too old");
-  cr_assert(!fits(*Found, 4, true), "two versions made it");
+  const ItemId Item{"i"};
+  cr_assert(Table.knows(Item));
+  cr_assert(Table.best(Item, 4, false) != nullptr);
+  cr_assert(Table.best(Item, 5, false) == nullptr, "an event is too old");
+  cr_assert(Table.best(Item, 4, true) == nullptr, "two versions made it");
 }
 
 Test(leftovers, lessText_doesNotReplaceMore) {
@@ -186,9 +186,42 @@
   cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
   Record.Texts[0].Events.resize(1);
   cr_assert(Table.apply(encodeLeftovers(Record), seconds(2)).has_value());
-  cr_assert_eq(Table.find(ItemId{"i"})->Events.size(), 3U);
+  cr_assert_eq(Table.best(ItemId{"i"}, 0, false)->Events.size(), 3U);
   Table.forget(seconds(5));
-  cr_assert(Table.find(ItemId{"i"}) == nullptr);
+  cr_assert(Table.best(ItemId{"i"}, 0, false) == nullptr);
+  cr_assert(!Table.knows(ItemId{"i"}));
+}
+
+Test(leftovers, shorterTextOfNewerVersions_isKeptBesideTheLongerOne) {
+  LeftoverTable Table;
+  wire::LeftoverRecord Record;
+  wire::LeftoverText Long;
+  Long.Item = "i";
+  Long.Events.resize(9);
+  for (wire::TextEvent &Event : Long.Events)
+    Event.Version = 4;
+  wire::LeftoverText Young = Long;
+  Young.Events.resize(3);
+  for (wire::TextEvent &Event : Young.Events)
+    Event.Version = 6;
+  for (const auto &Texts : {std::vector{Long, Young}, std::vector{Long}}) {
+    Record.Texts = Texts;
+    cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
+  }
+  cr_assert_eq(Table.best(ItemId{"i"}, 4, false)->Events.size(), 9U);
+  cr_assert_eq(Table.best(ItemId{"i"}, 5, false)->Events.size(), 3U);
+  cr_assert(Table.best(ItemId{"i"}, 7, false) == nullptr);
+}
+
+Test(leftovers, itemWithoutText_isKnownToComeAgain) {
+  LeftoverTable Table;
+  wire::LeftoverRecord Record;
+  wire::LeftoverText Text;
+  Text.Item = "i";
+  Record.Texts = {Text};
+  cr_assert(Table.apply(encodeLeftovers(Record), seconds(1)).has_value());
+  cr_assert(Table.knows(ItemId{"i"}));
+  cr_assert(Table.best(ItemId{"i"}, 0, false) == nullptr);
 }
 
 Test(leftovers, garbage_isAnError) {
