Add: [Gateway] Baselines that a setting chooses

Cause: what expected times, the order by groups, moves and second runs are worth could not be measured side by side.

Change: the settings endpoint_choice, item_order, move_items and second_runs of the gateway; the choice and the order are variants in core. The typical time of endpoints not measured is taken once a choice, not once an endpoint.

--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -138,6 +138,14 @@
   int64_t RecordBytes = 0;
   /// How long an ended submission can still be read.
   Millis SubmissionLifetime;
+  /// How to choose among endpoints that will do.
+  std::string EndpointChoice;
+  /// Which waiting items start first.
+  std::string ItemOrder;
+  /// Whether items move off engines that are much slower than others.
+  bool MoveItems = true;
+  /// Whether items that will probably be left open run a second time.
+  bool SecondRuns = true;
 };
 
 /// What a loader needs.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -18,11 +18,12 @@
                  Millis CommonSettings::*, int64_t CommonSettings::*,
                  Millis EntrySettings::*, int64_t EntrySettings::*,
                  std::string AgentSettings::*, Address AgentSettings::*,
-                 bool AgentSettings::*, Millis AgentSettings::*,
-                 int64_t AgentSettings::*, std::string GatewaySettings::*,
-                 Address GatewaySettings::*, int64_t GatewaySettings::*,
-                 Millis GatewaySettings::*, std::string LoaderSettings::*,
-                 Address LoaderSettings::*, Millis LoaderSettings::*>;
+                 bool AgentSettings::*, bool GatewaySettings::*,
+                 Millis AgentSettings::*, int64_t AgentSettings::*,
+                 std::string GatewaySettings::*, Address GatewaySettings::*,
+                 int64_t GatewaySettings::*, Millis GatewaySettings::*,
+                 std::string LoaderSettings::*, Address LoaderSettings::*,
+                 Millis LoaderSettings::*>;
 
 /// Default of a setting that must be given.
 inline constexpr std::string_view NoDefault = "<required>";
@@ -185,6 +186,18 @@
                 &GatewaySettings::SubmissionLifetime, "240000", 1000,
                 86400000, "",
                 "How long an ended submission can still be read."},
+    SettingSpec{"gateway", "endpoint_choice",
+                &GatewaySettings::EndpointChoice, "expected_time", 0, 0,
+                "expected_time|least_outstanding|round_robin",
+                "How to choose among endpoints; all but the first are baselines."},
+    SettingSpec{"gateway", "item_order", &GatewaySettings::ItemOrder,
+                "wanted_groups", 0, 0, "wanted_groups|arrival",
+                "Which waiting items start first; the second is a baseline."},
+    SettingSpec{"gateway", "move_items", &GatewaySettings::MoveItems, "yes", 0,
+                0, "", "Whether items move off much slower engines."},
+    SettingSpec{"gateway", "second_runs", &GatewaySettings::SecondRuns, "yes",
+                0, 0, "",
+                "Whether items likely to be left open run a second time."},
 
     SettingSpec{"loader", "store", &LoaderSettings::LoaderStore, NoDefault, 0,
                 0, "", "The platform's store."},
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -7,6 +7,7 @@
 #include "core/gateway/route_func.h"
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 
 namespace camphornotch {
@@ -65,17 +66,33 @@
   return Ranks;
 }
 
+/// What waiting items are compared by; the least goes first.
+using ItemRank = std::tuple<bool, int64_t, int64_t, bool, int64_t, int64_t>;
+
 /// @param Item a waiting item.
-/// @return its place in the order of starts; the least goes first.
-auto rankOf(const ScheduledItem *Item) {
+/// @return its place in the order of starts.
+ItemRank rankOf(const WantedGroupsFirst & /*Order*/,
+                const ScheduledItem &Item) {
   const bool Spare =
-      Item->WantedGroups > 0 && Item->GroupRank >= Item->WantedGroups;
-  return std::tuple(Spare, Item->Priority, Item->Arrival, !Item->Returned,
-                    -Item->LengthHint, Item->GroupRank, Item->Key);
+      Item.WantedGroups > 0 && Item.GroupRank >= Item.WantedGroups;
+  return ItemRank{Spare,          Item.Priority,    Item.Arrival,
+                  !Item.Returned, -Item.LengthHint, Item.GroupRank};
+}
+
+/// @copydoc rankOf
+ItemRank rankOf(const ArrivalOrder & /*Order*/, const ScheduledItem &Item) {
+  return ItemRank{false, 0, Item.Arrival, false, Item.Place, 0};
 }
 
 } // namespace
 
+ItemOrder parseItemOrder(std::string_view Name) {
+  if (Name == "arrival")
+    return ArrivalOrder{};
+  assert(Name == "wanted_groups");
+  return WantedGroupsFirst{};
+}
+
 void ItemScheduler::add(const SubmissionState &State, const Route &By,
                         const std::set<ItemId> &Returned) {
   if (State.Ended)
@@ -84,6 +101,7 @@
   const std::set<std::string> Again = returnedGroups(State, Returned);
   const std::map<std::string, int64_t> Ranks = rankGroups(State, Again);
   const SubmissionId Id{State.Record.Id};
+  int64_t Place = 0;
   for (const wire::BatchItemField &Item : State.Record.Items) {
     const ItemKey Key{Id, ItemId{Item.Id}};
     if (State.Positions.contains(Key.Item) || this->Items.contains(Key))
@@ -96,6 +114,7 @@
     Added.SingleVersion = By.SingleVersion;
     Added.Priority = By.Priority;
     Added.Arrival = Arrival;
+    Added.Place = ++Place;
     Added.Group = Item.Group;
     Added.LengthHint = Item.LengthHint;
     Added.Returned = Again.contains(Item.Group);
@@ -132,15 +151,19 @@
 }
 
 std::vector<StartItem> ItemScheduler::plan(EndpointPool &Pool, Millis Now) {
-  std::vector<ScheduledItem *> Order;
+  std::vector<ScheduledItem *> Waiting;
   for (auto &[Key, Item] : this->Items)
     if (!Item.Running && Item.NotBefore <= Now)
-      Order.push_back(&Item);
-  std::ranges::sort(Order, {}, rankOf);
+      Waiting.push_back(&Item);
+  // Items of one rank keep the order of their keys.
+  std::ranges::stable_sort(Waiting, {}, [this](const ScheduledItem *Item) {
+    return std::visit([Item](const auto &By) { return rankOf(By, *Item); },
+                      this->Order);
+  });
   // Items that want the same are not asked for twice in vain.
   std::set<std::tuple<std::string, std::string, int64_t>> Full;
   std::vector<StartItem> Starts;
-  for (ScheduledItem *Item : Order) {
+  for (ScheduledItem *Item : Waiting) {
     const auto Kind = std::tuple(Item->Service, Item->Model, Item->MinVersion);
     if (Full.contains(Kind))
       continue;
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -23,6 +23,10 @@
 /// without I/O.
 class ItemScheduler {
 public:
+  /// @param Order which waiting items start first.
+  explicit ItemScheduler(ItemOrder Order = WantedGroupsFirst{})
+      : Order(Order) {}
+
   /// Adds the items of a submission that have no result yet.
   /// @param State the submission.
   /// @param By its route.
@@ -39,10 +43,10 @@
   /// @return those that run.
   std::vector<ItemKey> dropAll(const SubmissionId &Id);
 
-  /// Chooses what starts now. Answers the load of whole steps that arrive at
-  /// once: groups that the caller waits for first, older submissions before
-  /// younger ones, groups that come again before others, and then the longest
-  /// items, so that the last to end started first.
+  /// Chooses what starts now. With WantedGroupsFirst it answers the load of
+  /// whole steps that arrive at once: groups that the caller waits for first,
+  /// older submissions before younger ones, groups that come again before
+  /// others, and then the longest items, so that the last to end started first.
   /// @param Pool the endpoints; each start is noted there.
   /// @param Now the time.
   /// @return the items to start, which count as running from now on.
@@ -78,6 +82,8 @@
   static const EndpointState *place(const ScheduledItem &Item,
                                     const EndpointPool &Pool, Millis Now);
 
+  /// Which waiting items start first.
+  ItemOrder Order;
   /// The items.
   std::map<ItemKey, ScheduledItem> Items;
   /// Submissions taken in so far.
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -7,6 +7,8 @@
 #include "core/batch/batch_type.h"
 
 #include <set>
+#include <string_view>
+#include <variant>
 
 namespace camphornotch {
 
@@ -26,6 +28,8 @@
   int64_t Priority = 0;
   /// Order of its submission among those of this process.
   int64_t Arrival = 0;
+  /// Its place in its submission.
+  int64_t Place = 0;
   /// Its group.
   std::string Group;
   /// Expected output in tokens; 0: not said.
@@ -49,6 +53,19 @@
   bool Running = false;
 };
 
+/// Items start in an order that completes the groups that callers wait for.
+struct WantedGroupsFirst {};
+/// Items start in the order of their submissions, each as it was written: a
+/// baseline.
+struct ArrivalOrder {};
+/// Which waiting items start first.
+using ItemOrder = std::variant<WantedGroupsFirst, ArrivalOrder>;
+
+/// @param Name a value of the setting item_order.
+/// @return the order.
+/// @pre the setting was checked.
+ItemOrder parseItemOrder(std::string_view Name);
+
 /// An item is to be sent to an engine.
 struct StartItem {
   /// Which.
--- /dev/null
+++ b/packages/core/gateway/endpoint_choice_func.cpp
@@ -0,0 +1,19 @@
+/// @file
+/// The ways to choose among the endpoints that will do.
+
+#include "core/gateway/endpoint_choice_type.h"
+
+#include <cassert>
+
+namespace camphornotch {
+
+EndpointChoice parseEndpointChoice(std::string_view Name) {
+  if (Name == "least_outstanding")
+    return ByLeastOutstanding{};
+  if (Name == "round_robin")
+    return ByTurn{};
+  assert(Name == "expected_time");
+  return ByExpectedTime{};
+}
+
+} // namespace camphornotch
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-EndpointPool::EndpointPool(Geography Places) : Places(std::move(Places)) {}
+EndpointPool::EndpointPool(Geography Places, EndpointChoice Choice)
+    : Places(std::move(Places)), Choice(Choice) {}
 
 bool EndpointPool::put(EndpointRecord Record) {
   const auto Found = this->Endpoints.find(Record.Id);
@@ -125,13 +126,11 @@
   return Best > 0 ? Best : UnknownTypicalMs;
 }
 
-double EndpointPool::expectedTime(const EndpointState &State,
+double EndpointPool::expectedTime(const EndpointState &State, double Unmeasured,
                                   Millis Now) const {
   const bool Measured = EndpointPool::isMeasured(State, Now);
   const double Trip = RoundTripMs[static_cast<size_t>(State.Near)];
-  const double Own = Measured
-                         ? State.TypicalMs
-                         : this->bestTypical(State.Record.Service, Now) + Trip;
+  const double Own = Measured ? State.TypicalMs : Unmeasured + Trip;
   const auto Slots =
       static_cast<double>(std::max<int64_t>(State.Record.Slots, 1));
   const double Work = static_cast<double>(this->workAt(State, Now)) / Slots;
@@ -140,10 +139,31 @@
   return Now < State.AvoidUntil ? Own * Stretch * AvoidFactor : Own * Stretch;
 }
 
+double EndpointPool::rank(const EndpointState &State, double Unmeasured,
+                          Millis Now) const {
+  struct Visitor {
+    const EndpointPool &Pool;
+    const EndpointState &State;
+    double Unmeasured;
+    Millis Now;
+    double operator()(const ByExpectedTime & /*By*/) const {
+      return this->Pool.expectedTime(this->State, this->Unmeasured, this->Now);
+    }
+    double operator()(const ByLeastOutstanding & /*By*/) const {
+      return static_cast<double>(this->State.Outstanding);
+    }
+    double operator()(const ByTurn & /*By*/) const {
+      return static_cast<double>(this->State.LastTurn);
+    }
+  };
+  return std::visit(Visitor{*this, State, Unmeasured, Now}, this->Choice);
+}
+
 const EndpointState *EndpointPool::choose(const EndpointQuery &Query,
                                           Millis Now) const {
+  const double Unmeasured = this->bestTypical(Query.Service, Now);
   const EndpointState *Best = nullptr;
-  double BestTime = 0;
+  double BestRank = 0;
   for (const auto &[Id, State] : this->Endpoints) {
     if (!this->eligible(State, Query))
       continue;
@@ -151,10 +171,10 @@
         (Now < State.AvoidUntil ||
          this->workAt(State, Now) + Query.FreeSlots > State.Record.Slots))
       continue;
-    const double Time = this->expectedTime(State, Now);
-    if (Best == nullptr || Time < BestTime) {
+    const double Rank = this->rank(State, Unmeasured, Now);
+    if (Best == nullptr || Rank < BestRank) {
       Best = &State;
-      BestTime = Time;
+      BestRank = Rank;
     }
   }
   return Best;
@@ -166,6 +186,7 @@
     return;
   ++Found->second.Outstanding;
   ++Found->second.BegunSince;
+  Found->second.LastTurn = ++this->Turns;
 }
 
 void EndpointPool::ended(const EndpointId &Id, WorkEnd End, Millis Took,
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
 #define CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
 
+#include "core/gateway/endpoint_choice_type.h"
 #include "core/gateway/endpoint_pool_type.h"
 
 #include <functional>
@@ -39,7 +40,9 @@
 class EndpointPool {
 public:
   /// @param Places where everything stands.
-  explicit EndpointPool(Geography Places);
+  /// @param Choice how to choose among endpoints that will do.
+  explicit EndpointPool(Geography Places,
+                        EndpointChoice Choice = ByExpectedTime{});
 
   /// Takes in an endpoint's own words.
   /// @param Record what it registered.
@@ -56,8 +59,8 @@
   /// @param Now the time.
   void loadReported(const Address &Where, const EngineLoad &Load, Millis Now);
 
-  /// Chooses the endpoint with the least expected time: its own typical time,
-  /// stretched by the work already there. Answers the load of many short
+  /// Chooses an endpoint; by expected time it is that of the least typical
+  /// time, stretched by the work already there. Answers the load of many short
   /// requests while some endpoints are slowed, and of many items at once.
   /// @param Query what is wanted.
   /// @param Now the time.
@@ -118,6 +121,11 @@
   int64_t freeSlots(const EndpointQuery &Query, Millis Now) const;
 
 private:
+  /// @param State an endpoint.
+  /// @param Unmeasured the typical time taken for endpoints not measured.
+  /// @param Now the time.
+  /// @return what the endpoints are compared by; the least is chosen.
+  double rank(const EndpointState &State, double Unmeasured, Millis Now) const;
   /// @param State an engine.
   /// @param Model a model.
   /// @return the version that it has; 0: none.
@@ -145,15 +153,21 @@
   /// @param Now the time.
   static void measure(EndpointState &State, Millis Took, Millis Now);
   /// @param State an endpoint.
+  /// @param Unmeasured the typical time taken for endpoints not measured.
   /// @param Now the time.
   /// @return its expected time for one more piece of work.
-  double expectedTime(const EndpointState &State, Millis Now) const;
+  double expectedTime(const EndpointState &State, double Unmeasured,
+                      Millis Now) const;
   /// @param DataCentre a data centre.
   /// @return how far it is.
   Nearness nearnessOf(const std::string &DataCentre) const;
 
   /// Where everything stands.
   Geography Places;
+  /// How to choose among endpoints that will do.
+  EndpointChoice Choice;
+  /// Choices so far.
+  int64_t Turns = 0;
   /// The endpoints.
   std::map<EndpointId, EndpointState> Endpoints;
 };
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -80,6 +80,8 @@
   Millis LoadAt{0};
   /// Work of ours begun since.
   int64_t BegunSince = 0;
+  /// Number of the choice that last fell on it; 0: none did.
+  int64_t LastTurn = 0;
   /// Smoothed time that it takes, in milliseconds: of an answer, or between two
   /// events; 0: not known yet.
   double TypicalMs = 0;
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -77,7 +77,9 @@
                   Record.__set_Progress(Progress);
                   this->note(Record, Id,
                              AppendPolicy{steadyNow() + MemberLifetime});
-                }}) {
+                }},
+            ItemTaskOptions{parseItemOrder(Settings.ItemOrder),
+                            Settings.MoveItems, Settings.SecondRuns}) {
   this->Member.Group = BatchGroup;
   this->Member.Member = Settings.Common.Host;
   this->Member.Topics = {BatchTopic};
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -59,8 +59,9 @@
     : Events(Events), Settings(Settings), Http(Events), StoreHttp(Events),
       Store(Events, StoreHttp,
             HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
-      Pool(Geography{Settings.Common.DataCentre,
-                     parseRegions(Settings.Regions)}),
+      Pool(
+          Geography{Settings.Common.DataCentre, parseRegions(Settings.Regions)},
+          parseEndpointChoice(Settings.EndpointChoice)),
       Peers(
           Events, this->Settings.Common, Store, Values,
           PeerTaskEvents{
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -35,9 +35,11 @@
 } // namespace
 
 ItemTask::ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
-                   ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell)
+                   ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell,
+                   ItemTaskOptions Options)
     : Events(Events), Http(Http), Pool(Pool), Forward(Forward), Counts(Counts),
-      Tell(std::move(Tell)), Fresh(Http, Pool), Draws(std::random_device{}()) {
+      Tell(std::move(Tell)), Options(Options), Scheduler(Options.Order),
+      Fresh(Http, Pool), Draws(std::random_device{}()) {
   this->look();
 }
 
@@ -372,11 +374,11 @@
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Silent,
                   "no event in time");
   this->Fresh.dropSilent();
-  if (!this->Stopped)
+  if (this->Options.MoveItems && !this->Stopped)
     this->moveSlow();
   if (this->Scheduler.waiting() > 0)
     this->wake();
-  else if (!this->Stopped)
+  else if (this->Options.SecondRuns && !this->Stopped)
     this->runLeftAgain();
 }
 
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -28,6 +28,16 @@
   std::function<void(const wire::ItemProgressRecord &)> Progress;
 };
 
+/// What a task does beyond running each item once.
+struct ItemTaskOptions {
+  /// Which waiting items start first.
+  ItemOrder Order = WantedGroupsFirst{};
+  /// Whether items move off engines that are much slower than others.
+  bool MoveItems = true;
+  /// Whether items that will probably be left open run a second time.
+  bool SecondRuns = true;
+};
+
 /// Owns the runs of the items of this process's partitions.
 class ItemTask {
 public:
@@ -37,8 +47,10 @@
   /// @param Forward sends the scoring calls.
   /// @param Counts counts retries.
   /// @param Tell what the task needs.
+  /// @param Options what it does.
   ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
-           ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell);
+           ForwardTask &Forward, Metrics &Counts, ItemTaskEvents Tell,
+           ItemTaskOptions Options);
 
   /// Takes over a submission's items that have no result.
   /// @param State the submission.
@@ -196,6 +208,8 @@
   Metrics &Counts;
   /// What the task needs.
   ItemTaskEvents Tell;
+  /// What it does.
+  ItemTaskOptions Options;
   /// Chooses what runs.
   ItemScheduler Scheduler;
   /// Items under way.
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -104,6 +104,14 @@
   cr_assert(Each.plan() == Expected);
 }
 
+Test(itemScheduler, arrivalOrder_startsItemsAsTheyWereWritten) {
+  SchedulerFixture Each(1, 3);
+  Each.Scheduler = ItemScheduler(parseItemOrder("arrival"));
+  Each.submit("s", {1, 9, 5, 7, 3, 8}, 1);
+  const std::vector<std::string> Expected{"s/i0", "s/i1", "s/i2"};
+  cr_assert(Each.plan() == Expected);
+}
+
 Test(itemScheduler, olderSubmission_goesFirst) {
   SchedulerFixture Each(1, 1);
   Each.submit("old", {1});
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -214,3 +214,42 @@
   cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) == nullptr,
             "sound engines differ by as much");
 }
+
+Test(endpointChoice, byTurn_takesEachEndpointOnce) {
+  EndpointPool Pool{Geography{"dc-a", {}}, parseEndpointChoice("round_robin")};
+  for (const char *Name : {"a", "b", "c"}) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Name};
+    Record.Service = "s";
+    Record.Slots = 8;
+    Pool.put(std::move(Record));
+  }
+  std::set<EndpointId> Chosen;
+  for (int Count = 0; Count < 3; ++Count) {
+    const EndpointState *At = Pool.choose({"s", "", 0, {}, 0}, seconds(1));
+    Chosen.insert(At->Record.Id);
+    Pool.begun(At->Record.Id);
+    Pool.ended(At->Record.Id, WorkEnd::Answered, Millis{5}, seconds(1));
+  }
+  cr_assert_eq(Chosen.size(), 3U);
+}
+
+Test(endpointChoice, byLeastOutstanding_looksAtOwnWorkAlone) {
+  EndpointPool Pool{Geography{"dc-a", {}},
+                    parseEndpointChoice("least_outstanding")};
+  for (const char *Name : {"a", "b"}) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Name};
+    Record.Service = "s";
+    Record.Slots = 8;
+    Pool.put(std::move(Record));
+  }
+  Pool.begun(EndpointId{"a"});
+  Pool.begun(EndpointId{"b"});
+  Pool.begun(EndpointId{"b"});
+  // The one with less work of ours is slower, which is not looked at.
+  Pool.paceSeen(EndpointId{"a"}, Millis{900}, seconds(1));
+  Pool.paceSeen(EndpointId{"b"}, Millis{10}, seconds(1));
+  cr_assert_eq(Pool.choose({"s", "", 0, {}, 0}, seconds(1))->Record.Id.Value,
+               "a");
+}
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -130,6 +130,8 @@
     this->Settings.Partitions = 2;
     this->Settings.RecordBytes = 4096;
     this->Settings.SubmissionLifetime = seconds(60);
+    this->Settings.EndpointChoice = "expected_time";
+    this->Settings.ItemOrder = "wanted_groups";
     this->setRoutes();
     this->setEngine(Engine);
     this->Batches = std::make_unique<BatchTask>(
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -46,6 +46,8 @@
     Settings.Partitions = 2;
     Settings.RecordBytes = 4096;
     Settings.SubmissionLifetime = seconds(60);
+    Settings.EndpointChoice = "expected_time";
+    Settings.ItemOrder = "wanted_groups";
     this->Tested = std::make_unique<Gateway>(this->Events, Settings);
     cr_assert(this->Tested->begin().has_value());
   }
