Change: [Batch] Partitions pass on with the progress of their items

A dead owner's partitions waited 2.5 s.

Change: the progress of such runs is noted at once, the join that releases the partitions follows 60 ms later, members without partitions join each 150 ms, and a silent member is out after 1.8 s.

Conclusion: batch::partitionsDealtAnew* fails without the noting (seen).

--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -18,6 +18,11 @@
 /// Pause between joins: several fit into a member's lifetime, so that one may
 /// be lost; a join counts as a tenth of a call.
 constexpr Millis JoinInterval{500};
+/// The same while nothing is owned: what others release comes soon.
+constexpr Millis JoinIntervalEmpty{150};
+/// Time between the loss of partitions and the join that releases them: the
+/// progress of their runs is appended within it, unless the store is slow.
+constexpr Millis ReleaseDelay{60};
 /// Pause between looks for submissions that may be forgotten.
 constexpr Millis ForgetInterval{5'000};
 /// Pause between looks at appends that are not acknowledged on leaving.
@@ -44,20 +49,24 @@
   if (this->Leaving)
     return;
   this->Store.join(this->Member, [this](const StoreResult<GroupShare> &Share) {
+    bool Lost = false;
     if (Share.has_value() && !this->Leaving)
-      this->takeShare(Share.value());
+      Lost = this->takeShare(Share.value());
     else if (!Share.has_value())
       logLine(LogLevel::Warn, "group not joined",
               {{"cause", Share.error().Cause.Message}});
-    this->Events.callAfter(JoinInterval, [this] { this->join(); });
+    Millis Pause = this->Owned.empty() ? JoinIntervalEmpty : JoinInterval;
+    if (Lost)
+      Pause = ReleaseDelay;
+    this->Events.callAfter(Pause, [this] { this->join(); });
   });
 }
 
-void BatchTask::takeShare(const GroupShare &Share) {
+bool BatchTask::takeShare(const GroupShare &Share) {
   this->Member.Generation = Share.Generation;
   const std::set<PartitionId> Now(Share.Parts.begin(), Share.Parts.end());
   if (Now == this->Owned)
-    return;
+    return false;
   logLine(LogLevel::Info, "partitions dealt out",
           {{"generation", concat(Share.Generation)},
            {"owned", concat(Now.size())},
@@ -69,8 +78,11 @@
       continue;
     this->Adopted.erase(Where);
     this->follower(Where).own(false);
-    for (const auto &[Id, State] : this->follower(Where).fold().all())
+    // The next owner starts once this one has joined again.
+    for (const auto &[Id, State] : this->follower(Where).fold().all()) {
+      this->Items.save(Id);
       this->Items.drop(Id);
+    }
   }
   for (const PartitionId &Where : Now) {
     if (Before.contains(Where))
@@ -79,6 +91,7 @@
     if (this->follower(Where).caughtUp())
       this->adoptAll(Where);
   }
+  return !std::ranges::includes(Now, Before);
 }
 
 void BatchTask::adoptAll(const PartitionId &Where) {
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -20,7 +20,7 @@
 constexpr const char *BatchGroup = "gateways";
 /// Time after which a silent owner loses its partitions; the store's least is
 /// 1 s, and links between regions and a slow store need some of it.
-constexpr Millis MemberLifetime{2'500};
+constexpr Millis MemberLifetime{1'800};
 /// How long a partition is followed after it was asked for: callers come back
 /// twice a second.
 constexpr Millis FollowFor{15'000};
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -137,7 +137,8 @@
   /// Joins the group, or stays in it.
   void join();
   /// @param Share the partitions that this process has now.
-  void takeShare(const GroupShare &Share);
+  /// @return whether it took partitions away.
+  bool takeShare(const GroupShare &Share);
   /// Takes over the submissions of a partition that was read to its end.
   /// @param Where the partition.
   void adoptAll(const PartitionId &Where);
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -357,6 +357,12 @@
     this->save(Key, Each);
 }
 
+void ItemTask::save(const SubmissionId &Id) {
+  for (auto &[Key, Each] : this->Runs)
+    if (Key.Submission == Id)
+      this->save(Key, Each);
+}
+
 void ItemTask::look() {
   this->Events.callAfter(LookInterval, [this] { this->look(); });
   const Millis Now = steadyNow();
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -82,6 +82,10 @@
   /// Notes the events of all runs as progress.
   void saveAll();
 
+  /// Notes the events of a submission's runs as progress.
+  /// @param Id the submission.
+  void save(const SubmissionId &Id);
+
   /// Starts nothing more.
   void stop() { this->Stopped = true; }
 
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -176,8 +176,9 @@
   nlohmann::json Parts = nlohmann::json::array();
   if (Joins) {
     const std::string Topic = Asked.at("topics").at(0);
-    for (const int64_t Part :
-         this->State.join(Member, Millis{Asked.at("ttl_ms")}, steadyNow()))
+    const int64_t Heard = Asked.value("generation", int64_t{0});
+    for (const int64_t Part : this->State.join(
+             Member, Millis{Asked.at("ttl_ms")}, Heard, steadyNow()))
       Parts.push_back({Topic, Part, 0});
   } else {
     this->State.leave(Member);
--- a/standins/store/store_state.cpp
+++ b/standins/store/store_state.cpp
@@ -79,7 +79,8 @@
 }
 
 std::set<int64_t> StandinStoreState::join(const std::string &Member,
-                                          Millis Lifetime, Millis Now) {
+                                          Millis Lifetime, int64_t Heard,
+                                          Millis Now) {
   bool Changed = !this->Members.contains(Member);
   StandinMember &Each = this->Members[Member];
   Each.JoinedAt = Now;
@@ -89,7 +90,19 @@
              }) > 0;
   if (Changed)
     this->deal();
-  return this->Members[Member].Parts;
+  const std::set<int64_t> &Dealt = this->Members[Member].Parts;
+  const bool Knows = Heard >= this->Generation;
+  std::erase_if(this->Holders, [&](const auto &Held) {
+    const bool Lost = !this->Members.contains(Held.second);
+    const bool Released =
+        Held.second == Member && Knows && !Dealt.contains(Held.first);
+    return Lost || Released;
+  });
+  std::set<int64_t> Held;
+  for (const int64_t Part : Dealt)
+    if (this->Holders.try_emplace(Part, Member).first->second == Member)
+      Held.insert(Part);
+  return Held;
 }
 
 void StandinStoreState::leave(const std::string &Member) {
--- a/standins/store/store_state.h
+++ b/standins/store/store_state.h
@@ -78,13 +78,15 @@
   /// @param Part the partition.
   void dropHistory(const std::string &Topic, int64_t Part);
 
-  /// Joins a member, or keeps it in.
+  /// Joins a member, or keeps it in. A partition that is dealt to another
+  /// member passes on once its holder has joined again after it heard so.
   /// @param Member who.
   /// @param Lifetime time after which it is out.
+  /// @param Heard the last generation that it got; 0: none.
   /// @param Now the time.
   /// @return its partitions.
   std::set<int64_t> join(const std::string &Member, Millis Lifetime,
-                         Millis Now);
+                         int64_t Heard, Millis Now);
 
   /// Takes a member out.
   /// @param Member who.
@@ -106,6 +108,8 @@
       Keyed;
   /// The members.
   std::map<std::string, StandinMember> Members;
+  /// Who holds each partition.
+  std::map<int64_t, std::string> Holders;
   /// The group's generation.
   int64_t Generation = 0;
 };
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -160,6 +160,30 @@
   cr_assert_eq(Net.Engine.Runs["s-0"][1], 2, "the second run goes on");
 }
 
+Test(batch, partitionsDealtAnew_theNextOwnerGoesOnAfterTheLastEvent) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  constexpr size_t Submissions = 6;
+  for (size_t Index = 0; Index < Submissions; ++Index)
+    cr_assert_eq(
+        Net.ask(0, GatewayFixture::submission("s" + std::to_string(Index), 1))
+            .Status,
+        202);
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Engine.Held.size() == Submissions; }));
+  Net.pass(Millis{50});
+  Net.add("gateway-1");
+  const auto Again = [&] {
+    return std::ranges::count_if(Net.Engine.Runs, [](const auto &Each) {
+      return Each.second.size() > 1;
+    });
+  };
+  cr_assert(turnUntil(Net.Events, [&] { return Again() > 0; }));
+  for (const auto &[Item, Starts] : Net.Engine.Runs)
+    if (Starts.size() > 1)
+      cr_assert_eq(Starts[1], 2, "an event was lost");
+}
+
 Test(batch, brokenStream_goesOnAfterTheLastWholeEvent) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
