--- /dev/null
+++ b/packages/base/http_status_type.h
@@ -0,0 +1,30 @@
+/// @file
+/// The HTTP statuses that are decided by or given.
+
+#ifndef CAMPHORNOTCH_BASE_HTTP_STATUS_TYPE_H
+#define CAMPHORNOTCH_BASE_HTTP_STATUS_TYPE_H
+
+namespace camphornotch {
+
+inline constexpr int StatusOk = 200;
+inline constexpr int StatusAccepted = 202;
+/// The first status that is no success.
+inline constexpr int StatusFirstFailure = 300;
+inline constexpr int StatusBadRequest = 400;
+inline constexpr int StatusNotFound = 404;
+inline constexpr int StatusConflict = 409;
+inline constexpr int StatusGone = 410;
+inline constexpr int StatusTooLarge = 413;
+inline constexpr int StatusMisdirected = 421;
+inline constexpr int StatusCannotBeDone = 422;
+inline constexpr int StatusTooMany = 429;
+inline constexpr int StatusHeadTooLarge = 431;
+/// Also the first status that blames the server.
+inline constexpr int StatusServerError = 500;
+inline constexpr int StatusBadGateway = 502;
+inline constexpr int StatusUnavailable = 503;
+inline constexpr int StatusGatewayTimeout = 504;
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_BASE_HTTP_STATUS_TYPE_H
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -124,7 +124,13 @@
   }
 }
 
-void ItemScheduler::drop(const ItemKey &Key) { this->Items.erase(Key); }
+void ItemScheduler::drop(const ItemKey &Key) {
+  const auto Found = this->Items.find(Key);
+  if (Found == this->Items.end())
+    return;
+  this->RunningCount -= Found->second.Running ? 1 : 0;
+  this->Items.erase(Found);
+}
 
 std::vector<ItemKey> ItemScheduler::dropAll(const SubmissionId &Id) {
   std::vector<ItemKey> Running;
@@ -135,6 +141,7 @@
       Running.push_back(Each.first);
     return true;
   });
+  this->RunningCount -= Running.size();
   return Running;
 }
 
@@ -173,6 +180,7 @@
       continue;
     }
     Item->Running = true;
+    ++this->RunningCount;
     Starts.push_back(StartItem{Item->Key, Chosen->Record.Id});
     Pool.begun(Starts.back().Endpoint);
   }
@@ -185,6 +193,7 @@
   if (Found == this->Items.end())
     return;
   ScheduledItem &Item = Found->second;
+  this->RunningCount -= Item.Running ? 1 : 0;
   Item.Running = false;
   Item.Except = {At};
   switch (Why) {
@@ -223,12 +232,7 @@
 }
 
 size_t ItemScheduler::waiting() const {
-  return this->Items.size() - this->running();
-}
-
-size_t ItemScheduler::running() const {
-  return static_cast<size_t>(std::ranges::count_if(
-      this->Items, [](const auto &Each) { return Each.second.Running; }));
+  return this->Items.size() - this->RunningCount;
 }
 
 } // namespace camphornotch
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -72,7 +72,7 @@
   size_t waiting() const;
 
   /// @return items running.
-  size_t running() const;
+  size_t running() const { return this->RunningCount; }
 
 private:
   /// @param Item a waiting item.
@@ -86,6 +86,8 @@
   ItemOrder Order;
   /// The items.
   std::map<ItemKey, ScheduledItem> Items;
+  /// How many of them run.
+  size_t RunningCount = 0;
   /// Submissions taken in so far.
   int64_t Arrivals = 0;
 };
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -266,15 +266,6 @@
   return Found == this->Endpoints.end() ? nullptr : &Found->second;
 }
 
-int64_t EndpointPool::freeSlots(const EndpointQuery &Query, Millis Now) const {
-  int64_t Free = 0;
-  for (const auto &[Id, State] : this->Endpoints)
-    if (this->eligible(State, Query) && Now >= State.AvoidUntil)
-      Free +=
-          std::max<int64_t>(State.Record.Slots - this->workAt(State, Now), 0);
-  return Free;
-}
-
 Nearness EndpointPool::nearnessOf(const std::string &DataCentre) const {
   if (DataCentre == this->Places.Here)
     return Nearness::SameDataCentre;
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -115,11 +115,6 @@
     return this->Endpoints;
   }
 
-  /// @param Query what is wanted.
-  /// @param Now the time.
-  /// @return places free for more work, over all endpoints that will do.
-  int64_t freeSlots(const EndpointQuery &Query, Millis Now) const;
-
 private:
   /// @param State an endpoint.
   /// @param Unmeasured the typical time taken for endpoints not measured.
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway/forward_plan_base.h"
 
+#include "base/http_status_type.h"
 #include "core/gateway/route_func.h"
 
 #include <algorithm>
@@ -11,10 +12,6 @@
 
 namespace {
 
-constexpr int StatusUnavailable = 503;
-constexpr int StatusBadGateway = 502;
-constexpr int StatusGatewayTimeout = 504;
-
 /// Pause after every endpoint has refused once: queues move within it.
 constexpr Millis RefusedPause{20};
 /// Part of the objective after which a request that nobody takes is refused,
--- a/packages/daemon/agent_control.cpp
+++ b/packages/daemon/agent_control.cpp
@@ -3,6 +3,8 @@
 
 #include "daemon/agent_endpoint_base.h"
 
+#include "base/http_status_type.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -16,10 +18,6 @@
 constexpr Millis ProbeTimeout{1000};
 /// Time for a cancel.
 constexpr Millis CancelTimeout{1000};
-/// The HTTP status of an order with a stale fencing number.
-constexpr int StatusConflict = 409;
-/// The HTTP status of success.
-constexpr int StatusOk = 200;
 
 /// @param Body an answer.
 /// @return the version that it names; -1 if none.
--- a/packages/daemon/agent_endpoint_base.cpp
+++ b/packages/daemon/agent_endpoint_base.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/agent_endpoint_base.h"
 
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 
 #include <utility>
@@ -19,8 +20,6 @@
 constexpr Millis IntentTimeout = seconds(600);
 /// Largest event of a stream.
 constexpr size_t MaxEventBytes = size_t{4} << 20;
-/// The HTTP status of an answer that is a stream.
-constexpr int StatusOk = 200;
 
 } // namespace
 
--- a/packages/daemon/agent_http.cpp
+++ b/packages/daemon/agent_http.cpp
@@ -3,6 +3,8 @@
 
 #include "daemon/agent_task_base.h"
 
+#include "base/http_status_type.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,11 +12,6 @@
 
 namespace {
 
-/// The HTTP status of an agent that takes no work.
-constexpr int StatusUnavailable = 503;
-/// The HTTP status of a path that there is not.
-constexpr int StatusNotFound = 404;
-
 /// @param Status the status.
 /// @param Body the body.
 /// @param ContentType its type.
--- a/packages/daemon/route_task_base.cpp
+++ b/packages/daemon/route_task_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/clock_func.h"
 #include "base/hash_func.h"
+#include "base/http_status_type.h"
 #include "base/refusal_func.h"
 #include "base/text_func.h"
 
@@ -21,8 +22,6 @@
 constexpr Millis DeadlineSlack{250};
 /// Deadline of calls of our own.
 constexpr Millis OwnCallDeadline = seconds(30);
-/// The status of an answer.
-constexpr int StatusOk = 200;
 /// Most bytes of a stream that wait for a slow caller.
 constexpr size_t MaxUnsentBytes = size_t{8} << 20;
 
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/batch_task_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/store/store_func.h"
@@ -30,13 +31,6 @@
 /// Retry-After where the store does not answer.
 constexpr Millis RetryStore{400};
 
-constexpr int StatusOk = 200;
-constexpr int StatusAccepted = 202;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusGatewayTimeout = 504;
-
 /// @param Exchange a request.
 /// @param Status the status.
 void answerEmpty(const std::shared_ptr<HttpExchange> &Exchange, int Status) {
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/forward_task_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
@@ -21,10 +22,6 @@
 constexpr Millis SilentAfter{800};
 /// What ends an event of a stream.
 constexpr std::string_view EventEnd = "\n\n";
-/// First status that is no success.
-constexpr int FirstFailure = 300;
-/// First status of the endpoints' own failures.
-constexpr int FirstServerFailure = 500;
 
 /// @param Answer a head.
 /// @param Request what was asked.
@@ -38,7 +35,7 @@
     return "the body is encoded";
   if (!Framed)
     return "the end of the body cannot be told";
-  if (Answer.Status < FirstFailure && Answer.Receipt.empty())
+  if (Answer.Status < StatusFirstFailure && Answer.Receipt.empty())
     return "the answer has no receipt";
   return "";
 }
@@ -165,7 +162,7 @@
   Made.Head = platform::decodeEngineAnswer(Response);
   const bool Starts =
       Each->Plan.need().By.Kind == RouteKind::Stream &&
-      Response.Status < FirstFailure &&
+      Response.Status < StatusFirstFailure &&
       faultOf(Made.Head, Each->Request, Response.Framed).empty();
   if (!Starts)
     return;
@@ -237,7 +234,7 @@
   if (Stream)
     Response.Body = Made.Rest;
   const bool MayRetry =
-      Response.Status >= FirstServerFailure && mayRepeat(Each->Plan.need().By);
+      Response.Status >= StatusServerError && mayRepeat(Each->Plan.need().By);
   if (!MayRetry) {
     this->finish(Id, Number, std::move(Response));
     return;
--- a/packages/gateway/fresh_run_base.cpp
+++ b/packages/gateway/fresh_run_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/fresh_run_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/batch/partition_fold_base.h"
@@ -23,7 +24,6 @@
 constexpr size_t MostRuns = 16;
 /// Silence after which a run ends; that of an item's own run.
 constexpr Millis SilentMost{1'200};
-constexpr int StatusOk = 200;
 
 } // namespace
 
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
@@ -35,13 +36,6 @@
 /// Pause between looks for the end.
 constexpr Millis StopLook{50};
 
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusTooLarge = 413;
-constexpr int StatusHeadTooLarge = 431;
-constexpr int StatusBadGateway = 502;
-constexpr int StatusUnavailable = 503;
-
 /// Upper bounds of the request histogram's buckets, in seconds.
 const prometheus::Histogram::BucketBoundaries RequestBounds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -4,6 +4,7 @@
 #include "gateway/item_task_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
@@ -18,9 +19,6 @@
 constexpr Millis ScoringTimeout{2'000};
 /// Pause before a scoring call is sent again.
 constexpr Millis ScoringPause{80};
-constexpr int StatusServerError = 500;
-/// First status that is no success.
-constexpr int FirstFailure = 300;
 
 } // namespace
 
@@ -77,7 +75,7 @@
   if (Each == nullptr)
     return;
   Each->Scoring = ForwardId{};
-  if (Response.Status < FirstFailure) {
+  if (Response.Status < StatusFirstFailure) {
     this->report(Key, true, platform::decodeEngineAnswer(Response).Receipt, "");
     return;
   }
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/item_task_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
@@ -28,10 +29,6 @@
 /// Events that are noted as progress at once.
 constexpr size_t SaveEvents = 20;
 
-constexpr int StatusOk = 200;
-constexpr int StatusServerError = 500;
-constexpr int StatusCannotBeDone = 422;
-
 } // namespace
 
 ItemTask::ItemTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/loader_base.h"
 
 #include "base/clock_func.h"
+#include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/loads/engine_place_func.h"
@@ -23,10 +24,6 @@
 constexpr Millis FenceTimeout{1'000};
 /// Pause before it is tried again.
 constexpr Millis FencePause{200};
-constexpr int StatusOk = 200;
-constexpr int StatusAccepted = 202;
-/// Another engine has the address.
-constexpr int StatusMisdirected = 421;
 
 } // namespace
 
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -152,10 +152,13 @@
   const Address Where = Each.Pool.find(EndpointId{"here"})->Record.Where;
   Each.Pool.loadReported(Where, Load, Each.Now);
   cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
-  cr_assert_eq(Each.Pool.freeSlots({"s", "m", 3, {}, true}, Each.Now), 0);
+  Load.Running = 1;
+  Each.Pool.loadReported(Where, Load, Each.Now);
+  cr_assert(Each.chosen({"s", "m", 3, {}, 1}) == "here");
+  cr_assert(Each.chosen({"s", "m", 3, {}, 2}).empty());
   Load.Running = 0;
   Each.Pool.loadReported(Where, Load, Each.Now);
-  cr_assert(Each.chosen({"s", "m", 3, {}, true}) == "here");
+  cr_assert(Each.chosen({"s", "m", 3, {}, 2}) == "here");
 }
 
 Test(endpointPool, staleReport_isNotUsed) {
--- a/tests/gateway/forward_plan_test.cpp
+++ b/tests/gateway/forward_plan_test.cpp
@@ -115,6 +115,7 @@
 
 Test(forwardPlan, idempotentAndSilent_secondEndpointAfterHalfTheObjective) {
   PlanFixture Each;
+  Each.add("c");
   ForwardPlan Plan(Each.Need);
   const std::string First = Each.send(Plan);
   Each.Now += Millis{50};
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -197,6 +197,16 @@
   cr_assert_eq(Net.Engine.Runs["s-0"].back(), 2);
 }
 
+Test(batch, streamWithoutAnEvent_goesOnAfterTheLastThatFollows) {
+  GatewayFixture Net(1);
+  Net.Engine.LeftOut = 3;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert(Net.Engine.Runs["s-0"] == std::vector<int64_t>({0, 2}));
+}
+
 Test(batch, endedSubmission_startsNothingMoreAndStaysReadable) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace camphornotch {
@@ -54,6 +55,8 @@
   int64_t Version = 3;
   /// Whether streams stop after two events until release().
   bool Hold = false;
+  /// An event that the next stream leaves out; 0: none.
+  int64_t LeftOut = 0;
   /// Status of the answers to scoring calls.
   int ScoreStatus = 200;
   /// Runs by item, with the events that the caller already had.
@@ -104,8 +107,10 @@
   /// @param One a stream.
   /// @param Had events sent.
   void finish(const std::shared_ptr<HttpExchange> &One, int64_t Had) {
+    const int64_t Without = std::exchange(this->LeftOut, 0);
     for (int64_t Event = Had + 1; Event <= this->EventCount; ++Event)
-      FakeEngine::writeEvent(One, Event);
+      if (Event != Without)
+        FakeEngine::writeEvent(One, Event);
     One->finish();
   }
 
@@ -252,18 +257,7 @@
     Call.Target = this->Gateways[At]->target();
     Call.Host = "h";
     Call.Reuse = false;
-    HttpResponse Answer;
-    Answer.Status = 0;
-    bool Over = false;
-    HttpEvents Tell;
-    Tell.Finished = [&](HttpResponse Response) {
-      Answer = std::move(Response);
-      Over = true;
-    };
-    Tell.Failed = [&](const HttpFailure &) { Over = true; };
-    this->Caller.start(std::move(Call), std::move(Tell));
-    turnUntil(this->Events, [&] { return Over; });
-    return Answer;
+    return answerTo(this->Events, this->Caller, std::move(Call));
   }
 
   /// @param Id the submission's id.
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -60,6 +60,19 @@
     }));
   }
 
+  /// Registers an engine as an endpoint and waits until it gets requests.
+  /// @param At the engine.
+  void add(const FakeEngine &At) {
+    const std::string Where = "127.0.0.1:" + std::to_string(At.where().Port);
+    this->Store.put("keyed.servers", "i-1",
+                    R"({"service":"s","zone":"dc","slots":8,"state":"ready",)"
+                    R"("born":1,"address":")" +
+                        Where + R"("})");
+    cr_assert(turnUntil(this->Events, [this] {
+      return this->ask("GET", "/a/x", {}).Status == 200;
+    }));
+  }
+
   /// @param Method the method.
   /// @param Path the path.
   /// @param Body the body.
@@ -76,18 +89,7 @@
     Call.Headers = std::move(Headers);
     Call.Headers.push_back({"X-Camphornotch-Request-Id", "r1"});
     Call.Reuse = false;
-    HttpResponse Answer;
-    Answer.Status = 0;
-    bool Over = false;
-    HttpEvents Tell;
-    Tell.Finished = [&](HttpResponse Response) {
-      Answer = std::move(Response);
-      Over = true;
-    };
-    Tell.Failed = [&](const HttpFailure &) { Over = true; };
-    this->Caller.start(std::move(Call), std::move(Tell));
-    turnUntil(this->Events, [&] { return Over; });
-    return Answer;
+    return answerTo(this->Events, this->Caller, std::move(Call));
   }
 };
 
@@ -149,3 +151,17 @@
   cr_assert_eq(Answer.Status, 503);
   cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
 }
+
+Test(gateway, callerThatLeaves_endsTheCallAtTheEndpoint) {
+  WholeGateway Net;
+  FakeEngine Engine(Net.Events);
+  Net.configure();
+  Net.add(Engine);
+  Engine.Hold = true;
+  PlainSocket Client(Net.Tested->front().Port);
+  Client.send("GET /a/y HTTP/1.1\r\nhost: h\r\n"
+              "x-camphornotch-request-id: r2\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return !Engine.Held.empty(); }));
+  Client.close();
+  cr_assert(turnUntil(Net.Events, [&] { return Engine.Held[0]->gone(); }));
+}
--- a/tests/net/net_fixture.h
+++ b/tests/net/net_fixture.h
@@ -94,6 +94,26 @@
   bool AtEnd = false;
 };
 
+/// Sends a call and waits for its end.
+/// @param Events the loop.
+/// @param Client sends it.
+/// @param Call the call.
+/// @return the answer; status 0 if it failed.
+inline HttpResponse answerTo(Loop &Events, HttpClient &Client, HttpCall Call) {
+  HttpResponse Answer;
+  Answer.Status = 0;
+  bool Over = false;
+  HttpEvents Told;
+  Told.Finished = [&](HttpResponse Response) {
+    Answer = std::move(Response);
+    Over = true;
+  };
+  Told.Failed = [&](const HttpFailure &) { Over = true; };
+  Client.start(std::move(Call), std::move(Told));
+  turnUntil(Events, [&] { return Over; });
+  return Answer;
+}
+
 /// A loop, a server whose handler the test sets, and a client.
 struct HttpFixture {
   /// The loop.
@@ -127,18 +147,7 @@
   /// @return the answer; status 0 if it failed.
   HttpResponse ask(HttpCall Call) {
     Call.Target = this->target();
-    HttpResponse Answer;
-    Answer.Status = 0;
-    bool Over = false;
-    HttpEvents Told;
-    Told.Finished = [&](HttpResponse Response) {
-      Answer = std::move(Response);
-      Over = true;
-    };
-    Told.Failed = [&](const HttpFailure &) { Over = true; };
-    this->Client.start(std::move(Call), std::move(Told));
-    turnUntil(this->Events, [&] { return Over; });
-    return Answer;
+    return answerTo(this->Events, this->Client, std::move(Call));
   }
 };
 
