--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -125,6 +125,23 @@
   cr_assert(decodeEngineReport("").has_error());
 }
 
+Test(orderCall, loadOrder_namesWhoOrdersWhatAfterWhich) {
+  const HttpCall Call =
+      orderCall(Address{"10.0.0.9", 80}, EndpointId{"i-1"},
+                LoadOrder{"m", 5, 7}, OrderIssuer{"loader-1", 3});
+  cr_assert_eq(Call.Path, "/-/order");
+  cr_assert(findHeader(Call.Headers, "x-camphornotch-expected-instance") ==
+            "i-1");
+  const Json Expected = {{"operation", "version"},
+                         {"model", "m"},
+                         {"version", 5},
+                         {"switch_mode", "retain"},
+                         {"holder", "loader-1"},
+                         {"fencing_token", 3},
+                         {"expect", 7}};
+  cr_assert(Json::parse(Call.Body) == Expected);
+}
+
 Test(decodeEngineEvent, versionLine_isTaken) {
   const auto Read = decodeEngineEvent(
       "x-camphornotch-weight-versions: 9\nid: 4\ndata: a\ndata: b");
