Fix: [Tests] A run that stands still is told from one that was ended

The test passed with the mechanism taken out, since a held stream is given up after 1.2 s without an event; such a run begins again, which is looked for now.

--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -223,6 +223,8 @@
   HttpCall Read;
   Read.Path = "/-/lots/s";
   cr_assert_eq(Net.ask(0, Read).Status, 200);
+  // A run that only stood still for too long would begin again.
+  Net.pass(Millis{300});
   cr_assert_eq(Net.Engine.Runs["s-0"].size(), 1U);
 }
 
