Change: [Batch] Quick joins only after a start; one limit of silence

Cause: found on reading the diff. Members beyond the number of partitions, which never own one, would have joined the group each 150 ms for ever: 350 nodes with 12 partitions make 225 calls a second of it.

Change: after 20 joins in a row without a partition the usual pause holds; a silent run is given up after 1.2 s everywhere.

--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -18,8 +18,12 @@
 /// Pause between joins: several fit into a member's lifetime, so that one may
 /// be lost; a join counts as a tenth of a call.
 constexpr Millis JoinInterval{500};
-/// The same while nothing is owned: what others release comes soon.
+/// The same after a start, while nothing is owned: what others release comes
+/// soon.
 constexpr Millis JoinIntervalEmpty{150};
+/// Joins in a row without any partition after which the usual pause holds:
+/// three seconds; members beyond the number of partitions never own one.
+constexpr int MostQuickJoins = 20;
 /// Time between the loss of partitions and the join that releases them: the
 /// progress of their runs is appended within it, unless the store is slow.
 constexpr Millis ReleaseDelay{60};
@@ -55,7 +59,9 @@
     else if (!Share.has_value())
       logLine(LogLevel::Warn, "group not joined",
               {{"cause", Share.error().Cause.Message}});
-    Millis Pause = this->Owned.empty() ? JoinIntervalEmpty : JoinInterval;
+    this->EmptyJoins = this->Owned.empty() ? this->EmptyJoins + 1 : 0;
+    const bool Quick = this->Owned.empty() && this->EmptyJoins < MostQuickJoins;
+    Millis Pause = Quick ? JoinIntervalEmpty : JoinInterval;
     if (Lost)
       Pause = ReleaseDelay;
     this->Events.callAfter(Pause, [this] { this->join(); });
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -183,6 +183,8 @@
   std::map<PartitionId, std::unique_ptr<PartitionFollower>> Followers;
   /// The owned partitions.
   std::set<PartitionId> Owned;
+  /// Joins in a row that gave no partition.
+  int EmptyJoins = 0;
   /// Owned partitions whose submissions were taken over.
   std::set<PartitionId> Adopted;
   /// Owned submissions for which there was no route yet.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -20,10 +20,8 @@
 /// Pause between looks at all runs.
 constexpr Millis LookInterval{50};
 /// Silence after which a run goes on elsewhere: events come each 40 ms, at
-/// slowed engines each 150 ms.
+/// slowed engines each 150 ms, and a load of weights does not hold them up.
 constexpr Millis StallTime{1'200};
-/// The same while the engine loads weights, which holds its runs up.
-constexpr Millis StallTimeLoading{3'000};
 /// Events of a run after which it may move to a faster engine.
 constexpr size_t MoveAfterEvents = 3;
 /// Events that are noted as progress at once.
@@ -367,10 +365,7 @@
   for (const auto &[Key, Each] : this->Runs) {
     if (Each.Call.Value == 0)
       continue;
-    const EndpointState *At = this->Pool.find(Each.Endpoint);
-    const bool Loading = At != nullptr && At->Load.has_value() &&
-                         !At->Load->LoadingModel.empty();
-    if (Now - Each.LastAt > (Loading ? StallTimeLoading : StallTime))
+    if (Now - Each.LastAt > StallTime)
       Silent.push_back(Key);
   }
   for (const ItemKey &Key : Silent)
