Codechange: [Gateway] What the change held twice stands once

Found on reading the whole change, behaviour as before but for the log's cause of an item whose answer is not its own, which now says which of the three it is.

- The check of an answer's id, encoding and framing stood in ForwardTask, ItemTask and FreshRuns: answerFault().
- ItemTask asked the pool for a faster engine once a run, each 50 ms; runs that stand alike (engine, service, model, version) are asked for once.
- HeadWatch searched the buffers of servers that have no limit for heads.
- ScheduledItem::Group was written and never read.
Queries say how many slots must be free in place of true and false, in tests too.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -115,7 +115,6 @@
     Added.Priority = By.Priority;
     Added.Arrival = Arrival;
     Added.Place = ++Place;
-    Added.Group = Item.Group;
     Added.LengthHint = Item.LengthHint;
     Added.Returned = Again.contains(Item.Group);
     Added.GroupRank = Ranks.at(Item.Group);
@@ -149,7 +148,7 @@
                                           const EndpointPool &Pool,
                                           Millis Now) {
   EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion, Item.Except,
-                      true};
+                      1};
   const EndpointState *Chosen = Pool.choose(Query, Now);
   if (Chosen != nullptr || Query.Except.empty())
     return Chosen;
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -30,8 +30,6 @@
   int64_t Arrival = 0;
   /// Its place in its submission.
   int64_t Place = 0;
-  /// Its group.
-  std::string Group;
   /// Expected output in tokens; 0: not said.
   int64_t LengthHint = 0;
   /// Whether its group comes again: an earlier submission left it open.
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -78,8 +78,7 @@
                          (this->MaybeRun && !mayRepeat(this->Need.By));
   if (this->Running.empty() && Exhausted)
     return this->giveUp(Now);
-  EndpointQuery Query{this->Need.Service, this->Need.Model, 0, this->Tried,
-                      false};
+  EndpointQuery Query{this->Need.Service, this->Need.Model, 0, this->Tried, 0};
   const Millis Objective = this->Need.By.Objective;
   const Millis RefuseAt =
       this->Need.Arrived + (Objective > Millis{0}
--- a/packages/gateway/event_stream_base.cpp
+++ b/packages/gateway/event_stream_base.cpp
@@ -5,13 +5,6 @@
 
 namespace camphornotch {
 
-namespace {
-
-/// What ends an event.
-constexpr std::string_view EventEnd = "\n\n";
-
-} // namespace
-
 bool EventStream::add(std::string_view Part, const Taker &Take) {
   this->Rest += Part;
   size_t Start = 0;
--- a/packages/gateway/event_stream_base.h
+++ b/packages/gateway/event_stream_base.h
@@ -12,6 +12,9 @@
 
 namespace camphornotch {
 
+/// What ends an event.
+inline constexpr std::string_view EventEnd = "\n\n";
+
 /// The part of one answer that is not taken yet.
 class EventStream {
 public:
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -8,6 +8,8 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/answer_fault_func.h"
+#include "gateway/event_stream_base.h"
 
 #include <utility>
 
@@ -20,8 +22,6 @@
 /// Time without an answer after which the other idle connections to the
 /// endpoint may be silent, too: several times the sites' longest request.
 constexpr Millis SilentAfter{800};
-/// What ends an event of a stream.
-constexpr std::string_view EventEnd = "\n\n";
 
 /// @param Answer a head.
 /// @param Request what was asked.
@@ -29,12 +29,9 @@
 /// @return what is wrong with it; empty: it answers the request.
 std::string_view faultOf(const platform::EngineAnswer &Answer,
                          const platform::EngineRequest &Request, bool Framed) {
-  if (Answer.RequestId != Request.RequestId)
-    return "the answer is for another request";
-  if (Answer.Encoded)
-    return "the body is encoded";
-  if (!Framed)
-    return "the end of the body cannot be told";
+  const std::string_view Fault = answerFault(Answer, Request.RequestId, Framed);
+  if (!Fault.empty())
+    return Fault;
   if (Answer.Status < StatusFirstFailure && Answer.Receipt.empty())
     return "the answer has no receipt";
   return "";
--- a/packages/gateway/fresh_run_base.cpp
+++ b/packages/gateway/fresh_run_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/batch/partition_fold_base.h"
+#include "gateway/answer_fault_func.h"
 #include "gateway/item_request_func.h"
 
 #include <algorithm>
@@ -70,8 +71,8 @@
 
 void FreshRuns::onHead(const ItemKey &Key, const HttpResponse &Response) {
   const platform::EngineAnswer Head = platform::decodeEngineAnswer(Response);
-  if (Response.Status != StatusOk || Head.RequestId != Key.Item.Value ||
-      Head.Encoded || !Response.Framed) {
+  if (Response.Status != StatusOk ||
+      !answerFault(Head, Key.Item.Value, Response.Framed).empty()) {
     this->stop(Key, concat("status ", Response.Status));
     return;
   }
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -8,9 +8,11 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/answer_fault_func.h"
 #include "gateway/item_request_func.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace camphornotch {
@@ -178,10 +180,10 @@
   const ScheduledItem *Wanted = this->Scheduler.find(Key);
   if (Response.Status != StatusOk || Wanted == nullptr)
     return;
-  if (Each->Head.RequestId != Key.Item.Value || Each->Head.Encoded ||
-      !Response.Framed) {
-    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
-                  "the answer is none to this item");
+  const std::string_view Fault =
+      answerFault(Each->Head, Key.Item.Value, Response.Framed);
+  if (!Fault.empty()) {
+    this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken, Fault);
     return;
   }
   this->Pool.versionSeen(Each->Endpoint, Wanted->Model, Each->Version);
@@ -382,16 +384,25 @@
 
 void ItemTask::moveSlow() {
   const Millis Now = steadyNow();
+  using RunKind =
+      std::tuple<EndpointId, std::string_view, std::string_view, int64_t>;
+  // Runs that stand alike are not asked for twice in vain.
+  std::set<RunKind> Kept;
   for (auto &[Key, Each] : this->Runs) {
     const ScheduledItem *Item = this->Scheduler.find(Key);
     const bool Settled =
         Each.Events.size() >= Each.HadAtStart + MoveAfterEvents;
     if (Each.Call.Value == 0 || Item == nullptr || !Settled)
       continue;
-    const EndpointQuery Query{
-        Item->Service, Item->Model, Item->MinVersion, {}, true};
-    if (this->Pool.faster(Each.Endpoint, Query, Now) == nullptr)
+    const RunKind Kind(Each.Endpoint, Item->Service, Item->Model,
+                       Item->MinVersion);
+    if (Kept.contains(Kind))
+      continue;
+    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion};
+    if (this->Pool.faster(Each.Endpoint, Query, Now) == nullptr) {
+      Kept.insert(Kind);
       continue;
+    }
     this->setBack(Key, ItemSetback::Moved, WorkEnd::Abandoned,
                   "another engine is much faster");
     // One at a time: each fills a slot that the next may not have.
--- a/packages/net/head_watch_base.cpp
+++ b/packages/net/head_watch_base.cpp
@@ -34,6 +34,8 @@
 }
 
 int HeadWatch::look(Millis Now) {
+  if (this->Limit == Millis{0})
+    return 0;
   int Late = 0;
   for (const auto &[Socket, Each] : this->Open) {
     if (!hasPartOfHead(*Socket)) {
@@ -42,7 +44,7 @@
     }
     if (Each->PartSince == Never)
       Each->PartSince = Now;
-    if (this->Limit == Millis{0} || Now - Each->PartSince < this->Limit)
+    if (Now - Each->PartSince < this->Limit)
       continue;
     ++Late;
     // The connection is h2o's: it closes it when it reads the end.
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -36,7 +36,7 @@
 
   /// @param Query what is wanted.
   /// @return the chosen one's id; empty: none.
-  std::string chosen(const EndpointQuery &Query = {"s", "", 0, {}, false}) {
+  std::string chosen(const EndpointQuery &Query = {"s", "", 0, {}, 0}) {
     const EndpointState *State = this->Pool.choose(Query, this->Now);
     return State == nullptr ? "" : State->Record.Id.Value;
   }
@@ -127,8 +127,8 @@
   PoolFixture Each;
   Each.add("old", "dc-a", 3);
   Each.add("new", "dc-c", 4);
-  cr_assert(Each.chosen({"s", "m", 4, {}, false}) == "new");
-  cr_assert(Each.chosen({"s", "m", 5, {}, false}).empty());
+  cr_assert(Each.chosen({"s", "m", 4, {}, 0}) == "new");
+  cr_assert(Each.chosen({"s", "m", 5, {}, 0}).empty());
 }
 
 Test(endpointPool, engineThatLoadsTheModel_isNotEligible) {
@@ -139,8 +139,8 @@
   Load.Versions["m"] = 3;
   Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
                          Each.Now);
-  cr_assert(Each.chosen({"s", "m", 3, {}, false}).empty());
-  cr_assert(!Each.chosen({"s", "", 0, {}, false}).empty());
+  cr_assert(Each.chosen({"s", "m", 3, {}, 0}).empty());
+  cr_assert(!Each.chosen({"s", "", 0, {}, 0}).empty());
 }
 
 Test(endpointPool, othersWork_countsBySlots) {
@@ -151,7 +151,7 @@
   Load.Versions["m"] = 3;
   const Address Where = Each.Pool.find(EndpointId{"here"})->Record.Where;
   Each.Pool.loadReported(Where, Load, Each.Now);
-  cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
+  cr_assert(Each.chosen({"s", "m", 3, {}, 1}).empty());
   Load.Running = 1;
   Each.Pool.loadReported(Where, Load, Each.Now);
   cr_assert(Each.chosen({"s", "m", 3, {}, 1}) == "here");
@@ -170,7 +170,7 @@
   Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
                          Each.Now);
   Each.Now += seconds(5);
-  cr_assert(Each.chosen({"s", "m", 3, {}, true}) == "here");
+  cr_assert(Each.chosen({"s", "m", 3, {}, 1}) == "here");
 }
 
 Test(endpointPool, slowPace_namesAFasterEngineWithAFreeSlot) {
@@ -181,7 +181,7 @@
     Each.Pool.paceSeen(EndpointId{"slow"}, Millis{120}, Each.Now);
     Each.Pool.paceSeen(EndpointId{"fast"}, Millis{40}, Each.Now);
   }
-  const EndpointQuery Query{"s", "m", 3, {}, true};
+  const EndpointQuery Query{"s", "m", 3, {}, 1};
   const EndpointState *Other =
       Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now);
   cr_assert(Other != nullptr);
@@ -199,7 +199,7 @@
   Each.Pool.ended(EndpointId{"stale"}, WorkEnd::Misdirected, Millis{0},
                   Each.Now);
   Each.Now += seconds(1);
-  cr_assert(Each.chosen({"s", "m", 3, {}, true}).empty());
+  cr_assert(Each.chosen({"s", "m", 3, {}, 1}).empty());
 }
 
 Test(endpointPool, engineHalfAsFastAgain_isReasonToMoveALongStream) {
@@ -210,7 +210,7 @@
     Each.Pool.paceSeen(EndpointId{"slow"}, Millis{60}, Each.Now);
     Each.Pool.paceSeen(EndpointId{"fast"}, Millis{40}, Each.Now);
   }
-  const EndpointQuery Query{"s", "m", 3, {}, true};
+  const EndpointQuery Query{"s", "m", 3, {}, 1};
   cr_assert(Each.Pool.faster(EndpointId{"slow"}, Query, Each.Now) != nullptr);
   for (int Times = 0; Times < 20; ++Times)
     Each.Pool.paceSeen(EndpointId{"slow"}, Millis{50}, Each.Now);
