Add: [Gateway] A test of a request that broke three endpoints

Cause: the quarantine was tested at its table alone; a gateway that did not ask the table would have passed.

Change: three endpoints that break their connections, and a whole gateway.

--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -4,7 +4,9 @@
 
 #include "gateway/gateway_base.h"
 #include "gateway_fixture.h"
+#include "tests/net/scripted_server.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace camphornotch;
@@ -60,14 +62,20 @@
     }));
   }
 
+  /// Registers an endpoint.
+  /// @param Id its id.
+  /// @param Port its port.
+  void enter(const std::string &Id, uint16_t Port) {
+    this->Store.put("keyed.servers", Id,
+                    R"({"service":"s","zone":"dc","slots":8,"state":"ready",)"
+                    R"("born":1,"address":"127.0.0.1:)" +
+                        std::to_string(Port) + R"("})");
+  }
+
   /// Registers an engine as an endpoint and waits until it gets requests.
   /// @param At the engine.
   void add(const FakeEngine &At) {
-    const std::string Where = "127.0.0.1:" + std::to_string(At.where().Port);
-    this->Store.put("keyed.servers", "i-1",
-                    R"({"service":"s","zone":"dc","slots":8,"state":"ready",)"
-                    R"("born":1,"address":")" +
-                        Where + R"("})");
+    this->enter("i-1", At.where().Port);
     cr_assert(turnUntil(this->Events, [this] {
       return this->ask("GET", "/a/x", {}).Status == 200;
     }));
@@ -93,6 +101,26 @@
   }
 };
 
+/// An endpoint that breaks the connection at each request.
+struct BreakingEndpoint {
+  /// The loop.
+  Loop &Events;
+  /// Takes the requests.
+  ScriptedServer Server;
+  /// Requests so far.
+  size_t Broken = 0;
+
+  /// @param Events the loop.
+  explicit BreakingEndpoint(Loop &Events) : Events(Events) { this->look(); }
+
+  /// Breaks what arrived, again and again.
+  void look() {
+    while (this->Server.hasRequests(this->Broken, 1))
+      this->Server.reset(this->Broken++);
+    this->Events.callAfter(Millis{2}, [this] { this->look(); });
+  }
+};
+
 } // namespace
 
 Test(gateway, withoutConfiguration_answers503WithRetryAfter) {
@@ -165,3 +193,29 @@
   Client.close();
   cr_assert(turnUntil(Net.Events, [&] { return Engine.Held[0]->gone(); }));
 }
+
+Test(gateway, requestThatBrokeThreeEndpoints_reachesNoMore) {
+  WholeGateway Net;
+  Net.configure();
+  std::vector<std::unique_ptr<BreakingEndpoint>> Endpoints;
+  for (const char *Id : {"i-1", "i-2", "i-3"}) {
+    Endpoints.push_back(std::make_unique<BreakingEndpoint>(Net.Events));
+    Net.enter(Id, Endpoints.back()->Server.target().Port);
+  }
+  const auto Broken = [&Endpoints] {
+    return std::ranges::count_if(
+        Endpoints, [](const auto &Each) { return Each->Broken > 0; });
+  };
+  constexpr int MostAsks = 40;
+  for (int Times = 0; Times < MostAsks && Broken() < 3; ++Times)
+    Net.ask("GET", "/a/poison", {});
+  cr_assert_eq(Broken(), 3);
+  size_t Before = 0;
+  for (const auto &Each : Endpoints)
+    Before += Each->Broken;
+  cr_assert_eq(Net.ask("GET", "/a/poison", {}).Status, 502);
+  size_t After = 0;
+  for (const auto &Each : Endpoints)
+    After += Each->Broken;
+  cr_assert_eq(After, Before);
+}
