--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -165,6 +165,16 @@
   }
 }
 
+Test(forward, answerWithoutLength_isNotPassedOn) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r1\r\n"
+                     "x-camphornotch-response-signature: sig\r\n\r\nok");
+  Net.Server.end(0);
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
 Test(forward, refusalWithoutItsMark_isNotQuoted) {
   ForwardFixture Net(RouteKind::AtMostOnce);
   cr_assert(Net.arrives());
