Add: [Gateway] Log lines and metrics of partitions' reads

A partition that cannot be read left no line and no count, so callers' 503 "partition not read" could not be traced. Metrics: reads open, answered, failed, bytes, seconds. No logic changes.

--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -169,6 +169,8 @@
   platform::StoreClient &Store;
   /// Counts refusals.
   Metrics &Counts;
+  /// Counts reads of partitions.
+  PartitionReadMetrics ReadCounts;
   /// The settings.
   const GatewaySettings &Settings;
   /// The routes in force.
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 
+#include <bit>
 #include <utility>
 
 namespace camphornotch {
@@ -25,8 +26,9 @@
 } // namespace
 
 PartitionFollower::PartitionFollower(Loop &Events, platform::StoreClient &Store,
+                                     PartitionReadMetrics &Counts,
                                      PartitionId Where, ChangeCall Changed)
-    : Events(Events), Store(Store), Where(std::move(Where)),
+    : Events(Events), Store(Store), Counts(Counts), Where(std::move(Where)),
       Changed(std::move(Changed)) {}
 
 bool PartitionFollower::wanted() const {
@@ -39,6 +41,9 @@
     return;
   this->Following = true;
   this->CaughtUp = false;
+  this->FollowsSince = steadyNow();
+  this->BytesRead = 0;
+  this->FailedReads = 0;
   this->readOn();
 }
 
@@ -52,26 +57,63 @@
   return this->Following && this->CaughtUp && Now - this->AnsweredAt < FreshFor;
 }
 
+void PartitionFollower::read(Millis Wait, const StoreReply<ReadPage> &Reply) {
+  this->Counts.begun();
+  this->Store.read(
+      this->Where, this->Next, Wait,
+      [this, Reply, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
+        const Millis Took = steadyNow() - SentAt;
+        this->Counts.ended(Page, Took);
+        if (!Page.has_value())
+          this->noteFailed(Page.error(), Took);
+        Reply(Page);
+      });
+}
+
+void PartitionFollower::noteFailed(const StoreFailure &Failure, Millis Took) {
+  const auto Count = static_cast<uint64_t>(++this->FailedReads);
+  // Fewer and fewer lines: a partition may stay unread for minutes.
+  if (!std::has_single_bit(Count))
+    return;
+  logLine(LogLevel::Warn, "partition not read",
+          {{"partition", concat(this->Where.Part)},
+           {"owned", this->Owned ? "yes" : "no"},
+           {"next", concat(this->Next)},
+           {"failed_reads", concat(Count)},
+           {"took_ms", concat(Took.Count)},
+           {"cause", Failure.Cause.Message}});
+}
+
+void PartitionFollower::noteCaughtUp() {
+  logLine(LogLevel::Info, "partition read to its end",
+          {{"partition", concat(this->Where.Part)},
+           {"owned", this->Owned ? "yes" : "no"},
+           {"next", concat(this->Next)},
+           {"bytes", concat(this->BytesRead)},
+           {"failed_reads", concat(this->FailedReads)},
+           {"took_ms", concat((steadyNow() - this->FollowsSince).Count)}});
+}
+
 void PartitionFollower::readOn() {
   if (!this->wanted()) {
     this->Following = false;
     return;
   }
   const Millis Wait = this->CaughtUp ? ReadWait : Millis{0};
-  this->Store.read(this->Where, this->Next, Wait,
-                   [this](const StoreResult<ReadPage> &Page) {
-                     if (!Page.has_value()) {
-                       this->failed(Page.error());
-                       return;
-                     }
-                     this->take(Page.value());
-                     this->readOn();
-                   });
+  this->read(Wait, [this](const StoreResult<ReadPage> &Page) {
+    if (!Page.has_value()) {
+      this->failed(Page.error());
+      return;
+    }
+    this->take(Page.value());
+    this->readOn();
+  });
 }
 
 void PartitionFollower::take(const ReadPage &Page) {
   const Millis Now = steadyNow();
   this->AnsweredAt = Now;
+  this->BytesRead += recordBytes(Page);
   std::vector<PartitionChange> Changes;
   int64_t Offset = Page.From;
   for (const std::string &Bytes : Page.Records) {
@@ -92,7 +134,10 @@
       Changes.push_back(std::move(Change));
     }
   }
+  const bool WasBehind = !this->CaughtUp;
   this->CaughtUp = this->Next >= Page.End;
+  if (WasBehind && this->CaughtUp)
+    this->noteCaughtUp();
   this->Changed(Changes);
 }
 
@@ -112,18 +157,17 @@
 }
 
 void PartitionFollower::refresh(const std::function<void(bool)> &Done) {
-  this->Store.read(this->Where, this->Next, Millis{0},
-                   [this, Done](const StoreResult<ReadPage> &Page) {
-                     if (!Page.has_value()) {
-                       Done(false);
-                       return;
-                     }
-                     this->take(Page.value());
-                     if (this->Next >= Page.value().End)
-                       Done(true);
-                     else
-                       this->refresh(Done);
-                   });
+  this->read(Millis{0}, [this, Done](const StoreResult<ReadPage> &Page) {
+    if (!Page.has_value()) {
+      Done(false);
+      return;
+    }
+    this->take(Page.value());
+    if (this->Next >= Page.value().End)
+      Done(true);
+    else
+      this->refresh(Done);
+  });
 }
 
 } // namespace camphornotch
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_GATEWAY_PARTITION_FOLLOWER_BASE_H
 
 #include "core/batch/partition_fold_base.h"
+#include "gateway/partition_read_metrics_base.h"
 #include "net/loop_base.h"
 #include "platform/store_client_base.h"
 
@@ -21,10 +22,12 @@
 
   /// @param Events the loop.
   /// @param Store the store.
+  /// @param Counts counts the reads.
   /// @param Where the partition.
   /// @param Changed called after records were folded, also with no change.
   PartitionFollower(Loop &Events, platform::StoreClient &Store,
-                    PartitionId Where, ChangeCall Changed);
+                    PartitionReadMetrics &Counts, PartitionId Where,
+                    ChangeCall Changed);
 
   /// Follows until a time at least.
   /// @param Until the time.
@@ -55,6 +58,16 @@
 private:
   /// Waits for the next records.
   void readOn();
+  /// Reads the next records.
+  /// @param Wait how long the store may wait for one.
+  /// @param Reply gets the records.
+  void read(Millis Wait, const StoreReply<ReadPage> &Reply);
+  /// Notes a read that failed.
+  /// @param Failure why.
+  /// @param Took the time since it was sent.
+  void noteFailed(const StoreFailure &Failure, Millis Took);
+  /// Notes that the end was reached.
+  void noteCaughtUp();
   /// @param Page records.
   void take(const ReadPage &Page);
   /// @param Failure why a read failed.
@@ -66,6 +79,8 @@
   Loop &Events;
   /// The store.
   platform::StoreClient &Store;
+  /// Counts the reads.
+  PartitionReadMetrics &Counts;
   /// The partition.
   PartitionId Where;
   /// Told of changes.
@@ -86,6 +101,12 @@
   bool CaughtUp = false;
   /// When a read was last answered.
   Millis AnsweredAt{0};
+  /// When it began to follow.
+  Millis FollowsSince{0};
+  /// Bytes read since it began to follow.
+  size_t BytesRead = 0;
+  /// Failed reads since it began to follow.
+  int64_t FailedReads = 0;
 };
 
 } // namespace camphornotch
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -136,6 +136,8 @@
     bool Reused = false;
     /// Whether the request was written whole.
     bool Written = false;
+    /// Bytes of the answer so far.
+    size_t Received = 0;
   };
 
   /// A kept connection.
@@ -244,6 +246,7 @@
       return;
     }
     const std::string_view Bytes(Socket->input->bytes, Socket->input->size);
+    Call.Received += Bytes.size();
     const ReadState State = Call.Reader.take(Bytes);
     h2o_buffer_consume(&Socket->input, Socket->input->size);
     Self.progress(Id, State);
@@ -372,7 +375,8 @@
     const Running *Call = this->find(Id);
     if (Call == nullptr)
       return;
-    const HttpFailure Failure{callError(Call->Call, Cause), !Call->Connected};
+    const HttpFailure Failure{callError(Call->Call, Cause), !Call->Connected,
+                              Call->Received};
     const std::unique_ptr<Running> Last = this->take(Id);
     if (Last->Tell.Failed)
       Last->Tell.Failed(Failure);
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -23,6 +23,8 @@
   Error Cause;
   /// Whether the request was surely never sent.
   bool NotSent = false;
+  /// Bytes of the answer that had arrived.
+  size_t Received = 0;
 };
 
 /// What a call tells its caller; Failed or Finished comes last, once.
