--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -119,6 +119,10 @@
     reply(Exchange, 410, nlohmann::json{{"first", Where.First}}.dump());
     return;
   }
+  constexpr int64_t UsualKilobytes = 1'024;
+  Read->MostBytes =
+      static_cast<size_t>(numberOf(Exchange, "max_kilobytes", UsualKilobytes))
+      << 10;
   const int64_t Wait = numberOf(Exchange, "wait_ms", 0);
   if (Where.end() > Read->From || Wait == 0) {
     this->answerRead(*Read);
@@ -138,12 +142,38 @@
     reply(Read.Exchange, 410, nlohmann::json{{"first", Where.First}}.dump());
     return;
   }
-  const std::vector<std::string> Records(
-      Where.Records.begin() + (Read.From - Where.First), Where.Records.end());
-  reply(Read.Exchange, 200,
-        standinNumber(static_cast<uint64_t>(Where.end()), 8) +
-            standinNumber(static_cast<uint64_t>(Where.First), 8) +
-            standinBytes(Records));
+  std::vector<std::string> Records;
+  size_t Bytes = 0;
+  for (auto Next = Where.Records.begin() + (Read.From - Where.First);
+       Next != Where.Records.end(); ++Next) {
+    Bytes += Next->size();
+    if (!Records.empty() && Bytes > Read.MostBytes)
+      break;
+    Records.push_back(*Next);
+  }
+  this->sendInTurn(Read.Exchange,
+                   standinNumber(static_cast<uint64_t>(Where.end()), 8) +
+                       standinNumber(static_cast<uint64_t>(Where.First), 8) +
+                       standinBytes(Records));
+}
+
+void StandinStoreServer::sendInTurn(
+    const std::shared_ptr<HttpExchange> &Exchange, const std::string &Body) {
+  if (this->ReadBytesPerSecond == 0) {
+    reply(Exchange, 200, Body);
+    return;
+  }
+  const Millis Now = steadyNow();
+  const Millis Start = std::max(Now, this->ReadsBusyUntil);
+  if (Start - Now > this->ReadQueueMost) {
+    reply(Exchange, 503, "{}");
+    return;
+  }
+  this->ReadsBusyUntil =
+      Start + Millis{static_cast<int64_t>(Body.size()) * seconds(1).Count /
+                     this->ReadBytesPerSecond};
+  this->Events.callAt(this->ReadsBusyUntil,
+                      [Exchange, Body] { reply(Exchange, 200, Body); });
 }
 
 void StandinStoreServer::wakeReads() {
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -51,6 +51,11 @@
   bool Silent = false;
   /// Whether all calls get 503.
   bool Busy = false;
+  /// Bytes of records that all reads together get in a second; 0: no limit. A
+  /// read that its caller has given up takes its share all the same.
+  int64_t ReadBytesPerSecond = 0;
+  /// Time of queued reads beyond which further ones get 503.
+  Millis ReadQueueMost{2'000};
 
 private:
   /// A read that waits for a record.
@@ -63,6 +68,8 @@
     int64_t Part = 0;
     /// The first offset wanted.
     int64_t From = 0;
+    /// Most bytes of records that are wanted; the first one comes in any case.
+    size_t MostBytes = 0;
     /// Whether it was answered.
     bool Done = false;
   };
@@ -82,6 +89,11 @@
   void wakeReads();
   /// @param Read a read.
   void answerRead(Waiting &Read);
+  /// Sends an answer once the reads before it had their share of bandwidth.
+  /// @param Exchange the read.
+  /// @param Body the answer.
+  void sendInTurn(const std::shared_ptr<HttpExchange> &Exchange,
+                  const std::string &Body);
 
   /// The loop.
   Loop &Events;
@@ -89,6 +101,8 @@
   StandinStoreState State;
   /// Reads that wait.
   std::vector<std::shared_ptr<Waiting>> Reads;
+  /// When the reads before the next one have had their share of bandwidth.
+  Millis ReadsBusyUntil{0};
   /// Calls that are never answered, kept so that their connections stay open.
   std::vector<std::shared_ptr<HttpExchange>> Unanswered;
   /// The server.
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -127,12 +127,13 @@
   /// @param Store where the store listens.
   /// @param Name the host's name.
   /// @param Engine the engine.
+  /// @param Partitions partitions of each topic.
   FakeGateway(Loop &Events, HttpTarget Store, const std::string &Name,
-              const FakeEngine &Engine)
+              const FakeEngine &Engine, int64_t Partitions)
       : Http(Events), Client(Events, Http, std::move(Store)),
         Pool(Geography{"dc", {}}), Forward(Events, Http, Pool, Counts) {
     this->Settings.Common.Host = Name;
-    this->Settings.Partitions = 2;
+    this->Settings.Partitions = Partitions;
     this->Settings.RecordBytes = 4096;
     this->Settings.SubmissionLifetime = seconds(60);
     this->Settings.EndpointChoice = "expected_time";
@@ -224,10 +225,12 @@
 
 /// Two gateways, one engine, one store, and a caller.
 struct GatewayFixture {
+  /// Partitions of each topic.
+  int64_t Partitions;
   /// The loop.
   Loop Events;
   /// The store.
-  standin::StandinStoreServer Store{this->Events, 2};
+  standin::StandinStoreServer Store{this->Events, this->Partitions};
   /// The engine.
   FakeEngine Engine{this->Events};
   /// The gateways.
@@ -236,7 +239,9 @@
   HttpClient Caller{this->Events};
 
   /// @param Count how many gateways.
-  explicit GatewayFixture(int Count = 2) {
+  /// @param Partitions partitions of each topic.
+  explicit GatewayFixture(int Count = 2, int64_t Partitions = 2)
+      : Partitions(Partitions) {
     for (int Index = 0; Index < Count; ++Index)
       this->add("gateway-" + std::to_string(Index));
   }
@@ -244,8 +249,9 @@
   /// Starts a gateway.
   /// @param Name its name.
   void add(const std::string &Name) {
-    this->Gateways.push_back(std::make_unique<FakeGateway>(
-        this->Events, this->Store.target(), Name, this->Engine));
+    this->Gateways.push_back(
+        std::make_unique<FakeGateway>(this->Events, this->Store.target(), Name,
+                                      this->Engine, this->Partitions));
     this->Gateways.back()->Batches->begin();
   }
 
