Fix: [Batch] Histories of partitions are read a few at a time

Cause: congestion collapse at the store's shared read bandwidth. After a loss of power each gateway read each partition that callers named from offset 0: at once, in pages of 1 MB with a fixed 600 ms, each page that came late dropped whole and asked for again after 120 ms, once more through a peer, and once for each caller. 30 gateways with 24 partitions ask for 720 MB at once, the store sends 80 MB/s, and what was given up still takes its turn, so nearly no read ended in time.

Change: reads up to the end of a partition go through a gate: two at once, one of those for partitions that are not owned, owned ones first, one history to its end before the next. The time for an answer follows the answers seen and doubles after a failure, pages shrink, the pause doubles and is spread over processes. Callers that wait for the same partition share one read and wait a second at most. A follower at the end waits at the store as before, and goes back to the gate after a failure.

Why it works: what is asked for at once is now bounded by the number of processes, not by that of processes times partitions times callers, and a read is not given up while the store is only busy.

--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -47,7 +47,8 @@
                      std::function<const RouteTable &()> Routes,
                      std::function<void(const std::string &, int64_t)> Demanded)
     : Events(Parts.Events), Store(Parts.Store), Counts(Parts.Counts),
-      ReadCounts(Parts.Counts), Settings(Settings), Routes(std::move(Routes)),
+      ReadCounts(Parts.Counts), Histories(Parts.Events, Parts.Store),
+      Settings(Settings), Routes(std::move(Routes)),
       Demanded(std::move(Demanded)),
       Appender(Parts.Events, Parts.Store,
                static_cast<size_t>(Settings.RecordBytes)),
@@ -88,8 +89,9 @@
   std::unique_ptr<PartitionFollower> &Each = this->Followers[Where];
   if (Each == nullptr)
     Each = std::make_unique<PartitionFollower>(
-        this->Events, this->Store, this->ReadCounts, Where,
-        [this, Where](const std::vector<PartitionChange> &Changes) {
+        PartitionFollowerParts{this->Events, this->Store, this->Histories,
+                               this->ReadCounts},
+        Where, [this, Where](const std::vector<PartitionChange> &Changes) {
           this->onChanges(Where, Changes);
         });
   return *Each;
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -171,6 +171,8 @@
   Metrics &Counts;
   /// Counts reads of partitions.
   PartitionReadMetrics ReadCounts;
+  /// Sends the reads of histories.
+  HistoryGate Histories;
   /// The settings.
   const GatewaySettings &Settings;
   /// The routes in force.
--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -75,7 +75,8 @@
 }
 
 void KeyedFollower::readOn() {
-  this->Store.read(PartitionId{this->Topic, 0}, this->Next, ReadWait,
+  this->Store.read(PartitionId{this->Topic, 0}, this->Next,
+                   platform::ReadBounds{ReadWait},
                    [this](const StoreResult<ReadPage> &Page) {
                      if (Page.has_value())
                        this->takeRecords(Page.value());
--- a/packages/gateway/leftover_task_base.cpp
+++ b/packages/gateway/leftover_task_base.cpp
@@ -70,7 +70,7 @@
 void LeftoverTask::read(const PartitionId &Where,
                         const std::function<void()> &Done) {
   const int64_t From = this->Readings[Where].Next;
-  this->Store.read(Where, From, Millis{0},
+  this->Store.read(Where, From, platform::ReadBounds{},
                    [this, Where, Done](const StoreResult<ReadPage> &Page) {
                      if (!Page.has_value()) {
                        const StoreFailure &Failure = Page.error();
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -7,7 +7,9 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 
+#include <algorithm>
 #include <bit>
+#include <memory>
 #include <utility>
 
 namespace camphornotch {
@@ -16,20 +18,19 @@
 
 /// Wait of one read for a record; results have to be seen everywhere within a
 /// second of being read anywhere.
-constexpr Millis ReadWait{800};
-/// Pause after a failed read.
-constexpr Millis RetryPause{120};
+constexpr Millis PollWait{800};
 /// Age of the last answer up to which the state counts as fresh: a read's wait
 /// and the slowest answer seen from a slow store.
 constexpr Millis FreshFor{1'300};
+/// Longest wait of a caller for the end of a partition. Callers come back at
+/// other gateways, so they are not kept for long.
+constexpr Millis RefreshMost{1'000};
 
 } // namespace
 
-PartitionFollower::PartitionFollower(Loop &Events, platform::StoreClient &Store,
-                                     PartitionReadMetrics &Counts,
+PartitionFollower::PartitionFollower(const PartitionFollowerParts &Parts,
                                      PartitionId Where, ChangeCall Changed)
-    : Events(Events), Store(Store), Counts(Counts), Where(std::move(Where)),
-      Changed(std::move(Changed)) {}
+    : Parts(Parts), Where(std::move(Where)), Changed(std::move(Changed)) {}
 
 bool PartitionFollower::wanted() const {
   return this->Owned || steadyNow() < this->KeepUntil;
@@ -40,6 +41,7 @@
   if (this->Following)
     return;
   this->Following = true;
+  this->AtEnd = false;
   this->CaughtUp = false;
   this->FollowsSince = steadyNow();
   this->BytesRead = 0;
@@ -49,6 +51,7 @@
 
 void PartitionFollower::own(bool Owned) {
   this->Owned = Owned;
+  this->Parts.Histories.setOwned(this->Where, Owned);
   if (Owned)
     this->keep(steadyNow());
 }
@@ -57,57 +60,105 @@
   return this->Following && this->CaughtUp && Now - this->AnsweredAt < FreshFor;
 }
 
-void PartitionFollower::read(Millis Wait, const StoreReply<ReadPage> &Reply) {
-  this->Counts.begun();
-  this->Store.read(
-      this->Where, this->Next, Wait,
-      [this, Reply, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
-        const Millis Took = steadyNow() - SentAt;
-        this->Counts.ended(Page, Took);
-        if (!Page.has_value())
-          this->noteFailed(Page.error(), Took);
-        Reply(Page);
+void PartitionFollower::readOn() {
+  if (!this->wanted()) {
+    this->Following = false;
+    this->Parts.Histories.done(this->Where);
+    this->tell(this->LastWaiter, false);
+    return;
+  }
+  if (!this->AtEnd) {
+    this->readHistory();
+    return;
+  }
+  this->poll();
+  if (!this->Waiters.empty())
+    this->readNow();
+}
+
+void PartitionFollower::poll() {
+  this->Parts.Counts.begun();
+  this->Parts.Store.read(
+      this->Where, this->Next, platform::ReadBounds{PollWait},
+      [this, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
+        // Callers that wait have a read of their own.
+        constexpr uint64_t Nobody = 0;
+        this->ended(Page, steadyNow() - SentAt, Nobody);
+        this->readOn();
       });
 }
 
-void PartitionFollower::noteFailed(const StoreFailure &Failure, Millis Took) {
-  const auto Count = static_cast<uint64_t>(++this->FailedReads);
-  // Fewer and fewer lines: a partition may stay unread for minutes.
-  if (!std::has_single_bit(Count))
-    return;
-  logLine(LogLevel::Warn, "partition not read",
-          {{"partition", concat(this->Where.Part)},
-           {"owned", this->Owned ? "yes" : "no"},
-           {"next", concat(this->Next)},
-           {"failed_reads", concat(Count)},
-           {"took_ms", concat(Took.Count)},
-           {"cause", Failure.Cause.Message}});
+void PartitionFollower::readHistory() {
+  const auto Last = std::make_shared<uint64_t>(0);
+  this->Parts.Histories.read(
+      this->Where, this->Owned,
+      [this, Last] {
+        this->Parts.Counts.begun();
+        *Last = this->LastWaiter;
+        return this->Next;
+      },
+      [this, Last](const StoreResult<ReadPage> &Page, Millis Took) {
+        this->ended(Page, Took, *Last);
+        this->readOn();
+      });
 }
 
-void PartitionFollower::noteCaughtUp() {
-  logLine(LogLevel::Info, "partition read to its end",
-          {{"partition", concat(this->Where.Part)},
-           {"owned", this->Owned ? "yes" : "no"},
-           {"next", concat(this->Next)},
-           {"bytes", concat(this->BytesRead)},
-           {"failed_reads", concat(this->FailedReads)},
-           {"took_ms", concat((steadyNow() - this->FollowsSince).Count)}});
+void PartitionFollower::refresh(RefreshCall Done) {
+  const uint64_t Number = ++this->LastWaiter;
+  const TimerId Limit =
+      this->Parts.Events.callAfter(RefreshMost, [this, Number] {
+        const auto Found =
+            std::ranges::find(this->Waiters, Number, &Waiter::Number);
+        if (Found == this->Waiters.end())
+          return;
+        const RefreshCall Late = std::move(Found->Done);
+        this->Waiters.erase(Found);
+        Late(false);
+      });
+  this->Waiters.push_back(Waiter{Number, std::move(Done), Limit});
+  if (this->AtEnd)
+    this->readNow();
 }
 
-void PartitionFollower::readOn() {
-  if (!this->wanted()) {
-    this->Following = false;
+void PartitionFollower::readNow() {
+  if (this->ReadingNow)
+    return;
+  this->ReadingNow = true;
+  this->Parts.Counts.begun();
+  this->Parts.Store.read(this->Where, this->Next, platform::ReadBounds{},
+                         [this, Last = this->LastWaiter, SentAt = steadyNow()](
+                             const StoreResult<ReadPage> &Page) {
+                           this->ReadingNow = false;
+                           this->ended(Page, steadyNow() - SentAt, Last);
+                           if (!Page.has_value())
+                             this->tell(Last, false);
+                           if (this->AtEnd && !this->Waiters.empty())
+                             this->readNow();
+                         });
+}
+
+void PartitionFollower::ended(const StoreResult<ReadPage> &Page, Millis Took,
+                              uint64_t Last) {
+  this->Parts.Counts.ended(Page, Took);
+  if (!Page.has_value()) {
+    this->failed(Page.error(), Took);
     return;
   }
-  const Millis Wait = this->CaughtUp ? ReadWait : Millis{0};
-  this->read(Wait, [this](const StoreResult<ReadPage> &Page) {
-    if (!Page.has_value()) {
-      this->failed(Page.error());
-      return;
-    }
-    this->take(Page.value());
-    this->readOn();
-  });
+  this->take(Page.value());
+  if (this->AtEnd)
+    this->tell(Last, true);
+}
+
+void PartitionFollower::tell(uint64_t Last, bool Reached) {
+  std::vector<Waiter> Told;
+  while (!this->Waiters.empty() && this->Waiters.front().Number <= Last) {
+    Told.push_back(std::move(this->Waiters.front()));
+    this->Waiters.erase(this->Waiters.begin());
+  }
+  for (const Waiter &Each : Told) {
+    this->Parts.Events.cancel(Each.Limit);
+    Each.Done(Reached);
+  }
 }
 
 void PartitionFollower::take(const ReadPage &Page) {
@@ -134,40 +185,53 @@
       Changes.push_back(std::move(Change));
     }
   }
-  const bool WasBehind = !this->CaughtUp;
-  this->CaughtUp = this->Next >= Page.End;
-  if (WasBehind && this->CaughtUp)
+  this->AtEnd = this->Next >= Page.End;
+  if (this->AtEnd)
+    this->Parts.Histories.done(this->Where);
+  if (this->AtEnd && !this->CaughtUp)
     this->noteCaughtUp();
+  this->CaughtUp = this->AtEnd;
   this->Changed(Changes);
 }
 
-void PartitionFollower::failed(const StoreFailure &Failure) {
+void PartitionFollower::failed(const StoreFailure &Failure, Millis Took) {
+  this->AtEnd = false;
   if (Failure.Expired && Failure.FirstKept > this->Next) {
-    logLine(LogLevel::Warn,
-            "records of a partition expired before they were "
-            "read",
-            {{"partition", concat(this->Where.Part)},
-             {"next", concat(this->Next)},
-             {"first_kept", concat(Failure.FirstKept)}});
-    this->Next = Failure.FirstKept;
-    this->Fold.skipTo(Failure.FirstKept);
-    this->Joiner = RecordJoiner{};
+    this->skipExpired(Failure);
+    return;
   }
-  this->Events.callAfter(RetryPause, [this] { this->readOn(); });
+  const auto Count = static_cast<uint64_t>(++this->FailedReads);
+  // Fewer and fewer lines: a partition may stay unread for minutes.
+  if (!std::has_single_bit(Count))
+    return;
+  logLine(LogLevel::Warn, "partition not read",
+          {{"partition", concat(this->Where.Part)},
+           {"owned", this->Owned ? "yes" : "no"},
+           {"next", concat(this->Next)},
+           {"failed_reads", concat(Count)},
+           {"took_ms", concat(Took.Count)},
+           {"cause", Failure.Cause.Message}});
 }
 
-void PartitionFollower::refresh(const std::function<void(bool)> &Done) {
-  this->read(Millis{0}, [this, Done](const StoreResult<ReadPage> &Page) {
-    if (!Page.has_value()) {
-      Done(false);
-      return;
-    }
-    this->take(Page.value());
-    if (this->Next >= Page.value().End)
-      Done(true);
-    else
-      this->refresh(Done);
-  });
+void PartitionFollower::skipExpired(const StoreFailure &Failure) {
+  logLine(LogLevel::Warn,
+          "records of a partition expired before they were read",
+          {{"partition", concat(this->Where.Part)},
+           {"next", concat(this->Next)},
+           {"first_kept", concat(Failure.FirstKept)}});
+  this->Next = Failure.FirstKept;
+  this->Fold.skipTo(Failure.FirstKept);
+  this->Joiner = RecordJoiner{};
+}
+
+void PartitionFollower::noteCaughtUp() {
+  logLine(LogLevel::Info, "partition read to its end",
+          {{"partition", concat(this->Where.Part)},
+           {"owned", this->Owned ? "yes" : "no"},
+           {"next", concat(this->Next)},
+           {"bytes", concat(this->BytesRead)},
+           {"failed_reads", concat(this->FailedReads)},
+           {"took_ms", concat((steadyNow() - this->FollowsSince).Count)}});
 }
 
 } // namespace camphornotch
