Fix: [Batch] Leftovers of a route are read once for all submissions

A partition of leftovers that is being read is not read twice, and its reads go through the gate of histories. The test failed before: eight submissions taken over at once need at most 4 reads and made more.

--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -52,7 +52,7 @@
       Demanded(std::move(Demanded)),
       Appender(Parts.Events, Parts.Store,
                static_cast<size_t>(Settings.RecordBytes)),
-      Leftovers(Parts.Events, Parts.Store, Settings.Partitions,
+      Leftovers(Parts.Events, Parts.Store, Histories, Settings.Partitions,
                 static_cast<size_t>(Settings.RecordBytes)),
       Items(Parts.Events, Parts.Http, Parts.Pool, Parts.Forward, Parts.Counts,
             ItemTaskEvents{
--- a/packages/gateway/leftover_task_base.cpp
+++ b/packages/gateway/leftover_task_base.cpp
@@ -28,9 +28,10 @@
 } // namespace
 
 LeftoverTask::LeftoverTask(Loop &Events, platform::StoreClient &Store,
-                           int64_t Partitions, size_t RecordBytes)
-    : Events(Events), Store(Store), Partitions(Partitions),
-      RecordBytes(RecordBytes) {}
+                           HistoryGate &Histories, int64_t Partitions,
+                           size_t RecordBytes)
+    : Events(Events), Store(Store), Histories(Histories),
+      Partitions(Partitions), RecordBytes(RecordBytes) {}
 
 PartitionId LeftoverTask::partitionOf(std::string_view Route) const {
   return partitionFor(LeftoverTopic, Route, this->Partitions);
@@ -67,26 +68,47 @@
   });
 }
 
-void LeftoverTask::read(const PartitionId &Where,
-                        const std::function<void()> &Done) {
-  const int64_t From = this->Readings[Where].Next;
-  this->Store.read(Where, From, platform::ReadBounds{},
-                   [this, Where, Done](const StoreResult<ReadPage> &Page) {
-                     if (!Page.has_value()) {
-                       const StoreFailure &Failure = Page.error();
-                       if (Failure.Expired)
-                         this->Readings[Where] = Reading{Failure.FirstKept, {}};
-                       logLine(LogLevel::Info, "leftovers not read",
-                               {{"cause", Failure.Cause.Message}});
-                       Done();
-                       return;
-                     }
-                     this->take(Where, Page.value());
-                     if (this->Readings[Where].Next < Page.value().End)
-                       this->read(Where, Done);
-                     else
-                       Done();
-                   });
+void LeftoverTask::read(const PartitionId &Where, std::function<void()> Done) {
+  Reading &Each = this->Readings[Where];
+  Each.Waiters.push_back(std::move(Done));
+  if (Each.Running)
+    return;
+  Each.Running = true;
+  this->readPage(Where);
+}
+
+void LeftoverTask::readPage(const PartitionId &Where) {
+  // Items of an owned partition wait for it.
+  constexpr bool Owned = true;
+  this->Histories.read(
+      Where, Owned, [this, Where] { return this->Readings[Where].Next; },
+      [this, Where](const StoreResult<ReadPage> &Page, Millis) {
+        if (!Page.has_value()) {
+          const StoreFailure &Failure = Page.error();
+          Reading &Each = this->Readings[Where];
+          if (Failure.Expired) {
+            Each.Next = Failure.FirstKept;
+            Each.Joiner = RecordJoiner{};
+          }
+          logLine(LogLevel::Info, "leftovers not read",
+                  {{"cause", Failure.Cause.Message}});
+          this->finish(Where);
+          return;
+        }
+        this->take(Where, Page.value());
+        if (this->Readings[Where].Next < Page.value().End)
+          this->readPage(Where);
+        else
+          this->finish(Where);
+      });
+}
+
+void LeftoverTask::finish(const PartitionId &Where) {
+  this->Histories.done(Where);
+  Reading &Each = this->Readings[Where];
+  Each.Running = false;
+  for (const std::function<void()> &Done : std::exchange(Each.Waiters, {}))
+    Done();
 }
 
 void LeftoverTask::take(const PartitionId &Where, const ReadPage &Page) {
--- a/packages/gateway/leftover_task_base.h
+++ b/packages/gateway/leftover_task_base.h
@@ -6,6 +6,7 @@
 
 #include "core/batch/leftover_table_base.h"
 #include "core/batch/partition_fold_base.h"
+#include "gateway/history_gate_base.h"
 #include "net/loop_base.h"
 #include "platform/store_client_base.h"
 
@@ -20,10 +21,11 @@
 public:
   /// @param Events the loop.
   /// @param Store the store.
+  /// @param Histories sends the reads.
   /// @param Partitions how many partitions there are.
   /// @param RecordBytes most bytes of one record.
-  LeftoverTask(Loop &Events, platform::StoreClient &Store, int64_t Partitions,
-               size_t RecordBytes);
+  LeftoverTask(Loop &Events, platform::StoreClient &Store,
+               HistoryGate &Histories, int64_t Partitions, size_t RecordBytes);
 
   /// Writes leftovers. They are worth one try: without them items begin anew.
   /// @param Route names the route.
@@ -48,15 +50,25 @@
     int64_t Next = 0;
     /// Joins long records.
     RecordJoiner Joiner;
+    /// Whether it is being read.
+    bool Running = false;
+    /// Called at the end, or on a failure.
+    std::vector<std::function<void()>> Waiters;
   };
 
   /// @param Route names a route.
   /// @return its partition.
   PartitionId partitionOf(std::string_view Route) const;
-  /// Reads a partition to its end.
+  /// Reads a partition to its end; one that is being read is not read twice.
   /// @param Where the partition.
   /// @param Done called at the end, or on a failure.
-  void read(const PartitionId &Where, const std::function<void()> &Done);
+  void read(const PartitionId &Where, std::function<void()> Done);
+  /// Reads the next page of a partition.
+  /// @param Where the partition.
+  void readPage(const PartitionId &Where);
+  /// Ends the reading of a partition.
+  /// @param Where the partition.
+  void finish(const PartitionId &Where);
   /// @param Where the partition.
   /// @param Page records.
   void take(const PartitionId &Where, const ReadPage &Page);
@@ -65,6 +77,8 @@
   Loop &Events;
   /// The store.
   platform::StoreClient &Store;
+  /// Sends the reads.
+  HistoryGate &Histories;
   /// How many partitions there are.
   int64_t Partitions;
   /// Most bytes of one record.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -111,6 +111,7 @@
   auto Read = std::make_shared<Waiting>();
   Read->Exchange = Exchange;
   Read->Topic = queryParameter(Exchange->request().Query, "topic");
+  ++this->ReadsByTopic[Read->Topic];
   Read->Part = numberOf(Exchange, "part", 0);
   Read->From = numberOf(Exchange, "from", 0);
   const StandinPartition &Where =
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -7,6 +7,7 @@
 #include "net/http_server_base.h"
 #include "standins/store/store_state.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -54,6 +55,8 @@
   /// Bytes of records that all reads together get in a second; 0: no limit. A
   /// read that its caller has given up takes its share all the same.
   int64_t ReadBytesPerSecond = 0;
+  /// How many reads of each topic came.
+  std::map<std::string, int64_t> ReadsByTopic;
   /// Time of queued reads beyond which further ones get 503.
   Millis ReadQueueMost{2'000};
 
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -147,3 +147,37 @@
         Readers, [](const PersistentReader &Each) { return Each.done(); });
   }));
 }
+
+Test(recovery, submissionsTakenOverAtOnce_leftoversOfTheirRouteAreReadOnce) {
+  constexpr size_t Submissions = 8;
+  constexpr int Records = 150;
+  constexpr size_t RecordBytes = 4'000;
+  GatewayFixture Net(0);
+  for (size_t Index = 0; Index < Submissions; ++Index) {
+    wire::BatchItemField Item;
+    Item.Id = "i" + std::to_string(Index);
+    Item.Path = "/roll/x";
+    Item.Group = "g";
+    wire::SubmissionRecord Submission;
+    Submission.Id = "s" + std::to_string(Index);
+    Submission.Host = "h";
+    Submission.Path = "/roll/1";
+    Submission.Model = "m";
+    Submission.Items = {Item};
+    wire::BatchRecord Record;
+    Record.__set_Submission(Submission);
+    Net.Store.state().append(
+        "batch", partitionFor("batch", Submission.Id, Net.Partitions).Part,
+        splitRecord(encodeBatchRecord(Record), RecordBytes), std::nullopt);
+  }
+  const int64_t Part = partitionFor("leftovers", "h/roll", Net.Partitions).Part;
+  const std::string Filler = "l" + std::string(RecordBytes, 'x');
+  for (int Count = 0; Count < Records; ++Count)
+    Net.Store.state().append("leftovers", Part, {Filler}, std::nullopt);
+  Net.Store.ReadBytesPerSecond = LongHistory::ReadBytesPerSecond;
+  Net.add("gateway-0");
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Engine.Runs.size() == Submissions; }));
+  // Two pages, and a look for news for each of the two partitions.
+  cr_assert_leq(Net.Store.ReadsByTopic["leftovers"], 4);
+}
