--- a/tests/batch/history_read_test.cpp
+++ b/tests/batch/history_read_test.cpp
@@ -158,7 +158,7 @@
       Left[Process][part(Part)] = HistoryKilobytes;
     }
   // Twice the time that the bytes take.
-  const Millis End{2 * Processes * Partitions * HistoryKilobytes /
+  const Millis End{int64_t{2} * Processes * Partitions * HistoryKilobytes /
                    KilobytesAMilli};
   for (Millis Now{0}; Now < End; Now += Millis{1}) {
     for (int Process = 0; Process < Processes; ++Process)
