Fix: [Batch] A text whose events are all stored is whole

Callers: an item was never listed though its text was complete, so its group never was; it was started some ten times a second until its submission ended.

Cause: an owner that takes a submission over goes on after the last stored event. If that was the last one, the engine answers 200 without events, and so without a version; onHead took the missing version as an older one than wanted and set the item back, for ever. Progress is stored each 20 events, and 20 is the most common length of a text.

The test failed before: no result in 40 reads.

An answer without a version to a run that goes on is judged by its events: none means that the text is whole, and an event whose version is not known or too old is not taken.

--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -186,6 +186,9 @@
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken, Fault);
     return;
   }
+  // No version: nothing may be left to generate. Events need one.
+  if (Each->Version < 0 && Each->HadAtStart > 0)
+    return;
   this->Pool.versionSeen(Each->Endpoint, Wanted->Model, Each->Version);
   if (Each->Version < Wanted->MinVersion)
     this->setBack(
@@ -202,7 +205,7 @@
   });
   if (!Good)
     this->setBack(Key, ItemSetback::Broken, WorkEnd::Broken,
-                  "an event does not follow the one before");
+                  "an event does not go on with the text");
 }
 
 bool ItemTask::mixesVersions(const ItemKey &Key, const Run &Each) const {
@@ -215,11 +218,15 @@
                          platform::EngineEvent &Event) {
   if (Event.Id != static_cast<int64_t>(Each.Events.size()) + 1)
     return false;
+  const ScheduledItem *Wanted = this->Scheduler.find(Key);
   if (Event.Version >= 0) {
     Each.Version = Event.Version;
-    if (const ScheduledItem *Wanted = this->Scheduler.find(Key))
+    if (Wanted != nullptr)
       this->Pool.versionSeen(Each.Endpoint, Wanted->Model, Each.Version);
   }
+  if (Each.Version < 0 ||
+      (Wanted != nullptr && Each.Version < Wanted->MinVersion))
+    return false;
   if (this->mixesVersions(Key, Each)) {
     Each.Events.clear();
     Each.Saved = 0;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -184,6 +184,26 @@
       cr_assert_eq(Starts[1], 2, "an event was lost");
 }
 
+Test(batch, storedProgressIsTheWholeText_isListedAfterOneMoreRun) {
+  GatewayFixture Net(1);
+  // All events of the text are held back from their end.
+  Net.Engine.EventCount = 2;
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.pass(Millis{50});
+  bool Left = false;
+  Net.Gateways[0]->Batches->handOver([&] { Left = true; });
+  cr_assert(turnUntil(Net.Events, [&] { return Left; }));
+  Net.Engine.Hold = false;
+  Net.add("gateway-1");
+  const platform::Json Read = Net.results(1, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2");
+  cr_assert(Read[0]["versions"] == platform::Json({3}));
+  cr_assert(Net.Engine.Runs["s-0"] == std::vector<int64_t>({0, 2}));
+}
+
 Test(batch, brokenStream_goesOnAfterTheLastWholeEvent) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -82,8 +82,10 @@
     const int64_t Had = Last.empty() ? 0 : std::stoll(Last);
     this->Runs[Id].push_back(Had);
     Head.ContentType = "text/event-stream";
-    Head.Headers.push_back(
-        {"X-Camphornotch-Weight-Versions", std::to_string(this->Version)});
+    // An engine that has no event left to make names no version.
+    if (Had < this->EventCount)
+      Head.Headers.push_back(
+          {"X-Camphornotch-Weight-Versions", std::to_string(this->Version)});
     One->start(Head);
     if (!this->Hold) {
       this->finish(One, Had);
