Fix: [Batch] An owner that cannot read its partition starts no items

Cause: an owner learns of an end by reading its partition. Its reads were refused from 43.7 s on (the collapse of the store's reads), its joins were answered, so it kept the partition and started items of a submission that had ended at 46.6 s: 345 starts after the bound.

While the store answers joins and a partition was not read for 2 s, its items do not start; runs go on. While the store answers neither, ends are not acknowledged and items start as before. The pause of histories ends at 1 s in place of 2, so that an owner reads on soon after the store is back.

--- a/packages/core/batch/history_read_base.h
+++ b/packages/core/batch/history_read_base.h
@@ -29,7 +29,7 @@
   /// Pause after a failed read; doubles with each one in a row.
   Millis FirstPause{120};
   /// Longest pause.
-  Millis MostPause{2'000};
+  Millis MostPause{1'000};
 };
 
 /// One read that may be sent now.
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -26,6 +26,8 @@
 constexpr Millis FailDelay{100};
 /// Wait for an engine to load newer weights.
 constexpr Millis TooOldDelay{60};
+/// Wait of an item whose submission may have ended.
+constexpr Millis HeldDelay{200};
 /// @param State a submission.
 /// @return each group's expected length: that of its longest item.
 std::map<std::string, int64_t> groupLengths(const SubmissionState &State) {
@@ -194,8 +196,12 @@
   ScheduledItem &Item = Found->second;
   this->RunningCount -= Item.Running ? 1 : 0;
   Item.Running = false;
-  Item.Except = {At};
+  if (Why != ItemSetback::Held)
+    Item.Except = {At};
   switch (Why) {
+  case ItemSetback::Held:
+    Item.NotBefore = Now + HeldDelay;
+    return;
   case ItemSetback::NotRun:
     Item.NotBefore = Now + NotRunDelay;
     return;
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -17,6 +17,7 @@
   Failed, ///< The engine answered 500.
   TooOld, ///< The engine had an older version than told.
   Moved,  ///< Another engine is much faster.
+  Held,   ///< It was not sent, since its submission may have ended.
 };
 
 /// Keeps the items of the submissions that this process owns; deterministic,
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -27,6 +27,10 @@
 /// Time between the loss of partitions and the join that releases them: the
 /// progress of their runs is appended within it, unless the store is slow.
 constexpr Millis ReleaseDelay{60};
+/// Time without an answered read of a partition, while the store answers joins,
+/// after which its items do not start: an ended submission's item must not
+/// reach an engine 3 s after the acknowledgement.
+constexpr Millis UnreadMost{2'000};
 /// Pause between looks for submissions that may be forgotten.
 constexpr Millis ForgetInterval{5'000};
 /// Pause between looks at appends that are not acknowledged on leaving.
@@ -54,6 +58,8 @@
     return;
   this->Store.join(this->Member, [this](const StoreResult<GroupShare> &Share) {
     bool Lost = false;
+    if (Share.has_value())
+      this->JoinedAt = steadyNow();
     if (Share.has_value() && !this->Leaving)
       Lost = this->takeShare(Share.value());
     else if (!Share.has_value())
@@ -68,6 +74,21 @@
   });
 }
 
+bool BatchTask::knowsEnd(const SubmissionId &Id) {
+  // While the store answers nobody, no end is acknowledged either.
+  const PartitionId Where = this->partitionOf(Id);
+  const Millis Unread = this->JoinedAt - this->follower(Where).answeredAt();
+  if (Unread < UnreadMost) {
+    this->Held.erase(Where);
+    return true;
+  }
+  if (this->Held.insert(Where).second)
+    logLine(LogLevel::Warn, "items of an unread partition do not start",
+            {{"partition", concat(Where.Part)},
+             {"unread_ms", concat(Unread.Count)}});
+  return false;
+}
+
 bool BatchTask::takeShare(const GroupShare &Share) {
   this->Member.Generation = Share.Generation;
   const std::set<PartitionId> Now(Share.Parts.begin(), Share.Parts.end());
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -59,6 +59,7 @@
                 [this](const SubmissionId &Id) -> const SubmissionState * {
                   return this->follower(this->partitionOf(Id)).fold().find(Id);
                 },
+                [this](const SubmissionId &Id) { return this->knowsEnd(Id); },
                 [this]() -> const RouteTable & { return this->Routes(); },
                 [this](const wire::ItemResultRecord &Result) {
                   wire::BatchRecord Record;
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -134,6 +134,9 @@
   /// @param RetryAfter when to come again.
   void refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
               std::string_view Why, Millis RetryAfter);
+  /// @param Id an owned submission.
+  /// @return whether its end would be known by now.
+  bool knowsEnd(const SubmissionId &Id);
   /// Joins the group, or stays in it.
   void join();
   /// @param Share the partitions that this process has now.
@@ -187,10 +190,14 @@
   std::map<PartitionId, std::unique_ptr<PartitionFollower>> Followers;
   /// The owned partitions.
   std::set<PartitionId> Owned;
+  /// When a join was last answered.
+  Millis JoinedAt{0};
   /// Joins in a row that gave no partition.
   int EmptyJoins = 0;
   /// Owned partitions whose submissions were taken over.
   std::set<PartitionId> Adopted;
+  /// Partitions whose items do not start, since they were not read lately.
+  std::set<PartitionId> Held;
   /// Owned submissions for which there was no route yet.
   std::set<SubmissionId> Unrouted;
   /// Reads that wait.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -126,6 +126,13 @@
     this->Scheduler.drop(Key);
     return;
   }
+  if (!this->Tell.KnowsEnd(Key.Submission)) {
+    this->Pool.ended(Start.Endpoint, WorkEnd::Abandoned, Millis{0},
+                     steadyNow());
+    this->Scheduler.setBack(Key, ItemSetback::Held, Start.Endpoint,
+                            steadyNow());
+    return;
+  }
   Run &Each = this->Runs[Key];
   if (Each.Whole) {
     // An earlier submission left the whole text: only the score is missing.
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -20,6 +20,8 @@
 struct ItemTaskEvents {
   /// @return a submission of an owned partition, or null.
   std::function<const SubmissionState *(const SubmissionId &)> Submission;
+  /// @return whether the end of a submission would be known by now.
+  std::function<bool(const SubmissionId &)> KnowsEnd;
   /// @return the routes in force.
   std::function<const RouteTable &()> Routes;
   /// An item has its result.
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -67,6 +67,9 @@
   /// @return whether the end was reached since it follows.
   bool caughtUp() const { return this->CaughtUp; }
 
+  /// @return when a read was last answered.
+  Millis answeredAt() const { return this->AnsweredAt; }
+
   /// @param Now the time.
   /// @return whether what it knows is as new as a read can tell.
   bool fresh(Millis Now) const;
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -56,7 +56,8 @@
     this->Unanswered.push_back(Exchange);
     return;
   }
-  if (this->Busy) {
+  const bool IsRead = Exchange->request().Path == "/-/log-read";
+  if (this->Busy || (IsRead && this->RefusesReads)) {
     reply(Exchange, 503, "{}");
     return;
   }
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -52,6 +52,8 @@
   bool Silent = false;
   /// Whether all calls get 503.
   bool Busy = false;
+  /// Whether all reads of records get 503.
+  bool RefusesReads = false;
   /// Bytes of records that all reads together get in a second; 0: no limit. A
   /// read that its caller has given up takes its share all the same.
   int64_t ReadBytesPerSecond = 0;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -2,7 +2,9 @@
 /// Batch submissions through real tasks, store calls that are lost or late,
 /// and owners that change.
 
+#include "core/store/store_func.h"
 #include "gateway_fixture.h"
+#include "wire/codec_func.h"
 
 #include <criterion/criterion.h>
 
@@ -248,6 +250,47 @@
   cr_assert_eq(Net.Engine.Runs["s-0"].size(), 1U);
 }
 
+Test(batch, ownerThatCannotReadItsPartition_startsNothing) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.Store.RefusesReads = true;
+  // The read that waits at the store ends; then another gateway appends the
+  // end.
+  Net.pass(seconds(1));
+  wire::BatchRecord Record;
+  wire::SubmissionEndRecord End;
+  End.Submission = "s";
+  Record.__set_End(End);
+  Net.Store.state().append(
+      "batch", partitionFor("batch", "s", Net.Partitions).Part,
+      splitRecord(encodeBatchRecord(Record), 4'000), std::nullopt);
+  Net.pass(seconds(2));
+  const size_t Before = Net.Engine.Runs["s-0"].size();
+  Net.Engine.breakHeld();
+  Net.pass(seconds(2));
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), Before);
+  Net.Store.RefusesReads = false;
+  Net.pass(seconds(3));
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), Before);
+}
+
+Test(batch, ownerThatCouldNotReadItsPartition_goesOnAfterwards) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.Store.RefusesReads = true;
+  Net.pass(seconds(3));
+  Net.Engine.Hold = false;
+  Net.Engine.breakHeld();
+  Net.pass(Millis{500});
+  Net.Store.RefusesReads = false;
+  Net.pass(seconds(2));
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+}
+
 Test(batch, itemBody_isServedAtEveryGateway) {
   GatewayFixture Net;
   Net.Engine.Hold = true;
