Fix: [Batch] Items whose runs broke often wait a second at most

Callers saw an item under which several engines had crashed stay at no engine for seconds, though all was calm and engines had room.

Cause: the scheduler doubled an item's wait with each break in a row up to 20 s, as if the item were what breaks engines. Breaks count on as long as no event arrives, so crashes while prompts are read add up; from the eighth break on the wait is 6.4 s, beyond the 5 s that the platform's rule LOST allows.

Fix: the wait ends at 1 s.

Evidence: both new tests failed on the code before, the first "after 8 breaks". They break an item, or twelve on three engines, up to 30 times in a row and want all started within 5 s of calm.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -17,11 +17,13 @@
 /// Wait before an item that was not run is offered again: an engine's queue
 /// moves within a few events.
 constexpr Millis NotRunDelay{40};
-/// Wait after a break; doubles with each break in a row, since an item may be
-/// what breaks the engines.
+/// Wait after a break; doubles with each break in a row, so that engines that
+/// restart are not asked all the time.
 constexpr Millis BreakDelay{50};
-/// Longest wait after a break.
-constexpr Millis BreakDelayMost{20'000};
+/// Longest wait after a break: an item is never what breaks the engines, and
+/// may be at none for 5 s at most while they have room. Engines that broke are
+/// avoided by themselves.
+constexpr Millis BreakDelayMost{1'000};
 /// Wait after an answer of status 500.
 constexpr Millis FailDelay{100};
 /// Wait for an engine to load newer weights.
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -68,8 +68,35 @@
       Names.push_back(Start.Key.Submission.Value + "/" + Start.Key.Item.Value);
     return Names;
   }
+
+  /// Lets time pass until something starts.
+  /// @param Most the longest time.
+  /// @return what starts; nothing if nothing does in that time.
+  std::vector<StartItem> planWithin(Millis Most) {
+    constexpr Millis Step{10};
+    const Millis Until = this->Now + Most;
+    for (; this->Now < Until; this->Now += Step) {
+      std::vector<StartItem> Starts =
+          this->Scheduler.plan(this->Pool, this->Now);
+      if (!Starts.empty())
+        return Starts;
+    }
+    return {};
+  }
+
+  /// Breaks a run off, as a crash of its engine does.
+  /// @param Run the run.
+  void breakOff(const StartItem &Run) {
+    this->Pool.ended(Run.Endpoint, WorkEnd::Broken, Millis{0}, this->Now);
+    this->Scheduler.setBack(Run.Key, ItemSetback::Broken, Run.Endpoint,
+                            this->Now);
+  }
 };
 
+/// Time that an item may be at no engine while engines have room, by the
+/// platform's rules.
+constexpr Millis CalmWithoutEngine = seconds(5);
+
 } // namespace
 
 Test(itemScheduler, enoughSlots_allStartAtOnce) {
@@ -157,6 +184,40 @@
   }
 }
 
+Test(itemScheduler, itemBrokenManyTimesInARow_startsSoonOnceAllIsCalm) {
+  constexpr int Engines = 3;
+  constexpr int MostBreaks = 30;
+  for (int Breaks = 1; Breaks <= MostBreaks; ++Breaks) {
+    SchedulerFixture Each(Engines, 2);
+    Each.submit("s", {1});
+    for (int Times = 0; Times < Breaks; ++Times) {
+      const auto Broken = Each.planWithin(seconds(60));
+      cr_assert_eq(Broken.size(), 1U);
+      Each.breakOff(Broken[0]);
+    }
+    cr_assert_eq(Each.planWithin(CalmWithoutEngine).size(), 1U,
+                 "after %d breaks", Breaks);
+  }
+}
+
+Test(itemScheduler, itemsBrokenTogetherManyTimes_allStartSoonOnceAllIsCalm) {
+  constexpr int Engines = 3;
+  constexpr size_t Items = 12;
+  constexpr int Breaks = 15;
+  SchedulerFixture Each(Engines, 8);
+  Each.submit("s", std::vector<int64_t>(Items, 1));
+  for (int Times = 0; Times < Breaks; ++Times)
+    for (const StartItem &Run : Each.planWithin(seconds(60)))
+      Each.breakOff(Run);
+  size_t Started = 0;
+  const Millis Calm = Each.Now;
+  while (Each.Now < Calm + CalmWithoutEngine) {
+    const Millis Left = Calm + CalmWithoutEngine - Each.Now;
+    Started += Each.planWithin(Left).size();
+  }
+  cr_assert_eq(Started, Items);
+}
+
 Test(itemScheduler, endedSubmission_leavesNothing) {
   SchedulerFixture Each(1, 1);
   Each.submit("s", {1, 2});
