Fix: [Batch] Scoring calls that end at once are sent again

Callers could see an item whose text an engine had finished stay without a result for good, though its scoring service was back.

Cause: while no endpoint of the scoring service is registered, the call is refused before ForwardTask::start returns. The refusal plans the next call and clears the item's note of a call under way; the name that start() returned was then noted over it, so that the planned call found one "under way" that had ended and was never sent. Nothing else looks at such an item until its partition changes hands.

Fix: the name is noted only while the call is under way.

--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -67,6 +67,10 @@
   /// @param Id the request; one that has ended is ignored.
   void cancel(ForwardId Id);
 
+  /// @param Id a request.
+  /// @return whether it is under way; one can end before start() returns.
+  bool isRunning(ForwardId Id) const { return this->Jobs.contains(Id); }
+
   /// @return requests under way.
   size_t running() const { return this->Jobs.size(); }
 
--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -66,7 +66,8 @@
   Each->Scoring = ForwardId{};
   const ForwardId Id = this->Forward.start(std::move(Job), std::move(Sink));
   // A call that ended at once has changed the run already.
-  if (Run *Still = this->find(Key))
+  Run *Still = this->find(Key);
+  if (Still != nullptr && this->Forward.isRunning(Id))
     Still->Scoring = Id;
 }
 
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -311,6 +311,20 @@
   cr_assert(Read[0]["state"] == "dead");
 }
 
+Test(batch, scoringCallWhileNoEndpointIsThere_isSentOnceThereIsOne) {
+  GatewayFixture Net(1);
+  EndpointPool &Pool = Net.Gateways[0]->Pool;
+  const EndpointRecord Desk = Pool.find(EndpointId{"i-desk"})->Record;
+  Pool.remove(Desk.Id);
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return !Net.Engine.Runs.empty(); }));
+  Net.pass(Millis{300});
+  Pool.put(Desk);
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "completed");
+}
+
 Test(batch, longPoll_isAnsweredByTheResult) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
