Fix: [Batch] Failures of other requests give no item up

Callers could read an item as dead though its engines had answered it with status 500 fewer than `attempts` times.

Cause: an engine may send an extra answer to an earlier request where the next answer is expected. Its request id tells the two apart; the run of an item looked at it for status 200 and 422, but counted each 500 as the item's own.

Fix: only a 500 that bears the item's id counts as a failure; any other sends the item to another engine like a break.

Evidence: the new test answers an item `attempts` times with the 500 of another request and then well; the item was dead on the code before, now it is completed.

--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -265,13 +265,14 @@
                   concat("status ", Response.Status));
     return;
   }
-  if (Response.Status == StatusCannotBeDone &&
-      Each->Head.RequestId == Key.Item.Value) {
+  // An extra answer to an earlier request may come first.
+  const bool Own = Each->Head.RequestId == Key.Item.Value;
+  if (Response.Status == StatusCannotBeDone && Own) {
     this->report(Key, false, "", "the engine says it can never be done");
     return;
   }
   if (Response.Status != StatusOk) {
-    const bool Failed = Response.Status == StatusServerError;
+    const bool Failed = Response.Status == StatusServerError && Own;
     this->setBack(Key, Failed ? ItemSetback::Failed : ItemSetback::Broken,
                   WorkEnd::Answered, concat("status ", Response.Status));
     const ScheduledItem *Item = this->Scheduler.find(Key);
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -311,6 +311,17 @@
   cr_assert(Read[0]["state"] == "dead");
 }
 
+Test(batch, failuresOfOtherRequests_giveNoItemUp) {
+  GatewayFixture Net(1);
+  const auto Attempts =
+      static_cast<int>(Net.Gateways[0]->Routes.Routes[0].Attempts);
+  Net.Engine.ExtraFailures = Attempts;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "completed");
+}
+
 Test(batch, scoringCallWhileNoEndpointIsThere_isSentOnceThereIsOne) {
   GatewayFixture Net(1);
   EndpointPool &Pool = Net.Gateways[0]->Pool;
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -57,6 +57,9 @@
   bool Hold = false;
   /// An event that the next stream leaves out; 0: none.
   int64_t LeftOut = 0;
+  /// Items that are answered by an extra answer of status 500 to another
+  /// request.
+  int ExtraFailures = 0;
   /// Status of the answers to scoring calls.
   int ScoreStatus = 200;
   /// Runs by item, with the events that the caller already had.
@@ -81,6 +84,13 @@
     const std::string Last(findHeader(Request.Headers, "last-event-id"));
     const int64_t Had = Last.empty() ? 0 : std::stoll(Last);
     this->Runs[Id].push_back(Had);
+    if (this->ExtraFailures > 0) {
+      --this->ExtraFailures;
+      Head.Status = 500;
+      Head.Headers[0].Value = "another-request";
+      One->answer(Head);
+      return;
+    }
     Head.ContentType = "text/event-stream";
     // An engine that has no event left to make names no version.
     if (Had < this->EventCount)
