Fix: [Gateway] Words of a lost loader do not keep its engine away

A gateway took what a loader had said of its engine for true without end. Where the last words were that the engine loads a model, or that it has an old version, items of that model were kept off the engine for as long as the loader, or the link to it, was away, whatever the engine itself registered.

Cause: the running and waiting work of a loader's report was left out after 1.5 s, as the test staleReport_isNotUsed wants, but not the model that is being loaded nor the versions.

Fix: beyond that age a load under way no longer counts, and the newer one of the loader's and the registered version does. The answer's head still tells the version that makes a text, so that too old an engine is found out at once.

Evidence: loaderLostDuringALoad_doesNotKeepTheEngineAway and loaderLostBeforeAVersion_theEnginesOwnWordCounts failed on the code before; both wait the 5 s of the platform's rule LOST. loaderLostAfterAVersion_... held before and guards the other way.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -73,39 +73,52 @@
   }
 }
 
+bool EndpointPool::hasFreshLoad(const EndpointState &State, Millis Now) {
+  return State.Load.has_value() && Now - State.LoadAt <= LoadMaxAge;
+}
+
 int64_t EndpointPool::versionOf(const EndpointState &State,
-                                const std::string &Model) {
-  const ModelVersions &Versions =
-      State.Load.has_value() ? State.Load->Versions : State.Record.Versions;
-  const auto Version = Versions.find(Model);
-  return Version == Versions.end() ? 0 : Version->second;
+                                const std::string &Model, Millis Now) {
+  const auto In = [&Model](const ModelVersions &Versions) -> int64_t {
+    const auto Version = Versions.find(Model);
+    return Version == Versions.end() ? 0 : Version->second;
+  };
+  if (!State.Load.has_value())
+    return In(State.Record.Versions);
+  const int64_t Told = In(State.Load->Versions);
+  // The registry lags behind a loader, and goes on where one was lost.
+  return EndpointPool::hasFreshLoad(State, Now)
+             ? Told
+             : std::max(Told, In(State.Record.Versions));
 }
 
 int64_t EndpointPool::newestVersion(std::string_view Service,
-                                    const std::string &Model) const {
+                                    const std::string &Model,
+                                    Millis Now) const {
   int64_t Newest = 0;
   for (const auto &[Id, State] : this->Endpoints)
     if (State.Record.Service == Service)
-      Newest = std::max(Newest, EndpointPool::versionOf(State, Model));
+      Newest = std::max(Newest, EndpointPool::versionOf(State, Model, Now));
   return Newest;
 }
 
 bool EndpointPool::eligible(const EndpointState &State,
-                            const EndpointQuery &Query) const {
+                            const EndpointQuery &Query, Millis Now) {
   const EndpointRecord &Record = State.Record;
   if (Record.Service != Query.Service || Record.Draining ||
       Query.Except.contains(Record.Id))
     return false;
   if (Query.Model.empty())
     return true;
-  if (EndpointPool::versionOf(State, std::string(Query.Model)) <
+  if (EndpointPool::versionOf(State, std::string(Query.Model), Now) <
       std::max<int64_t>(Query.MinVersion, 1))
     return false;
-  return !State.Load.has_value() || State.Load->LoadingModel != Query.Model;
+  return !EndpointPool::hasFreshLoad(State, Now) ||
+         State.Load->LoadingModel != Query.Model;
 }
 
 int64_t EndpointPool::workAt(const EndpointState &State, Millis Now) const {
-  if (!State.Load.has_value() || Now - State.LoadAt > LoadMaxAge)
+  if (!EndpointPool::hasFreshLoad(State, Now))
     return State.Outstanding;
   const int64_t Told =
       State.Load->Running + State.Load->Waiting + State.BegunSince;
@@ -165,7 +178,7 @@
   const EndpointState *Best = nullptr;
   double BestRank = 0;
   for (const auto &[Id, State] : this->Endpoints) {
-    if (!this->eligible(State, Query))
+    if (!EndpointPool::eligible(State, Query, Now))
       continue;
     if (Query.FreeSlots > 0 &&
         (Now < State.AvoidUntil ||
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -95,9 +95,10 @@
 
   /// @param Service a service.
   /// @param Model a model.
+  /// @param Now the time.
   /// @return the newest version that any of its engines has; 0: none.
-  int64_t newestVersion(std::string_view Service,
-                        const std::string &Model) const;
+  int64_t newestVersion(std::string_view Service, const std::string &Model,
+                        Millis Now) const;
 
   /// Notes that an engine has the version that its answer named.
   /// @param Id the engine.
@@ -122,14 +123,21 @@
   /// @return what the endpoints are compared by; the least is chosen.
   double rank(const EndpointState &State, double Unmeasured, Millis Now) const;
   /// @param State an engine.
+  /// @param Now the time.
+  /// @return whether its loader spoke of it lately.
+  static bool hasFreshLoad(const EndpointState &State, Millis Now);
+  /// @param State an engine.
   /// @param Model a model.
+  /// @param Now the time.
   /// @return the version that it has; 0: none.
-  static int64_t versionOf(const EndpointState &State,
-                           const std::string &Model);
+  static int64_t versionOf(const EndpointState &State, const std::string &Model,
+                           Millis Now);
   /// @param State an endpoint.
   /// @param Query what is wanted.
+  /// @param Now the time.
   /// @return whether it will do, but for its load.
-  bool eligible(const EndpointState &State, const EndpointQuery &Query) const;
+  static bool eligible(const EndpointState &State, const EndpointQuery &Query,
+                       Millis Now);
   /// @param State an endpoint.
   /// @param Now the time.
   /// @return work at it, of all gateways as far as known.
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -74,7 +74,7 @@
   Nearness Near = Nearness::SameDataCentre;
   /// Work of ours at it now.
   int64_t Outstanding = 0;
-  /// What its loader said last; absent: nothing, or too long ago.
+  /// What its loader said last; absent: nothing.
   std::optional<EngineLoad> Load;
   /// When that arrived.
   Millis LoadAt{0};
--- a/packages/gateway/fresh_run_base.cpp
+++ b/packages/gateway/fresh_run_base.cpp
@@ -31,7 +31,8 @@
 void FreshRuns::consider(const ItemKey &Key, const ScheduledItem &Item,
                          int64_t Oldest, const SubmissionState &State,
                          const EndpointId &Own) {
-  const int64_t Newest = this->Pool.newestVersion(Item.Service, Item.Model);
+  const int64_t Newest =
+      this->Pool.newestVersion(Item.Service, Item.Model, steadyNow());
   const bool Suspect = Item.Breaks > 0 || Item.Failures > 0;
   if (this->Runs.contains(Key) || Suspect || Oldest < 0 || Oldest >= Newest ||
       this->running() >= MostRuns)
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -173,6 +173,44 @@
   cr_assert(Each.chosen({"s", "m", 3, {}, 1}) == "here");
 }
 
+Test(endpointPool, loaderLostDuringALoad_doesNotKeepTheEngineAway) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.LoadingModel = "m";
+  Load.Versions["m"] = 3;
+  Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
+                         Each.Now);
+  Each.Now += seconds(5);
+  cr_assert(Each.chosen({"s", "m", 3, {}, 1}) == "here");
+}
+
+Test(endpointPool, loaderLostBeforeAVersion_theEnginesOwnWordCounts) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.Versions["m"] = 3;
+  Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
+                         Each.Now);
+  EndpointRecord Newer = Each.Pool.find(EndpointId{"here"})->Record;
+  Newer.Versions["m"] = 4;
+  Each.Pool.put(Newer);
+  Each.Now += seconds(5);
+  cr_assert(Each.chosen({"s", "m", 4, {}, 1}) == "here");
+  cr_assert_eq(Each.Pool.newestVersion("s", "m", Each.Now), 4);
+}
+
+Test(endpointPool, loaderLostAfterAVersion_itsWordOutlastsAnOlderEntry) {
+  PoolFixture Each;
+  Each.add("here", "dc-a", 3);
+  EngineLoad Load;
+  Load.Versions["m"] = 4;
+  Each.Pool.loadReported(Each.Pool.find(EndpointId{"here"})->Record.Where, Load,
+                         Each.Now);
+  Each.Now += seconds(5);
+  cr_assert(Each.chosen({"s", "m", 4, {}, 1}) == "here");
+}
+
 Test(endpointPool, slowPace_namesAFasterEngineWithAFreeSlot) {
   PoolFixture Each;
   Each.add("slow", "dc-a", 3);
