--- /dev/null
+++ b/tests/gateway_tasks/partition_follower_test.cpp
@@ -0,0 +1,75 @@
+/// @file
+/// Followers of partitions before a stand-in of the store.
+
+#include "base/clock_func.h"
+#include "gateway/partition_follower_base.h"
+#include "net/metrics_base.h"
+#include "standins/store/store_server.h"
+#include "tests/net/net_fixture.h"
+#include "wire/codec_func.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// @param Id a submission's id.
+/// @param Bytes its length.
+/// @return the record that adds it.
+std::vector<std::string> addedSubmission(const std::string &Id, size_t Bytes) {
+  wire::BatchRecord Record;
+  wire::SubmissionRecord Submission;
+  Submission.Id = Id;
+  Submission.Path = std::string(Bytes, 'x');
+  Record.__set_Submission(Submission);
+  constexpr size_t RecordBytes = 100'000;
+  return splitRecord(encodeBatchRecord(Record), RecordBytes);
+}
+
+/// A follower of one partition and a store.
+struct FollowerFixture {
+  /// The loop.
+  Loop Events;
+  /// The store.
+  standin::StandinStoreServer Store{this->Events, 1};
+  /// Sends the reads.
+  HttpClient Http{this->Events};
+  /// The store's client.
+  platform::StoreClient Client{this->Events, this->Http, this->Store.target()};
+  /// Counts.
+  Metrics Counts;
+  /// Counts the reads.
+  PartitionReadMetrics Reads{this->Counts};
+  /// Sends the reads of histories.
+  HistoryGate Gate{this->Events, this->Client};
+  /// The follower.
+  PartitionFollower Follower{PartitionFollowerParts{this->Events, this->Client,
+                                                    this->Gate, this->Reads},
+                             PartitionId{"batch", 0},
+                             [](const std::vector<PartitionChange> &) {}};
+};
+
+} // namespace
+
+Test(partitionFollower, refreshAnsweredAfterAFailedPoll_followsOn) {
+  FollowerFixture Net;
+  Net.Follower.keep(steadyNow() + seconds(60));
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Store.ReadsByTopic["batch"] == 2; }));
+  const Millis PollSent = steadyNow();
+  // The poll ends with 503 while the refresh is being sent.
+  turnUntil(Net.Events, [&] { return steadyNow() >= PollSent + Millis{600}; });
+  Net.Store.state().append("batch", 0, addedSubmission("a", 20'000),
+                           std::nullopt);
+  Net.Store.ReadBytesPerSecond = 50'000;
+  Net.Store.ReadQueueMost = Millis{0};
+  bool Reached = false;
+  Net.Follower.refresh([&](bool Is) { Reached = Is; });
+  cr_assert(turnUntil(Net.Events, [&] { return Reached; }));
+  Net.Store.ReadBytesPerSecond = 0;
+  Net.Store.state().append("batch", 0, addedSubmission("b", 100), std::nullopt);
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Net.Follower.fold().find(SubmissionId{"b"}) != nullptr;
+  }));
+}
