Fix: [Batch] A good refresh leaves a queued read of the history alone

An owner whose poll had failed while a caller's refresh was answered never read its partition again: the refresh took the partition off the gate's plan with its read still queued, and nothing else reads on.

Only the answer to a read of the gate, or the end of following, takes a partition off the plan.

--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -99,6 +99,8 @@
       },
       [this, Last](const StoreResult<ReadPage> &Page, Millis Took) {
         this->ended(Page, Took, *Last);
+        if (this->AtEnd)
+          this->Parts.Histories.done(this->Where);
         this->readOn();
       });
 }
@@ -186,8 +188,6 @@
     }
   }
   this->AtEnd = this->Next >= Page.End;
-  if (this->AtEnd)
-    this->Parts.Histories.done(this->Where);
   if (this->AtEnd && !this->CaughtUp)
     this->noteCaughtUp();
   this->CaughtUp = this->AtEnd;
