Fix: [Net] A collected body that never ends is cut at a limit

Callers of the client that collect an answer (short requests, scoring calls, the store, reports, orders, host list, log, the daemon's services) got no end of an answer whose body goes on without end; the body was held until the call's time was over, with no bound on memory.

Cause: HttpClient appended each part of a body that is collected, whatever its length or the length that its head announced.

A head that announces more fails at once. The call fails with ErrorKind::TooLarge as one whose bytes are no answer, which closes its connection. Bodies handed on in parts are not bounded here.

Tests on the code before: bodyWithoutLengthThatNeverEnds_isCut and chunkedBodyThatNeverEnds_isCut took 64 MiB in without an end, lengthOverTheLimit_failsWithTheHead waited in vain. Now: all of net_test pass; bodyOfTheLimit_arrivesWhole holds the limit from below.

--- a/packages/ctl/platform_base.cpp
+++ b/packages/ctl/platform_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/clock_func.h"
 #include "base/text_func.h"
+#include "net/log_client_base.h"
 #include "wire/codec_func.h"
 
 #include <absl/strings/escaping.h>
@@ -108,6 +109,7 @@
   Call.Path = concat("/v1/records?from=", From.Value, "&limit=", PageRecords,
                      "&wait_ms=", Wait.Count);
   Call.Timeout = CallTimeout + Wait;
+  Call.MostBodyBytes = MostLogPageBytes;
   const Result<HttpResponse> Answer = this->call(std::move(Call));
   if (!Answer.has_value() || Answer.value().Status != 200)
     return noAnswer(this->Wanted.Log, "log", "--log");
--- a/packages/daemon/agent_endpoint_base.cpp
+++ b/packages/daemon/agent_endpoint_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/http_status_type.h"
 #include "base/log_func.h"
+#include "wire/codec_func.h"
 
 #include <utility>
 
@@ -86,6 +87,8 @@
     Call.Headers.push_back({"Idempotency-Key", Work.IdempotencyKey});
   const bool Intent = Work.Kind == wire::WorkKind::IntentCall;
   Call.Reuse = !Intent;
+  // The answer goes to the entry in one message.
+  Call.MostBodyBytes = MaxFrameBytes;
   Call.Timeout = Intent ? IntentTimeout : Millis{Work.DeadlineMs};
   const RunId Run = Action.Run;
   HttpEvents Tells;
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -72,13 +72,16 @@
 
 /// @param Call a call.
 /// @param Cause what happened.
+/// @param Kind its kind.
 /// @return the error for the caller.
-Error callError(const HttpCall &Call, std::string_view Cause) {
-  return Error{ErrorKind::Unavailable,
+Error callError(const HttpCall &Call, std::string_view Cause, ErrorKind Kind) {
+  return Error{Kind,
                absl::StrCat(Call.Method, " ", Call.Target.Address, ":",
                             Call.Target.Port, Call.Path, ": ",
                             std::string(Cause)),
-               "see whether the process at this address runs"};
+               Kind == ErrorKind::TooLarge
+                   ? "see what the process at this address sends"
+                   : "see whether the process at this address runs"};
 }
 
 /// @param Response a head.
@@ -138,6 +141,13 @@
     bool Written = false;
     /// Bytes of the answer so far.
     size_t Received = 0;
+
+    /// @param Most a number of bytes.
+    /// @return whether the body is longer, or will be by its head.
+    bool exceeds(size_t Most) {
+      return this->Reader.announced() > Most ||
+             this->Reader.response().Body.size() > Most;
+    }
   };
 
   /// A kept connection.
@@ -274,6 +284,10 @@
     }
     if (Call == nullptr)
       return;
+    if (!Call->Tell.Chunk && Call->exceeds(Call->Call.MostBodyBytes)) {
+      this->fail(Id, "the body is over its limit", ErrorKind::TooLarge);
+      return;
+    }
     std::string &Body = Call->Reader.response().Body;
     if (Call->Tell.Chunk && !Body.empty()) {
       const std::string Part = std::exchange(Body, std::string());
@@ -371,12 +385,14 @@
   /// Ends a call that failed.
   /// @param Id the call; one that is over is ignored.
   /// @param Cause what happened.
-  void fail(uint64_t Id, std::string_view Cause) {
+  /// @param Kind its kind.
+  void fail(uint64_t Id, std::string_view Cause,
+            ErrorKind Kind = ErrorKind::Unavailable) {
     const Running *Call = this->find(Id);
     if (Call == nullptr)
       return;
-    const HttpFailure Failure{callError(Call->Call, Cause), !Call->Connected,
-                              Call->Received};
+    const HttpFailure Failure{callError(Call->Call, Cause, Kind),
+                              !Call->Connected, Call->Received};
     const std::unique_ptr<Running> Last = this->take(Id);
     if (Last->Tell.Failed)
       Last->Tell.Failed(Failure);
--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -3,6 +3,8 @@
 
 #include "net/http_parser_internal.h"
 
+#include <climits>
+
 namespace camphornotch {
 
 namespace {
@@ -37,6 +39,7 @@
   this->InValue = false;
   this->HeadRead = false;
   this->Done = false;
+  this->Announced = 0;
 }
 
 HttpResponseReader &HttpResponseReader::self(http_parser *Parser) {
@@ -70,6 +73,10 @@
       Self.Response.ContentType =
           findHeader(Self.Response.Headers, "content-type");
       Self.Response.Framed = isFramed(Self.Response);
+      const bool Chunked = (Parser->flags & F_CHUNKED) != 0;
+      const bool Said = Parser->content_length != ULLONG_MAX;
+      if (Said && !Chunked && !Self.NoBody)
+        Self.Announced = Parser->content_length;
       return Self.NoBody ? 1 : 0;
     };
     Made.on_body = [](http_parser *Parser, const char *At, size_t Length) {
--- a/packages/net/http_parser_internal.h
+++ b/packages/net/http_parser_internal.h
@@ -43,6 +43,9 @@
   /// @return the response; its body is what was not taken by takeBody().
   HttpResponse &response() { return this->Response; }
 
+  /// @return the length of the body by its head; 0: not said.
+  uint64_t announced() const { return this->Announced; }
+
   /// @return bytes of the last take() that belong to no response.
   size_t unread() const { return this->Unread; }
 
@@ -73,6 +76,8 @@
   bool HeadRead = false;
   /// Whether the response is whole.
   bool Done = false;
+  /// Length of the body by its head; 0: not said.
+  uint64_t Announced = 0;
   /// Bytes left over.
   size_t Unread = 0;
 };
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -6,6 +6,8 @@
 
 #include "base/millis_type.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,6 +79,10 @@
   auto operator<=>(const HttpTarget &) const = default;
 };
 
+/// Most bytes of a collected body if the call names none: twice the platform's
+/// largest answer, 1 MB of values in base64 with their keys and one value more.
+inline constexpr size_t DefaultMostBodyBytes = size_t{4} << 20;
+
 /// A request that the client sends.
 struct HttpCall {
   /// Where to.
@@ -98,6 +104,9 @@
   /// Whether an idle connection may be used and kept. Calls that must not
   /// be repeated set this to false: an idle connection may break just then.
   bool Reuse = true;
+  /// Most bytes of the answer's body if it is collected; a longer one is no
+  /// answer. A body that is handed on in parts may be of any length.
+  size_t MostBodyBytes = DefaultMostBodyBytes;
 };
 
 } // namespace camphornotch
--- a/packages/net/log_client_base.h
+++ b/packages/net/log_client_base.h
@@ -18,6 +18,10 @@
 
 namespace camphornotch {
 
+/// Most bytes of the log's answer to a read: a snapshot of 16 MiB in base64,
+/// and as much and more of other records.
+inline constexpr size_t MostLogPageBytes = size_t{64} << 20;
+
 /// What the reader tells its owner.
 struct LogReaderEvents {
   /// One record, in offset order.
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/// Most bytes of a body that is collected.
+constexpr size_t MostBodyBytes = size_t{4} << 20;
+/// Least bytes of what is sent over and over.
+constexpr size_t BlockBytes = size_t{64} << 10;
+/// Bytes after which an answer counts as endless.
+constexpr size_t EndlessBytes = size_t{64} << 20;
+/// Most bytes of one read.
+constexpr size_t ReadBytes = size_t{2} << 20;
+
 /// A client before a scripted server, and what the client told.
 struct ClientFixture {
   /// The loop.
@@ -58,6 +67,30 @@
     });
   }
 
+  /// Starts a call and lets its answer go on until the client closes.
+  /// @param Prefix the answer's first bytes.
+  /// @param Piece what follows over and over.
+  /// @return whether the call failed and its connection was closed before
+  ///   the server had sent far more than any answer holds.
+  bool closesOn(std::string_view Prefix, const std::string &Piece) {
+    this->start();
+    if (!this->arrives(0, 1))
+      return false;
+    this->Server.send(0, Prefix);
+    std::string Block;
+    while (Block.size() < BlockBytes)
+      Block += Piece;
+    turnUntil(this->Events, [&] {
+      return !this->Failures.empty() ||
+             this->Server.sendOn(0, Block) > EndlessBytes;
+    });
+    return this->Failures.size() == 1 && this->Answers.empty() &&
+           turnUntil(this->Events, [&] { return this->Server.closed(0); });
+  }
+
+  /// @return bytes of the answer that the failed call took in.
+  size_t taken() const { return this->Failures.at(0).Received; }
+
   /// Lets some turns pass.
   void settle() {
     int Turns = 0;
@@ -268,3 +301,45 @@
   Net.Client.start(std::move(Call), std::move(Tell));
   cr_assert(turnUntil(Net.Events, [&] { return NotSent; }));
 }
+
+Test(httpClient, bodyWithoutLengthThatNeverEnds_isCut) {
+  ClientFixture Net;
+  cr_assert(Net.closesOn("HTTP/1.1 200 OK\r\n\r\n", "x"));
+  cr_assert_lt(Net.taken(), MostBodyBytes + ReadBytes);
+}
+
+Test(httpClient, chunkedBodyThatNeverEnds_isCut) {
+  ClientFixture Net;
+  cr_assert(Net.closesOn("HTTP/1.1 200 OK\r\n"
+                         "transfer-encoding: chunked\r\n\r\n",
+                         "5\r\nhello\r\n"));
+  cr_assert_lt(Net.taken(), 2 * MostBodyBytes + ReadBytes);
+}
+
+Test(httpClient, lengthOverTheLimit_failsWithTheHead) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\n"
+                     "content-length: 99999999999\r\n\r\nx");
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Failures.size(), 1U);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+}
+
+Test(httpClient, bodyOfTheLimit_arrivesWhole) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\ncontent-length: " +
+                         std::to_string(MostBodyBytes) + "\r\n\r\n");
+  const std::string Block(BlockBytes, 'x');
+  size_t Left = MostBodyBytes;
+  cr_assert(turnUntil(Net.Events, [&] {
+    Left -= Net.Server.sendSome(
+        0, std::string_view(Block).substr(0, std::min(Left, Block.size())));
+    return !Net.Answers.empty() || !Net.Failures.empty();
+  }));
+  cr_assert_eq(Net.Answers.size(), 1U);
+  cr_assert_eq(Net.Answers[0].Body.size(), MostBodyBytes);
+}
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <cassert>
+#include <cerrno>
 #include <cstdint>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -98,6 +99,32 @@
            MSG_NOSIGNAL);
   }
 
+  /// Sends as many of the bytes as the connection takes now.
+  /// @param Index the connection.
+  /// @param Bytes the bytes.
+  /// @return how many it took.
+  size_t sendSome(size_t Index, std::string_view Bytes) {
+    const ssize_t Taken = ::send(this->Connections.at(Index), Bytes.data(),
+                                 Bytes.size(), MSG_NOSIGNAL);
+    return Taken < 0 ? 0 : static_cast<size_t>(Taken);
+  }
+
+  /// Sends bytes over and over, as many as the connection takes now.
+  /// @param Index the connection.
+  /// @param Piece the bytes; the same in each call for one connection.
+  /// @return bytes sent this way so far.
+  size_t sendOn(size_t Index, std::string_view Piece) {
+    this->Flooded.resize(this->Connections.size(), 0);
+    size_t &Sent = this->Flooded.at(Index);
+    for (;;) {
+      const size_t Taken =
+          this->sendSome(Index, Piece.substr(Sent % Piece.size()));
+      if (Taken == 0)
+        return Sent;
+      Sent += Taken;
+    }
+  }
+
   /// Closes a connection in an orderly way.
   /// @param Index the connection.
   void end(size_t Index) { shutdown(this->Connections.at(Index), SHUT_WR); }
@@ -129,7 +156,9 @@
     for (;;) {
       const ssize_t Got =
           recv(this->Connections[Index], Buffer, sizeof(Buffer), MSG_DONTWAIT);
-      if (Got == 0)
+      // A side that closes with bytes unread resets.
+      const bool Reset = Got < 0 && errno == ECONNRESET;
+      if (Got == 0 || Reset)
         this->Closed[Index] = true;
       if (Got <= 0)
         return;
@@ -147,6 +176,8 @@
   std::vector<std::string> Inputs;
   /// Whether the other side closed each.
   std::vector<bool> Closed;
+  /// Bytes that sendOn() sent on each.
+  std::vector<size_t> Flooded;
 };
 
 } // namespace camphornotch
