Fix: [Net] Interim responses without end are no answer

A server that sends one interim response (1xx) after the other held a call until its time was over, and for ever where it has none; each turn of the loop read and dropped what came.

Cause: HttpResponseReader starts anew after each interim response, and with it the library's count of the head's bytes.

The reader counts the bytes of interim responses; more than the library allows for one head (80 KiB) make the bytes no answer, so that the call fails and its connection is closed.

The test plays twelve heads, chunk lines and trailers without end.

--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -15,6 +15,9 @@
 constexpr int SwitchingProtocols = 101;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
+/// Most bytes of the interim responses before one response; the library bounds
+/// one head, a chunk's line and the trailers by the same.
+constexpr size_t MostInterimBytes = HTTP_MAX_HEADER_SIZE;
 
 /// @param Response a head.
 /// @return whether it says where the body ends.
@@ -114,6 +117,9 @@
     if (!Interim)
       return State;
     Bytes.remove_prefix(Read);
+    this->InterimBytes += Read;
+    if (this->InterimBytes > MostInterimBytes)
+      return ReadState::Invalid;
     this->begin();
     if (Bytes.empty())
       return ReadState::Incomplete;
--- a/packages/net/http_parser_internal.h
+++ b/packages/net/http_parser_internal.h
@@ -78,6 +78,8 @@
   bool Done = false;
   /// Length of the body by its head; 0: not said.
   uint64_t Announced = 0;
+  /// Bytes of interim responses so far.
+  size_t InterimBytes = 0;
   /// Bytes left over.
   size_t Unread = 0;
 };
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -343,3 +343,33 @@
   cr_assert_eq(Net.Answers.size(), 1U);
   cr_assert_eq(Net.Answers[0].Body.size(), MostBodyBytes);
 }
+
+Test(httpClient, headThatNeverEnds_isCut) {
+  const std::string Good = "HTTP/1.1 200 OK\r\n";
+  struct Shape {
+    std::string Prefix;
+    std::string Piece;
+  };
+  const std::string Chunked = Good + "transfer-encoding: chunked\r\n\r\n";
+  const std::vector<Shape> Shapes = {
+      {"HTTP/1.1 200 ", "reason "},
+      {Good + "a: ", "x"},
+      {Good, "x"},
+      {Good, "a: b\r\n"},
+      {Good + "a: ", " \r\n "},
+      {"", "\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early\r\nlink: x\r\n\r\n"},
+      {Chunked + "5;", "x"},
+      {Chunked, "0"},
+      {Chunked + "0\r\n", "a: b\r\n"},
+      {Chunked + "0\r\na: ", "x"},
+  };
+  for (const Shape &Each : Shapes) {
+    ClientFixture Net;
+    cr_expect(Net.closesOn(Each.Prefix, Each.Piece), "%s ... %s",
+              Each.Prefix.c_str(), Each.Piece.c_str());
+    if (!Net.Failures.empty())
+      cr_expect_lt(Net.taken(), ReadBytes);
+  }
+}
