Fix: [Gateway] An answer that is faulty by its head is given up with its head

A caller waited to its deadline (504) for an answer that could never be passed on: one without a length, for another request, encoded, without receipt, or a refusal without its mark, whose body came slowly and without end.

Cause: ForwardTask judged the head of an answer only when the body was whole.

The head is judged when it arrives. A faulty one ends the attempt as a broken endpoint's and closes its connection; a request that may be repeated goes to another endpoint at once. Marked refusals are still read to their end, so that their connections are kept.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -23,29 +23,31 @@
 /// endpoint may be silent, too: several times the sites' longest request.
 constexpr Millis SilentAfter{800};
 
+/// @param Status a status that promises that nothing ran.
+/// @return whether an endpoint that does not say so itself may not be quoted.
+bool promisesNotRun(int Status) {
+  constexpr int RequestTimeout = 408;
+  constexpr int Misdirected = 421;
+  constexpr int TooMany = 429;
+  constexpr int Unavailable = 503;
+  return Status == RequestTimeout || Status == Misdirected ||
+         Status == TooMany || Status == Unavailable;
+}
+
 /// @param Answer a head.
 /// @param Request what was asked.
 /// @param Framed whether the end of the body can be told.
-/// @return what is wrong with it; empty: it answers the request.
+/// @return why it cannot be passed on; empty: it can, or nothing ran.
 std::string_view faultOf(const platform::EngineAnswer &Answer,
                          const platform::EngineRequest &Request, bool Framed) {
+  if (Answer.NotRun)
+    return "";
   const std::string_view Fault = answerFault(Answer, Request.RequestId, Framed);
   if (!Fault.empty())
     return Fault;
   if (Answer.Status < StatusFirstFailure && Answer.Receipt.empty())
     return "the answer has no receipt";
-  return "";
-}
-
-/// @param Status a status that promises that nothing ran.
-/// @return whether an endpoint that does not say so itself may not be quoted.
-bool promisesNotRun(int Status) {
-  constexpr int RequestTimeout = 408;
-  constexpr int Misdirected = 421;
-  constexpr int TooMany = 429;
-  constexpr int Unavailable = 503;
-  return Status == RequestTimeout || Status == Misdirected ||
-         Status == TooMany || Status == Unavailable;
+  return promisesNotRun(Answer.Status) ? "a refusal without its mark" : "";
 }
 
 /// @param End how a request ends.
@@ -157,10 +159,16 @@
     return;
   Attempt &Made = Each->Attempts.at(Number);
   Made.Head = platform::decodeEngineAnswer(Response);
-  const bool Starts =
-      Each->Plan.need().By.Kind == RouteKind::Stream &&
-      Response.Status < StatusFirstFailure &&
-      faultOf(Made.Head, Each->Request, Response.Framed).empty();
+  const std::string_view Fault =
+      faultOf(Made.Head, Each->Request, Response.Framed);
+  if (!Fault.empty()) {
+    // Its body may have no end.
+    this->Http.cancel(Made.Call);
+    this->endAttempt(Id, Number, AttemptEnd::Failed, WorkEnd::Broken, Fault);
+    return;
+  }
+  const bool Starts = Each->Plan.need().By.Kind == RouteKind::Stream &&
+                      Response.Status < StatusFirstFailure && !Made.Head.NotRun;
   if (!Starts)
     return;
   Made.Streams = true;
@@ -212,13 +220,6 @@
                      concat("status ", Response.Status));
     return;
   }
-  const std::string_view Fault =
-      faultOf(Made.Head, Each->Request, Response.Framed);
-  if (!Fault.empty() || promisesNotRun(Response.Status)) {
-    this->endAttempt(Id, Number, AttemptEnd::Failed, WorkEnd::Broken,
-                     Fault.empty() ? "a refusal without its mark" : Fault);
-    return;
-  }
   if (Stream && Made.Streams) {
     if (Made.Rest.empty()) {
       this->finish(Id, Number, std::move(Response));
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -2,6 +2,7 @@
 /// What callers get for the answers that endpoints give, good and bad.
 
 #include "base/clock_func.h"
+#include "base/text_func.h"
 #include "gateway/forward_task_base.h"
 #include "tests/net/net_fixture.h"
 #include "tests/net/scripted_server.h"
@@ -41,14 +42,7 @@
   /// @param Attempts most endpoints.
   explicit ForwardFixture(RouteKind Kind, int64_t Attempts = 1) {
     this->Answer.Status = 0;
-    EndpointRecord Record;
-    Record.Id = EndpointId{"i-1"};
-    Record.Service = "s";
-    Record.DataCentre = "dc";
-    Record.Slots = 4;
-    Record.Where =
-        Address{this->Server.target().Address, this->Server.target().Port};
-    this->Pool.put(std::move(Record));
+    this->addEndpoint("i-1", this->Server);
     ForwardJob Job;
     Job.Need.By.Kind = Kind;
     Job.Need.By.Attempts = Attempts;
@@ -74,6 +68,18 @@
     this->Id = this->Forward.start(std::move(Job), std::move(Sink));
   }
 
+  /// @param Id an endpoint of the request's service.
+  /// @param At where it listens.
+  void addEndpoint(const std::string &Id, const ScriptedServer &At) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Id};
+    Record.Service = "s";
+    Record.DataCentre = "dc";
+    Record.Slots = 4;
+    Record.Where = Address{At.target().Address, At.target().Port};
+    this->Pool.put(std::move(Record));
+  }
+
   /// @param Index a connection.
   /// @return whether a request arrived on it.
   bool arrives(size_t Index = 0) {
@@ -101,6 +107,14 @@
   }
 };
 
+/// The id of the request, in a head.
+constexpr std::string_view IdLine = "x-camphornotch-request-id: r1\r\n";
+/// A receipt, in a head.
+constexpr std::string_view ReceiptLine =
+    "x-camphornotch-response-signature: sig\r\n";
+/// The length of a body, in a head.
+constexpr std::string_view LengthLine = "content-length: 9\r\n";
+
 } // namespace
 
 Test(forward, goodAnswer_isPassedOnWithItsReceipt) {
@@ -175,6 +189,46 @@
   cr_assert_eq(Net.Refused.Status, 502);
 }
 
+Test(forward, answerFaultyByItsHead_isGivenUpBeforeItsEnd) {
+  for (const std::string &Head : {concat("200 OK\r\n", IdLine, ReceiptLine),
+                                  concat("200 OK\r\n", IdLine, LengthLine),
+                                  concat("200 OK\r\n", ReceiptLine, LengthLine),
+                                  concat("503 Busy\r\n", IdLine, LengthLine)}) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, "HTTP/1.1 " + Head + "\r\npart");
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.Refused.Status, 502, "%s", Head.c_str());
+    cr_expect(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+  }
+}
+
+Test(forward, bodyThatNeverEnds_isReplacedByAnotherEndpointsAnswer) {
+  for (const std::string Frame : {"", "transfer-encoding: chunked\r\n"}) {
+    ForwardFixture Net(RouteKind::Idempotent, 2);
+    ScriptedServer Spare;
+    cr_assert(Net.arrives());
+    Net.addEndpoint("i-2", Spare);
+    Net.Server.send(0, "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r1\r\n"
+                       "x-camphornotch-response-signature: sig\r\n" +
+                           Frame + "\r\n");
+    const std::string Endless =
+        "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    constexpr size_t EndlessBytes = size_t{64} << 20;
+    bool Flooded = false;
+    cr_assert(turnUntil(Net.Events, [&] {
+      Flooded |= Net.Server.sendOn(0, Endless) > EndlessBytes;
+      return Flooded || Net.Server.closed(0);
+    }));
+    cr_assert(!Flooded, "the answer was taken in without end");
+    cr_assert(turnUntil(Net.Events, [&] { return Spare.hasRequests(0, 1); }));
+    Spare.send(0, ForwardFixture::answer("200 OK"));
+    cr_assert(Net.ends());
+    cr_assert_eq(Net.Answer.Status, 200);
+    cr_assert(Net.Answer.Body == "ok");
+  }
+}
+
 Test(forward, refusalWithoutItsMark_isNotQuoted) {
   ForwardFixture Net(RouteKind::AtMostOnce);
   cr_assert(Net.arrives());
