Fix: [Gateway] Events and failures of a stream that never end are cut

An engine's stream in which one event has no end, or a failure on a streaming route whose body has none, grew in memory until the item stood still for 1.2 s or the caller's time was over; at 1,000 Mbit/s that is more than a gateway may hold.

Cause: EventStream and ForwardTask kept all bytes after the last whole event.

An event of more than 256 KiB, the platform's largest record, ends the run or attempt as a broken endpoint's; the item or resumable stream goes on elsewhere after its last whole event. The body of a failure is held to the client's limit of collected bodies. Streams of sound events stay without a limit of length.

On the code before, eventThatNeverEnds_isCutAndTheItemGoesOnElsewhere, eventThatNeverEnds_isCutAndTheStreamResumed and failureOfAStreamThatNeverEnds_isCut took in 64 MiB without a close.

--- a/packages/gateway/event_stream_base.cpp
+++ b/packages/gateway/event_stream_base.cpp
@@ -15,12 +15,14 @@
     const std::string_view Text =
         std::string_view(this->Rest).substr(Start, End - Start);
     Start = End + EventEnd.size();
+    if (Text.size() > MostEventBytes)
+      return false;
     Result<platform::EngineEvent> Event = platform::decodeEngineEvent(Text);
     if (!Event.has_value() || !Take(Event.value()))
       return false;
   }
   this->Rest.erase(0, Start);
-  return true;
+  return this->Rest.size() <= MostEventBytes;
 }
 
 } // namespace camphornotch
--- a/packages/gateway/event_stream_base.h
+++ b/packages/gateway/event_stream_base.h
@@ -6,6 +6,7 @@
 
 #include "platform/engine_func.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
 /// What ends an event.
 inline constexpr std::string_view EventEnd = "\n\n";
 
+/// Most bytes of one event: the platform's largest record.
+inline constexpr size_t MostEventBytes = size_t{256} << 10;
+
 /// The part of one answer that is not taken yet.
 class EventStream {
 public:
@@ -25,7 +29,7 @@
   /// Adds bytes and hands on each event that is whole now.
   /// @param Part the bytes.
   /// @param Take takes the events; it does not change the stream.
-  /// @return false once an event cannot be read or is not taken.
+  /// @return false once an event cannot be read, is too long or is not taken.
   bool add(std::string_view Part, const Taker &Take);
 
   /// @return whether the bytes so far end with an event.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -162,9 +162,7 @@
   const std::string_view Fault =
       faultOf(Made.Head, Each->Request, Response.Framed);
   if (!Fault.empty()) {
-    // Its body may have no end.
-    this->Http.cancel(Made.Call);
-    this->endAttempt(Id, Number, AttemptEnd::Failed, WorkEnd::Broken, Fault);
+    this->cut(Id, Number, Fault);
     return;
   }
   const bool Starts = Each->Plan.need().By.Kind == RouteKind::Stream &&
@@ -189,11 +187,17 @@
     return;
   Attempt &Made = Each->Attempts.at(Number);
   Made.Rest += Part;
-  if (!Made.Streams)
+  if (!Made.Streams) {
+    if (Made.Rest.size() > DefaultMostBodyBytes)
+      this->cut(Id, Number, "the body is over its limit");
     return;
+  }
   const size_t LastEnd = Made.Rest.rfind(EventEnd);
-  if (LastEnd == std::string::npos)
+  if (LastEnd == std::string::npos) {
+    if (Made.Rest.size() > MostEventBytes)
+      this->cut(Id, Number, "an event is too long");
     return;
+  }
   const std::string Whole = Made.Rest.substr(0, LastEnd + EventEnd.size());
   Made.Rest.erase(0, Whole.size());
   const size_t LastStart = Whole.rfind(EventEnd, LastEnd - 1);
@@ -259,6 +263,11 @@
                    WorkEnd::Broken, Failure.Cause.Message);
 }
 
+void ForwardTask::cut(ForwardId Id, uint64_t Number, std::string_view Cause) {
+  this->Http.cancel(this->find(Id)->Attempts.at(Number).Call);
+  this->endAttempt(Id, Number, AttemptEnd::Failed, WorkEnd::Broken, Cause);
+}
+
 void ForwardTask::endAttempt(ForwardId Id, uint64_t Number, AttemptEnd End,
                              WorkEnd Work, std::string_view Cause) {
   Running *Each = this->find(Id);
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -137,6 +137,12 @@
   /// @param Number the attempt.
   /// @param Failure how it failed.
   void onFailed(ForwardId Id, uint64_t Number, const HttpFailure &Failure);
+  /// Ends an attempt whose answer may not be passed on, and which may have no
+  /// end; asks the plan.
+  /// @param Id the request.
+  /// @param Number the attempt, which is under way.
+  /// @param Cause why, for the log.
+  void cut(ForwardId Id, uint64_t Number, std::string_view Cause);
   /// Ends an attempt and asks the plan.
   /// @param Id the request.
   /// @param Number the attempt.
--- a/packages/gateway/fresh_run_base.cpp
+++ b/packages/gateway/fresh_run_base.cpp
@@ -98,7 +98,7 @@
     return true;
   });
   if (!Good)
-    this->stop(Key, "an event does not follow the one before");
+    this->stop(Key, "an event is too long or does not follow the one before");
 }
 
 void FreshRuns::onEnd(const ItemKey &Key) {
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -95,6 +95,18 @@
     });
   }
 
+  /// @param Piece what the endpoint sends over and over.
+  /// @return whether its connection is closed before that has no end.
+  bool closesOn(const std::string &Piece) {
+    constexpr size_t EndlessBytes = size_t{64} << 20;
+    bool Flooded = false;
+    turnUntil(this->Events, [&] {
+      Flooded |= this->Server.sendOn(0, Piece) > EndlessBytes;
+      return Flooded || this->Server.closed(0);
+    });
+    return !Flooded && this->Server.closed(0);
+  }
+
   /// @param Status the status line's end.
   /// @param More further headers.
   /// @return an answer with id, receipt and a body of two bytes.
@@ -214,13 +226,7 @@
                            Frame + "\r\n");
     const std::string Endless =
         "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
-    constexpr size_t EndlessBytes = size_t{64} << 20;
-    bool Flooded = false;
-    cr_assert(turnUntil(Net.Events, [&] {
-      Flooded |= Net.Server.sendOn(0, Endless) > EndlessBytes;
-      return Flooded || Net.Server.closed(0);
-    }));
-    cr_assert(!Flooded, "the answer was taken in without end");
+    cr_assert(Net.closesOn(Endless));
     cr_assert(turnUntil(Net.Events, [&] { return Spare.hasRequests(0, 1); }));
     Spare.send(0, ForwardFixture::answer("200 OK"));
     cr_assert(Net.ends());
@@ -229,6 +235,32 @@
   }
 }
 
+Test(forward, eventThatNeverEnds_isCutAndTheStreamResumed) {
+  ForwardFixture Net(RouteKind::Stream, 3);
+  cr_assert(Net.arrives());
+  const std::string Head =
+      concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine, "content-length: ");
+  Net.Server.send(0, Head + "99999999999\r\n\r\nid: 1\ndata: a\n\nid: 2\n");
+  cr_assert(Net.closesOn(std::string(size_t{64} << 10, 'x')));
+  cr_assert(Net.arrives(1));
+  cr_assert(Net.Server.input(1).find("last-event-id: 1") != std::string::npos);
+  const std::string Rest = "id: 2\ndata: b\n\n";
+  Net.Server.send(1, concat(Head, Rest.size(), "\r\n\r\n", Rest));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.StreamEnd, 'w');
+  cr_assert(Net.Stream == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+Test(forward, failureOfAStreamThatNeverEnds_isCut) {
+  ForwardFixture Net(RouteKind::Stream);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, concat("HTTP/1.1 500 Oops\r\n", IdLine,
+                            "content-length: 99999999999\r\n\r\n"));
+  cr_assert(Net.closesOn(std::string(size_t{64} << 10, 'x')));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 502);
+}
+
 Test(forward, refusalWithoutItsMark_isNotQuoted) {
   ForwardFixture Net(RouteKind::AtMostOnce);
   cr_assert(Net.arrives());
