Fix: [Gateway] A text of events without end is forgotten and begun anew

An engine that sends readable events in order without end gave its item a text that grew in memory, in the store's progress records and in the next owner's, until the engine stopped; the item then went on behind these events elsewhere and could be listed with them.

Cause: the text of a run, and of a second run, had no bound.

A text may hold as many events as its item's "tokens" (prompt and most output; each event holds a token at least) and 1 MiB, since the platform lists results in answers of 1 MB. What goes beyond is no text of the item: the run's text is forgotten, its engine counts as broken, and the item begins anew elsewhere. A second run leaves no text.

On the code before, moreEventsThanTokens_areForgottenAndTheItemBeginsAnew and textOverAResultsLimit_isForgottenAndTheItemBeginsAnew listed the item with the endless text; moreEventsThanTokens_leaveNoText fails without the second run's check.

Progress that was noted before the bound was reached stays in the store's record of the submission; a next owner can still take it over.

--- a/packages/gateway/event_stream_base.h
+++ b/packages/gateway/event_stream_base.h
@@ -7,6 +7,7 @@
 #include "platform/engine_func.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,35 @@
 /// Most bytes of one event: the platform's largest record.
 inline constexpr size_t MostEventBytes = size_t{256} << 10;
 
+/// Most bytes of a text, with a line feed after each event: the platform lists
+/// results in answers of 1 MB.
+inline constexpr size_t MostTextBytes = size_t{1} << 20;
+
+/// Measures one text while its events come.
+class TextSize {
+public:
+  /// @param MostTokens most tokens of prompt and output; 0: not known.
+  explicit TextSize(int64_t MostTokens = 0) : MostTokens(MostTokens) {}
+
+  /// @param Data one more event, which holds a token at least.
+  /// @return whether the text can still be an item's.
+  bool add(std::string_view Data) {
+    ++this->Events;
+    this->Bytes += Data.size() + 1;
+    const bool Counted = this->MostTokens > 0;
+    return this->Bytes <= MostTextBytes &&
+           (!Counted || this->Events <= this->MostTokens);
+  }
+
+private:
+  /// Most tokens; 0: not known.
+  int64_t MostTokens;
+  /// Events so far.
+  int64_t Events = 0;
+  /// Bytes so far.
+  size_t Bytes = 0;
+};
+
 /// The part of one answer that is not taken yet.
 class EventStream {
 public:
--- a/packages/gateway/fresh_run_base.cpp
+++ b/packages/gateway/fresh_run_base.cpp
@@ -45,6 +45,7 @@
     return;
   Run &Each = this->Runs[Key];
   Each.Endpoint = At->Record.Id;
+  Each.Size = TextSize(Field->Tokens);
   logLine(LogLevel::Info, "item runs a second time under newer weights",
           {{"request_id", Key.Item.Value},
            {"submission", Key.Submission.Value},
@@ -88,6 +89,10 @@
   const bool Good = Each.Stream.add(Part, [&](platform::EngineEvent &Event) {
     if (Event.Id != static_cast<int64_t>(Each.Events.size()) + 1)
       return false;
+    if (!Each.Size.add(Event.Data)) {
+      Each.Events.clear();
+      return false;
+    }
     if (Event.Version >= 0)
       Each.Version = Event.Version;
     wire::TextEvent Kept;
@@ -98,7 +103,7 @@
     return true;
   });
   if (!Good)
-    this->stop(Key, "an event is too long or does not follow the one before");
+    this->stop(Key, "an event is too long, too much or does not follow");
 }
 
 void FreshRuns::onEnd(const ItemKey &Key) {
--- a/packages/gateway/fresh_run_base.h
+++ b/packages/gateway/fresh_run_base.h
@@ -59,6 +59,8 @@
     EndpointId Endpoint;
     /// The call; 0 once it has ended.
     HttpCallId Call;
+    /// How long the text is.
+    TextSize Size;
     /// What is not taken of its answer yet.
     EventStream Stream;
     /// The events.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -153,6 +153,9 @@
   Each.Endpoint = Start.Endpoint;
   Each.LastAt = steadyNow();
   Each.HadAtStart = Each.Events.size();
+  Each.Size = TextSize(Item->Tokens);
+  for (const wire::TextEvent &Event : Each.Events)
+    Each.Size.add(Event.Data);
   Each.Stream.clear();
   Each.Version = -1;
   HttpCall Call = itemRequest(*State, *Item, At->Record, Each.Events.size());
@@ -221,6 +224,12 @@
          Each.Events.front().Version != Each.Version;
 }
 
+void ItemTask::forgetText(Run &Each) {
+  Each.Events.clear();
+  Each.Saved = 0;
+  Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
+}
+
 bool ItemTask::takeEvent(const ItemKey &Key, Run &Each,
                          platform::EngineEvent &Event) {
   if (Event.Id != static_cast<int64_t>(Each.Events.size()) + 1)
@@ -234,10 +243,8 @@
   if (Each.Version < 0 ||
       (Wanted != nullptr && Each.Version < Wanted->MinVersion))
     return false;
-  if (this->mixesVersions(Key, Each)) {
-    Each.Events.clear();
-    Each.Saved = 0;
-    Each.Chain = static_cast<int64_t>(this->Draws() >> 1) | 1;
+  if (this->mixesVersions(Key, Each) || !Each.Size.add(Event.Data)) {
+    this->forgetText(Each);
     return false;
   }
   const Millis Now = steadyNow();
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -113,6 +113,8 @@
     size_t HadAtStart = 0;
     /// The version that makes the next event.
     int64_t Version = -1;
+    /// How long the text is.
+    TextSize Size;
     /// What is not taken of its answer yet.
     EventStream Stream;
     /// What the head of the answer says.
@@ -147,6 +149,9 @@
   /// @param Event one event.
   /// @return whether it follows the one before.
   bool takeEvent(const ItemKey &Key, Run &Each, platform::EngineEvent &Event);
+  /// Forgets a run's text, which belongs to no result.
+  /// @param Each the run.
+  void forgetText(Run &Each);
   /// @param Key the item.
   /// @param Each its run.
   /// @return whether the next event is of another version than the first, on
--- a/tests/gateway_tasks/endless_item_test.cpp
+++ b/tests/gateway_tasks/endless_item_test.cpp
@@ -86,3 +86,30 @@
   cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
   cr_assert_eq(Run.Net.Engine.Runs["s-0"].back(), 1);
 }
+
+Test(endlessItem, moreEventsThanTokens_areForgottenAndTheItemBeginsAnew) {
+  EndlessFixture Run;
+  cr_assert(Run.begin(10));
+  Run.Bad.send(0, events(1, 2'000, "bad"));
+  const platform::Json Read = Run.Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert_eq(Run.Net.Engine.Runs["s-0"].back(), 0);
+  cr_assert(Run.Bad.closed(0));
+}
+
+Test(endlessItem, textOverAResultsLimit_isForgottenAndTheItemBeginsAnew) {
+  EndlessFixture Run;
+  cr_assert(Run.begin());
+  const std::string Bytes = events(1, 20, std::string(size_t{100} << 10, 'x'));
+  size_t Sent = 0;
+  turnUntil(Run.Net.Events, [&] {
+    Sent += Run.Bad.sendSome(0, std::string_view(Bytes).substr(Sent));
+    return Sent == Bytes.size() || Run.Bad.closed(0);
+  });
+  const platform::Json Read = Run.Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert_eq(Run.Net.Engine.Runs["s-0"].back(), 0);
+  cr_assert(Run.Bad.closed(0));
+}
--- a/tests/gateway_tasks/fresh_run_test.cpp
+++ b/tests/gateway_tasks/fresh_run_test.cpp
@@ -135,6 +135,16 @@
   cr_assert_eq(Each.starts(), 1U, "an item has one second run");
 }
 
+Test(freshRuns, moreEventsThanTokens_leaveNoText) {
+  FreshRunFixture Each;
+  Each.State.Record.Items[0].Tokens = 3;
+  Each.consider();
+  cr_assert(turnUntil(Each.Events, [&] { return Each.starts() == 1; }));
+  Each.settle();
+  cr_assert_eq(Each.Tested.running(), 0U);
+  cr_assert_eq(Each.made(), 0U);
+}
+
 Test(freshRuns, endedSubmission_leavesNothing) {
   FreshRunFixture Each;
   Each.Newer.Hold = true;
