Fix: [Batch] What an owner knows is as old as its reads

An owner could still start items of an ended submission more than 3 s after the acknowledgement: the age of its knowledge was taken up to the last answered join, from the arrival of any page, also of one that does not reach the end or was asked for seconds ago, and second runs did not ask.

A follower notes the time up to which it knows all records: that of the request of a read that reached the end, or of the answer to one that waited at the store. The age is taken up to now, and second runs ask too. The test fails on the code before: the first page of three made everything known.

--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -31,6 +31,8 @@
 /// after which its items do not start: an ended submission's item must not
 /// reach an engine 3 s after the acknowledgement.
 constexpr Millis UnreadMost{2'000};
+/// Longest time between two answered reads of a partition that is followed.
+constexpr Millis ReadInterval{1'000};
 /// Pause between looks for submissions that may be forgotten.
 constexpr Millis ForgetInterval{5'000};
 /// Pause between looks at appends that are not acknowledged on leaving.
@@ -75,10 +77,12 @@
 }
 
 bool BatchTask::knowsEnd(const SubmissionId &Id) {
-  // While the store answers nobody, no end is acknowledged either.
   const PartitionId Where = this->partitionOf(Id);
-  const Millis Unread = this->JoinedAt - this->follower(Where).answeredAt();
-  if (Unread < UnreadMost) {
+  const Millis KnownAt = this->follower(Where).knownAt();
+  const Millis Unread = steadyNow() - KnownAt;
+  // While the store answers nothing, no end is acknowledged either.
+  const bool StoreServes = this->JoinedAt - KnownAt > ReadInterval;
+  if (Unread < UnreadMost || !StoreServes) {
     this->Held.erase(Where);
     return true;
   }
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -98,6 +98,8 @@
   for (const auto &[Key, Each] : this->Runs)
     Submissions.insert(Key.Submission);
   for (const SubmissionId &Id : Submissions) {
+    if (!this->Tell.KnowsEnd(Id))
+      continue;
     for (const ItemKey &Key : this->likelyLeft(Id)) {
       const ScheduledItem *Item = this->Scheduler.find(Key);
       const auto Under = this->Runs.find(Key);
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -57,7 +57,7 @@
 }
 
 bool PartitionFollower::fresh(Millis Now) const {
-  return this->Following && this->CaughtUp && Now - this->AnsweredAt < FreshFor;
+  return this->Following && this->CaughtUp && Now - this->KnownAt < FreshFor;
 }
 
 void PartitionFollower::readOn() {
@@ -83,7 +83,10 @@
       [this, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
         // Callers that wait have a read of their own.
         constexpr uint64_t Nobody = 0;
-        this->ended(Page, steadyNow() - SentAt, Nobody);
+        const Millis Now = steadyNow();
+        // The store answers when there is a record, or after the wait.
+        if (this->ended(Page, Now - SentAt, Nobody))
+          this->KnownAt = Now;
         this->readOn();
       });
 }
@@ -139,16 +142,22 @@
                          });
 }
 
-void PartitionFollower::ended(const StoreResult<ReadPage> &Page, Millis Took,
+bool PartitionFollower::ended(const StoreResult<ReadPage> &Page, Millis Took,
                               uint64_t Last) {
   this->Parts.Counts.ended(Page, Took);
   if (!Page.has_value()) {
     this->failed(Page.error(), Took);
-    return;
+    return false;
   }
+  const bool Reached =
+      Page.value().From + std::ssize(Page.value().Records) >= Page.value().End;
+  // An answer is as old as its read.
+  if (Reached)
+    this->KnownAt = std::max(this->KnownAt, steadyNow() - Took);
   this->take(Page.value());
   if (this->AtEnd)
     this->tell(Last, true);
+  return Reached;
 }
 
 void PartitionFollower::tell(uint64_t Last, bool Reached) {
@@ -165,7 +174,6 @@
 
 void PartitionFollower::take(const ReadPage &Page) {
   const Millis Now = steadyNow();
-  this->AnsweredAt = Now;
   this->BytesRead += recordBytes(Page);
   std::vector<PartitionChange> Changes;
   int64_t Offset = Page.From;
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -67,8 +67,8 @@
   /// @return whether the end was reached since it follows.
   bool caughtUp() const { return this->CaughtUp; }
 
-  /// @return when a read was last answered.
-  Millis answeredAt() const { return this->AnsweredAt; }
+  /// @return the time up to which all records are known.
+  Millis knownAt() const { return this->KnownAt; }
 
   /// @param Now the time.
   /// @return whether what it knows is as new as a read can tell.
@@ -97,7 +97,8 @@
   /// @param Page the records, or why there are none.
   /// @param Took the time since the read was sent.
   /// @param Last the last caller that waited when the read was sent.
-  void ended(const StoreResult<ReadPage> &Page, Millis Took, uint64_t Last);
+  /// @return whether the end was reached.
+  bool ended(const StoreResult<ReadPage> &Page, Millis Took, uint64_t Last);
   /// @param Page records.
   void take(const ReadPage &Page);
   /// @param Failure why a read failed.
@@ -139,8 +140,8 @@
   Millis KeepUntil{0};
   /// Whether the end was reached.
   bool CaughtUp = false;
-  /// When a read was last answered.
-  Millis AnsweredAt{0};
+  /// The time up to which all records are known.
+  Millis KnownAt{0};
   /// When it began to follow.
   Millis FollowsSince{0};
   /// Bytes read since it began to follow.
--- a/tests/gateway_tasks/partition_follower_test.cpp
+++ b/tests/gateway_tasks/partition_follower_test.cpp
@@ -73,3 +73,25 @@
     return Net.Follower.fold().find(SubmissionId{"b"}) != nullptr;
   }));
 }
+
+Test(partitionFollower, longHistory_isKnownUpToTheTimeOfTheLastRequest) {
+  FollowerFixture Net;
+  constexpr size_t PageBytes = 400'000;
+  for (const char *Id : {"a", "b", "c"})
+    Net.Store.state().append("batch", 0, addedSubmission(Id, PageBytes),
+                             std::nullopt);
+  Net.Store.ReadBytesPerSecond = 4'000'000;
+  Net.Follower.keep(steadyNow() + seconds(60));
+  Millis LastPageAskedAt{0};
+  int64_t Asked = 0;
+  cr_assert(turnUntil(Net.Events, [&] {
+    if (Net.Store.ReadsByTopic["batch"] > Asked && !Net.Follower.caughtUp()) {
+      Asked = Net.Store.ReadsByTopic["batch"];
+      LastPageAskedAt = steadyNow();
+      cr_assert_eq(Net.Follower.knownAt().Count, 0);
+    }
+    return Net.Follower.caughtUp();
+  }));
+  cr_assert_gt(Asked, 1);
+  cr_assert_leq(Net.Follower.knownAt().Count, LastPageAskedAt.Count);
+}
