Add: [Tests] Faults of the history gate and of reads of ended submissions, known red

Each fails on this code: refusals at once raise the time for an answer, owned partitions that keep failing keep unowned ones from being read, and a gateway that cannot read shows an ended submission's listed position as empty.

--- a/tests/batch/history_read_test.cpp
+++ b/tests/batch/history_read_test.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 #include <deque>
+#include <vector>
 
 using namespace camphornotch;
 
@@ -122,6 +123,38 @@
   cr_assert(Last.Timeout == Limits.LeastTimeout);
 }
 
+Test(historyRead, readsRefusedAtOnce_timeForAnAnswerStays) {
+  const HistoryReadLimits Limits;
+  HistoryReadPlan Plan(Limits);
+  Millis Now{0};
+  for (int Times = 0; Times < 6; ++Times) {
+    Plan.want(part(1), true);
+    cr_assert(Plan.next(Now)->Timeout == Limits.LeastTimeout);
+    Plan.failed(part(1), Now + Millis{5}, MiddleDraw);
+    Now = Plan.pausedUntil();
+  }
+}
+
+Test(historyRead, ownedPartitionsThatKeepFailing_unownedOnesGetTheirTurn) {
+  HistoryReadPlan Plan;
+  Millis Now{0};
+  bool Read = false;
+  Plan.want(part(3), false);
+  for (int Times = 0; Times < 20 && !Read; ++Times) {
+    for (const int64_t Owned : {1, 2})
+      Plan.want(part(Owned), true);
+    std::vector<PartitionId> Sent;
+    while (const auto Each = Plan.next(Now))
+      Sent.push_back(Each->Where);
+    for (const PartitionId &Where : Sent) {
+      Read |= Where == part(3);
+      Plan.failed(Where, Now, MiddleDraw);
+    }
+    Now = Plan.pausedUntil();
+  }
+  cr_assert(Read);
+}
+
 Test(historyRead, tryOfManyProcesses_isSpread) {
   HistoryReadPlan Early;
   HistoryReadPlan Late;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -291,6 +291,36 @@
   cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
 }
 
+Test(batch, endedSubmissionAtAGatewayThatCannotRead_isNotShownAsEmpty) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  HttpCall End;
+  End.Method = "DELETE";
+  End.Path = "/-/lots/s";
+  cr_assert_eq(Net.ask(0, End).Status, 200);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held[0]->gone(); }));
+  Net.Store.RefusesReads = true;
+  // The read that waits at the store ends; then another gateway lists a result.
+  Net.pass(seconds(1));
+  wire::BatchRecord Record;
+  wire::ItemResultRecord Result;
+  Result.Submission = "s";
+  Result.Item = "s-0";
+  Record.__set_Result(Result);
+  Net.Store.state().append(
+      "batch", partitionFor("batch", "s", Net.Partitions).Part,
+      splitRecord(encodeBatchRecord(Record), 4'000), std::nullopt);
+  Net.pass(seconds(2));
+  HttpCall Read;
+  Read.Path = "/-/lots/s";
+  const HttpResponse Answer = Net.ask(0, Read);
+  const bool Shown = Answer.Status == 200 &&
+                     !platform::Json::parse(Answer.Body)["results"].empty();
+  cr_assert(Shown || Answer.Status == 503);
+}
+
 Test(batch, itemBody_isServedAtEveryGateway) {
   GatewayFixture Net;
   Net.Engine.Hold = true;
