Fix: [Batch] An ended submission is not shown as empty by a gateway that is behind

A gateway whose reads failed, or that was in the middle of a history, answered a read of an ended submission with no results, though another gateway had shown them: results that are under way are listed after the end. A read by position that finds nothing is now answered by a state that is fresh, or after a read to the end, else with 503. Found by review; endedSubmissionAtAGatewayThatCannotRead_* failed before.

--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -40,6 +40,18 @@
   Exchange->answer(Response);
 }
 
+/// @param Exchange a read of results.
+/// @param Asked what is asked.
+/// @param State the submission.
+void answerResults(const std::shared_ptr<HttpExchange> &Exchange,
+                   const platform::ResultsRead &Asked,
+                   const SubmissionState &State) {
+  HttpResponse Response;
+  Response.Status = StatusOk;
+  Response.Body = platform::encodeResults(State, Asked.From);
+  Exchange->answer(Response);
+}
+
 } // namespace
 
 BatchTask::BatchTask(const BatchTaskParts &Parts,
@@ -191,17 +203,14 @@
                              const SubmissionState &State) {
   const bool HasNews = Asked.From < static_cast<int64_t>(State.Results.size());
   if (HasNews || Asked.Wait <= Millis{0} || State.Ended || this->Leaving) {
-    const Millis Now = steadyNow();
-    if (!HasNews && !State.Ended &&
-        !this->follower(this->partitionOf(Asked.Id)).fresh(Now)) {
-      this->refuse(Exchange, StatusUnavailable, "partition not read lately",
-                   RetryStore);
-      return;
-    }
-    HttpResponse Response;
-    Response.Status = StatusOk;
-    Response.Body = platform::encodeResults(State, Asked.From);
-    Exchange->answer(Response);
+    // Results may be listed after the end, too.
+    const bool Sure =
+        HasNews ||
+        this->follower(this->partitionOf(Asked.Id)).fresh(steadyNow());
+    if (Sure)
+      answerResults(Exchange, Asked, State);
+    else
+      this->answerRefreshed(Exchange, Asked);
     return;
   }
   const uint64_t Number = ++this->LastRead;
@@ -218,6 +227,24 @@
   this->Reads.emplace(Number, std::move(Waiting));
 }
 
+void BatchTask::answerRefreshed(const std::shared_ptr<HttpExchange> &Exchange,
+                                const platform::ResultsRead &Asked) {
+  const PartitionId Where = this->partitionOf(Asked.Id);
+  PartitionFollower &Following = this->follower(Where);
+  Following.keep(steadyNow() + FollowFor);
+  Following.refresh([this, Exchange, Asked, Where](bool Reached) {
+    const SubmissionState *State = this->follower(Where).fold().find(Asked.Id);
+    const bool HasNews =
+        State != nullptr &&
+        Asked.From < static_cast<int64_t>(State->Results.size());
+    if (State != nullptr && (HasNews || Reached))
+      answerResults(Exchange, Asked, *State);
+    else
+      this->refuse(Exchange, StatusUnavailable, "partition not read lately",
+                   RetryStore);
+  });
+}
+
 void BatchTask::answerWaiting(uint64_t Number) {
   auto Node = this->Reads.extract(Number);
   if (Node.empty())
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -125,6 +125,12 @@
   void answerOrWait(const std::shared_ptr<HttpExchange> &Exchange,
                     const platform::ResultsRead &Asked,
                     const SubmissionState &State);
+  /// Answers a read after a read of its partition, so that no result is missing
+  /// that another gateway has shown.
+  /// @param Exchange the request.
+  /// @param Asked what is asked.
+  void answerRefreshed(const std::shared_ptr<HttpExchange> &Exchange,
+                       const platform::ResultsRead &Asked);
   /// Answers a waiting read with what there is.
   /// @param Number the read.
   void answerWaiting(uint64_t Number);
