Fix: [Batch] Histories of others' partitions get their turn beside owned ones

Two owned partitions that keep failing, or leftovers that nobody waits for any more, took both reads of the gate, so callers' partitions were never read. One of the two reads is now kept for a partition that is not owned if one waits, and leftovers rank below owned partitions once their items have started.

--- a/packages/core/batch/history_read_base.cpp
+++ b/packages/core/batch/history_read_base.cpp
@@ -5,7 +5,6 @@
 #include "core/batch/history_read_base.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace camphornotch {
 
@@ -53,31 +52,43 @@
       this->Readings, [](const auto &Each) { return Each.second.Open; }));
 }
 
-std::optional<HistoryRead> HistoryReadPlan::next(Millis Now) {
-  const size_t Open = this->open();
-  if (Now < this->PausedUntil || Open >= this->Limits.MostOpen)
-    return std::nullopt;
-  const auto Unowned = static_cast<size_t>(
-      std::ranges::count_if(this->Readings, [](const auto &Each) {
-        return Each.second.Open && !Each.second.Owned;
+size_t HistoryReadPlan::openOf(bool Owned) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(this->Readings, [Owned](const auto &Each) {
+        return Each.second.Open && Each.second.Owned == Owned;
       }));
-  const bool OnlyOwned = Unowned >= this->Limits.MostOpenUnowned;
-  auto Best = this->Readings.end();
-  const auto Rank = [](const Reading &Each) {
-    return std::tuple(!Each.Owned, Each.Arrival);
-  };
-  for (auto Each = this->Readings.begin(); Each != this->Readings.end();
-       ++Each) {
-    if (!Each->second.Waiting || (OnlyOwned && !Each->second.Owned))
-      continue;
-    if (Best == this->Readings.end() || Rank(Each->second) < Rank(Best->second))
-      Best = Each;
+}
+
+std::pair<const PartitionId, HistoryReadPlan::Reading> *
+HistoryReadPlan::firstWaiting(bool Owned) {
+  std::pair<const PartitionId, Reading> *Best = nullptr;
+  for (auto &Each : this->Readings) {
+    const Reading &Here = Each.second;
+    if (Here.Waiting && Here.Owned == Owned &&
+        (Best == nullptr || Here.Arrival < Best->second.Arrival))
+      Best = &Each;
   }
-  if (Best == this->Readings.end())
+  return Best;
+}
+
+std::optional<HistoryRead> HistoryReadPlan::next(Millis Now) {
+  if (Now < this->PausedUntil || this->open() >= this->Limits.MostOpen)
+    return std::nullopt;
+  const size_t OpenUnowned = this->openOf(false);
+  auto *Unowned = OpenUnowned < this->Limits.MostOpenUnowned
+                      ? this->firstWaiting(false)
+                      : nullptr;
+  const size_t Kept = Unowned != nullptr ? this->Limits.MostOpenUnowned : 0;
+  const bool OwnedMay =
+      this->openOf(true) + std::max(Kept, OpenUnowned) < this->Limits.MostOpen;
+  auto *Next = OwnedMay ? this->firstWaiting(true) : nullptr;
+  if (Next == nullptr)
+    Next = Unowned;
+  if (Next == nullptr)
     return std::nullopt;
-  Best->second.Waiting = false;
-  Best->second.Open = true;
-  return HistoryRead{Best->first, this->Kilobytes, this->Timeout};
+  Next->second.Waiting = false;
+  Next->second.Open = true;
+  return HistoryRead{Next->first, this->Kilobytes, this->Timeout};
 }
 
 void HistoryReadPlan::answered(const PartitionId &Where, Millis Took) {
@@ -101,6 +112,8 @@
     // Another partition may be readable.
     Found->second.Arrival = ++this->Arrivals;
   }
+  this->Kilobytes = std::max(this->Kilobytes / 2, this->Limits.LeastKilobytes);
+  this->Timeout = std::min(this->Timeout * 2, this->Limits.MostTimeout);
   const int64_t Factor = int64_t{1} << std::min(this->Failures, MostDoublings);
   const Millis Pause =
       std::min(this->Limits.FirstPause * Factor, this->Limits.MostPause);
@@ -109,8 +122,6 @@
   this->PausedUntil =
       Now + Millis{static_cast<int64_t>(static_cast<double>(Pause.Count) *
                                         (LeastPart + Draw))};
-  this->Kilobytes = std::max(this->Kilobytes / 2, this->Limits.LeastKilobytes);
-  this->Timeout = std::min(this->Timeout * 2, this->Limits.MostTimeout);
 }
 
 } // namespace camphornotch
--- a/packages/core/batch/history_read_base.h
+++ b/packages/core/batch/history_read_base.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace camphornotch {
 
@@ -45,9 +46,10 @@
 /// Answers the load of a whole deployment that starts at once, when each
 /// process has all histories to read and all share the store's bandwidth. A
 /// read that is given up has used bandwidth for nothing, so few are sent at
-/// once, owned partitions go first, one history is read to its end before the
-/// next, and failures lengthen the time for an answer, shorten the page and
-/// spread the next try. Deterministic, without I/O.
+/// once, owned partitions go first but leave room for others, one history is
+/// read to its end before the next, failures spread the next try, and answers
+/// that come too late lengthen the time for the next and shorten its page.
+/// Deterministic, without I/O.
 class HistoryReadPlan {
 public:
   /// @param Limits the bounds.
@@ -106,6 +108,13 @@
     bool Open = false;
   };
 
+  /// @param Owned whether owned partitions are counted, or the others.
+  /// @return reads of theirs that are not answered.
+  size_t openOf(bool Owned) const;
+  /// @param Owned whether owned partitions are looked at, or the others.
+  /// @return the one of them whose turn it is; null if none waits.
+  std::pair<const PartitionId, Reading> *firstWaiting(bool Owned);
+
   /// Bounds.
   HistoryReadLimits Limits;
   /// Partitions that are being read.
--- a/packages/gateway/leftover_task_base.cpp
+++ b/packages/gateway/leftover_task_base.cpp
@@ -61,8 +61,15 @@
     if (Run)
       Run();
   };
-  const TimerId Limit = this->Events.callAfter(RefreshMost, Finish);
-  this->read(this->partitionOf(Route), [this, Limit, Finish] {
+  const PartitionId Where = this->partitionOf(Route);
+  this->Readings[Where].Urgent = true;
+  const TimerId Limit =
+      this->Events.callAfter(RefreshMost, [this, Where, Finish] {
+        this->Readings[Where].Urgent = false;
+        this->Histories.setOwned(Where, false);
+        Finish();
+      });
+  this->read(Where, [this, Limit, Finish] {
     this->Events.cancel(Limit);
     Finish();
   });
@@ -78,10 +85,9 @@
 }
 
 void LeftoverTask::readPage(const PartitionId &Where) {
-  // Items of an owned partition wait for it.
-  constexpr bool Owned = true;
   this->Histories.read(
-      Where, Owned, [this, Where] { return this->Readings[Where].Next; },
+      Where, this->Readings[Where].Urgent,
+      [this, Where] { return this->Readings[Where].Next; },
       [this, Where](const StoreResult<ReadPage> &Page, Millis) {
         if (!Page.has_value()) {
           const StoreFailure &Failure = Page.error();
--- a/packages/gateway/leftover_task_base.h
+++ b/packages/gateway/leftover_task_base.h
@@ -52,6 +52,8 @@
     RecordJoiner Joiner;
     /// Whether it is being read.
     bool Running = false;
+    /// Whether items wait for it.
+    bool Urgent = false;
     /// Called at the end, or on a failure.
     std::vector<std::function<void()>> Waiters;
   };
