Fix: [Batch] Refused reads do not lengthen the time for an answer

Four refusals within a second made the next read of a history that hangs cost 5 s, and as much again through a peer: an owner was blind meanwhile. Only an answer that did not come in its time doubles that time and halves the page, reads that fail together count once, and the time ends at 2.5 s, since the store refuses what would wait for more than 2 s. Found by review; readsRefusedAtOnce_timeForAnAnswerStays failed before.

--- a/packages/core/batch/history_read_base.cpp
+++ b/packages/core/batch/history_read_base.cpp
@@ -88,6 +88,7 @@
     return std::nullopt;
   Next->second.Waiting = false;
   Next->second.Open = true;
+  Next->second.GivenUpAt = Now + this->Timeout;
   return HistoryRead{Next->first, this->Kilobytes, this->Timeout};
 }
 
@@ -107,13 +108,21 @@
 void HistoryReadPlan::failed(const PartitionId &Where, Millis Now,
                              double Draw) {
   const auto Found = this->Readings.find(Where);
+  bool Late = false;
   if (Found != this->Readings.end()) {
+    Late = Now >= Found->second.GivenUpAt;
     Found->second.Open = false;
     // Another partition may be readable.
     Found->second.Arrival = ++this->Arrivals;
   }
-  this->Kilobytes = std::max(this->Kilobytes / 2, this->Limits.LeastKilobytes);
-  this->Timeout = std::min(this->Timeout * 2, this->Limits.MostTimeout);
+  if (Late) {
+    this->Kilobytes =
+        std::max(this->Kilobytes / 2, this->Limits.LeastKilobytes);
+    this->Timeout = std::min(this->Timeout * 2, this->Limits.MostTimeout);
+  }
+  // Reads that were open together fail together.
+  if (Now < this->PausedUntil)
+    return;
   const int64_t Factor = int64_t{1} << std::min(this->Failures, MostDoublings);
   const Millis Pause =
       std::min(this->Limits.FirstPause * Factor, this->Limits.MostPause);
--- a/packages/core/batch/history_read_base.h
+++ b/packages/core/batch/history_read_base.h
@@ -25,8 +25,9 @@
   int64_t MostKilobytes = 1'024;
   /// Least time for the answer to one read.
   Millis LeastTimeout{600};
-  /// Most time for the answer to one read.
-  Millis MostTimeout{5'000};
+  /// Most time for the answer to one read: the store refuses what would wait
+  /// for more than 2 s.
+  Millis MostTimeout{2'500};
   /// Pause after a failed read; doubles with each one in a row.
   Millis FirstPause{120};
   /// Longest pause.
@@ -106,6 +107,8 @@
     bool Waiting = false;
     /// Whether a read is open.
     bool Open = false;
+    /// When that was given up at the latest.
+    Millis GivenUpAt{0};
   };
 
   /// @param Owned whether owned partitions are counted, or the others.
