Fix: [Batch] Runs are not moved while their submission may have ended

A run that was to move to a faster engine was taken off and then held while the owner could not read its partition, against the aim that runs go on. Found by review.

--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -414,7 +414,8 @@
     const ScheduledItem *Item = this->Scheduler.find(Key);
     const bool Settled =
         Each.Events.size() >= Each.HadAtStart + MoveAfterEvents;
-    if (Each.Call.Value == 0 || Item == nullptr || !Settled)
+    if (Each.Call.Value == 0 || Item == nullptr || !Settled ||
+        !this->Tell.KnowsEnd(Key.Submission))
       continue;
     const RunKind Kind(Each.Endpoint, Item->Service, Item->Model,
                        Item->MinVersion);
