Fix: [Batch] One refused refresh does not turn all waiting callers away

A read for callers that the store refused once made all callers of the partition wait for nothing: each got 503, and the reads for callers stopped until the read that waits at the store ended. Callers now keep their second, the read is tried again after 200 ms. Reads from the end on bring 256 KB at most, more goes through the gate. Found by review; refreshRefusedOnce_isAnsweredByTheNextTry failed before.

--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -19,13 +19,27 @@
 /// Wait of one read for a record; results have to be seen everywhere within a
 /// second of being read anywhere.
 constexpr Millis PollWait{800};
+/// Most kilobytes of a read from the end on: the longest record. What is more
+/// is read through the gate.
+constexpr int64_t PollKilobytes = 256;
 /// Age of the last answer up to which the state counts as fresh: a read's wait
 /// and the slowest answer seen from a slow store.
 constexpr Millis FreshFor{1'300};
+/// Pause before a failed read for callers is tried again.
+constexpr Millis RefreshRetryPause{200};
 /// Longest wait of a caller for the end of a partition. Callers come back at
 /// other gateways, so they are not kept for long.
 constexpr Millis RefreshMost{1'000};
 
+/// @param Wait how long the store may wait for a record.
+/// @return the bounds of a read from the end on.
+platform::ReadBounds pollBounds(Millis Wait) {
+  platform::ReadBounds Bounds;
+  Bounds.Wait = Wait;
+  Bounds.Kilobytes = PollKilobytes;
+  return Bounds;
+}
+
 } // namespace
 
 PartitionFollower::PartitionFollower(const PartitionFollowerParts &Parts,
@@ -79,7 +93,7 @@
 void PartitionFollower::poll() {
   this->Parts.Counts.begun();
   this->Parts.Store.read(
-      this->Where, this->Next, platform::ReadBounds{PollWait},
+      this->Where, this->Next, pollBounds(PollWait),
       [this, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
         // Callers that wait have a read of their own.
         constexpr uint64_t Nobody = 0;
@@ -130,16 +144,27 @@
     return;
   this->ReadingNow = true;
   this->Parts.Counts.begun();
-  this->Parts.Store.read(this->Where, this->Next, platform::ReadBounds{},
-                         [this, Last = this->LastWaiter, SentAt = steadyNow()](
-                             const StoreResult<ReadPage> &Page) {
-                           this->ReadingNow = false;
-                           this->ended(Page, steadyNow() - SentAt, Last);
-                           if (!Page.has_value())
-                             this->tell(Last, false);
-                           if (this->AtEnd && !this->Waiters.empty())
-                             this->readNow();
-                         });
+  this->Parts.Store.read(
+      this->Where, this->Next, pollBounds(Millis{0}),
+      [this, Last = this->LastWaiter,
+       SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
+        this->ReadingNow = false;
+        const bool WasAtEnd = this->AtEnd;
+        this->ended(Page, steadyNow() - SentAt, Last);
+        // A failure here does not end the read that waits at the store.
+        if (!Page.has_value())
+          this->AtEnd = WasAtEnd;
+        this->readNowAgain(Page.has_value() ? Millis{0} : RefreshRetryPause);
+      });
+}
+
+void PartitionFollower::readNowAgain(Millis Pause) {
+  if (this->Waiters.empty())
+    return;
+  this->Parts.Events.callAfter(Pause, [this] {
+    if (this->AtEnd && !this->Waiters.empty())
+      this->readNow();
+  });
 }
 
 bool PartitionFollower::ended(const StoreResult<ReadPage> &Page, Millis Took,
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -93,6 +93,9 @@
   void readHistory();
   /// Reads what is there now, for callers that wait.
   void readNow();
+  /// Reads again for callers that still wait.
+  /// @param Pause how long from now.
+  void readNowAgain(Millis Pause);
   /// Takes a page, or goes on after a failure.
   /// @param Page the records, or why there are none.
   /// @param Took the time since the read was sent.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -58,6 +58,7 @@
   }
   const bool IsRead = Exchange->request().Path == "/-/log-read";
   if (this->Busy || (IsRead && this->RefusesReads)) {
+    this->ReadsRefused += IsRead ? 1 : 0;
     reply(Exchange, 503, "{}");
     return;
   }
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -54,6 +54,8 @@
   bool Busy = false;
   /// Whether all reads of records get 503.
   bool RefusesReads = false;
+  /// How many reads were refused so.
+  int64_t ReadsRefused = 0;
   /// Bytes of records that all reads together get in a second; 0: no limit. A
   /// read that its caller has given up takes its share all the same.
   int64_t ReadBytesPerSecond = 0;
--- a/tests/gateway_tasks/partition_follower_test.cpp
+++ b/tests/gateway_tasks/partition_follower_test.cpp
@@ -95,3 +95,21 @@
   cr_assert_gt(Asked, 1);
   cr_assert_leq(Net.Follower.knownAt().Count, LastPageAskedAt.Count);
 }
+
+Test(partitionFollower, refreshRefusedOnce_isAnsweredByTheNextTry) {
+  FollowerFixture Net;
+  Net.Follower.keep(steadyNow() + seconds(60));
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Store.ReadsByTopic["batch"] == 2; }));
+  Net.Store.RefusesReads = true;
+  bool Told = false;
+  bool Reached = false;
+  Net.Follower.refresh([&](bool Is) {
+    Told = true;
+    Reached = Is;
+  });
+  turnUntil(Net.Events, [&] { return Net.Store.ReadsRefused > 0; });
+  Net.Store.RefusesReads = false;
+  cr_assert(turnUntil(Net.Events, [&] { return Told; }));
+  cr_assert(Reached);
+}
