--- /dev/null
+++ b/tests/gateway_tasks/store_client_test.cpp
@@ -0,0 +1,68 @@
+/// @file
+/// The store's client before a stand-in of the store and a peer that the test
+/// commands.
+
+#include "platform/store_client_base.h"
+#include "standins/store/store_server.h"
+#include "tests/net/net_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// A client, its store, and a peer.
+struct StoreClientFixture {
+  /// The loop.
+  Loop Events;
+  /// The store.
+  standin::StandinStoreServer Store{this->Events, 1};
+  /// Sends the calls.
+  HttpClient Http{this->Events};
+  /// The client.
+  platform::StoreClient Client{this->Events, this->Http, this->Store.target()};
+  /// What the peer answers.
+  platform::RawStoreAnswer PeerAnswer;
+  /// Calls that went to the peer.
+  int PeerCalls = 0;
+
+  /// Sets the peer up.
+  StoreClientFixture() {
+    this->Client.setRelay([this](const platform::RawStoreCall &,
+                                 const platform::RawStoreReply &Reply) {
+      ++this->PeerCalls;
+      this->Events.defer([this, Reply] { Reply(this->PeerAnswer); });
+      return true;
+    });
+  }
+
+  /// Reads once.
+  /// @return whether the read was answered.
+  bool read() {
+    bool Over = false;
+    bool Good = false;
+    this->Client.read(PartitionId{"batch", 0}, 0, platform::ReadBounds{},
+                      [&](const StoreResult<ReadPage> &Page) {
+                        Over = true;
+                        Good = Page.has_value();
+                      });
+    cr_assert(turnUntil(this->Events, [&] { return Over; }));
+    return Good;
+  }
+};
+
+} // namespace
+
+Test(storeClient, peerThatIsGone_isNotTriedFirstAgain) {
+  StoreClientFixture Net;
+  Net.Store.Busy = true;
+  Net.PeerAnswer.Status = 200;
+  Net.PeerAnswer.Body = std::string(16, '\0');
+  cr_assert(Net.read());
+  Net.Store.Busy = false;
+  Net.PeerAnswer = platform::RawStoreAnswer{};
+  cr_assert(!Net.read());
+  cr_assert(Net.read());
+  cr_assert_eq(Net.PeerCalls, 2);
+}
