--- a/tests/gateway_tasks/store_client_test.cpp
+++ b/tests/gateway_tasks/store_client_test.cpp
@@ -66,3 +66,24 @@
   cr_assert(Net.read());
   cr_assert_eq(Net.PeerCalls, 2);
 }
+
+Test(storeClient, storeThatRefusesPeersToo_isNotAskedTwiceForEachCall) {
+  StoreClientFixture Net;
+  Net.Store.Busy = true;
+  Net.PeerAnswer.Status = 503;
+  constexpr int Reads = 5;
+  for (int Count = 0; Count < Reads; ++Count)
+    cr_assert(!Net.read());
+  cr_assert_eq(Net.PeerCalls, 1);
+}
+
+Test(storeClient, storeThatRefusesThisHostOnly_isReachedThroughAPeer) {
+  StoreClientFixture Net;
+  Net.Store.Busy = true;
+  Net.PeerAnswer.Status = 200;
+  Net.PeerAnswer.Body = std::string(16, '\0');
+  constexpr int Reads = 3;
+  for (int Count = 0; Count < Reads; ++Count)
+    cr_assert(Net.read());
+  cr_assert_eq(Net.PeerCalls, Reads);
+}
