Add: [Batch] A test of scoring calls that are broken off

A scoring call that a crash breaks off is no answer of status 500: the test breaks eight calls off, answers `attempts` - 1 with 500 and then well, and wants the item completed.

--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -352,6 +352,18 @@
   cr_assert(Read[0]["state"] == "completed");
 }
 
+Test(batch, scoringCallsBrokenOff_doNotCountAsFailures) {
+  GatewayFixture Net(1);
+  constexpr int Breaks = 8;
+  Net.Engine.ScoreBreaks = Breaks;
+  Net.Engine.ScoreFailures = Net.Gateways[0]->Routes.Routes[0].Attempts - 1;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "completed");
+  cr_assert_leq(Net.Engine.ScoreFailures, 0);
+}
+
 Test(batch, scoringCallWhileNoEndpointIsThere_isSentOnceThereIsOne) {
   GatewayFixture Net(1);
   EndpointPool &Pool = Net.Gateways[0]->Pool;
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -60,6 +60,10 @@
   /// Items that are answered by an extra answer of status 500 to another
   /// request.
   int ExtraFailures = 0;
+  /// Scoring calls that are broken off before those that are answered.
+  int ScoreBreaks = 0;
+  /// Scoring calls that are answered by status 500 after those.
+  int64_t ScoreFailures = 0;
   /// Status of the answers to scoring calls.
   int ScoreStatus = 200;
   /// Runs by item, with the events that the caller already had.
@@ -77,7 +81,13 @@
     Head.Headers = {{"X-Camphornotch-Request-Id", Id},
                     {"X-Camphornotch-Response-Signature", "receipt-" + Id}};
     if (Request.Path.starts_with("/score/")) {
-      Head.Status = this->ScoreStatus;
+      if (this->ScoreBreaks > 0) {
+        --this->ScoreBreaks;
+        One->start(Head);
+        One->abort();
+        return;
+      }
+      Head.Status = this->ScoreFailures-- > 0 ? 500 : this->ScoreStatus;
       One->answer(Head);
       return;
     }
