Fix: [Batch] A scoring call that fails without the route is sent again

Callers could see an item whose text an engine had finished stay without a result after its route had been away for a moment.

Cause: where a scoring call ended with a failure while the configuration had no route for the item, the number of attempts was not known, and nothing more was done for the item; a route that came back changed nothing.

Fix: the item goes on waiting. With a failure behind it, its call is not sent while the route is away, so that no call fails beyond the number of attempts; without one it is sent as before.

--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -9,8 +9,6 @@
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
 
-#include <algorithm>
-
 namespace camphornotch {
 
 namespace {
@@ -39,6 +37,11 @@
     this->scoreAgain(Key, "no route for the scoring call");
     return;
   }
+  // Only the item's route says how many failures are enough.
+  if (Each->ScoringFailures > 0 && this->routeOf(Key) == nullptr) {
+    this->scoreAgain(Key, "no route for the item");
+    return;
+  }
   const Millis Now = steadyNow();
   ForwardJob Job;
   Job.Need.By = *By;
@@ -83,14 +86,15 @@
   const SubmissionState *State = this->Tell.Submission(Key.Submission);
   const wire::BatchItemField *Item =
       State == nullptr ? nullptr : findItem(*State, Key.Item);
-  const Route *Own = this->routeOf(Key);
-  if (Item == nullptr || Own == nullptr)
+  if (Item == nullptr)
     return;
+  const Route *Own = this->routeOf(Key);
   const Route *By =
       findRoute(this->Tell.Routes(), Item->Scoring.Host, Item->Scoring.Path);
-  const int64_t Most =
-      std::max(Own->Attempts, By == nullptr ? 1 : By->Attempts);
-  if (Each->ScoringFailures >= Most)
+  const auto Enough = [Each](const Route &Which) {
+    return Each->ScoringFailures >= Which.Attempts;
+  };
+  if (Own != nullptr && Enough(*Own) && (By == nullptr || Enough(*By)))
     this->report(Key, false, "", "its scoring call failed too often");
   else
     this->scoreAgain(Key, concat("status ", Response.Status));
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -364,6 +364,26 @@
   cr_assert_leq(Net.Engine.ScoreFailures, 0);
 }
 
+Test(batch, scoringCallFailedWhileTheRouteWasAway_isSentAgain) {
+  GatewayFixture Net(1);
+  RouteTable &Routes = Net.Gateways[0]->Routes;
+  const RouteTable Known = Routes;
+  Net.Engine.Hold = true;
+  Net.Engine.ScoreFailures = Known.Routes[1].Attempts;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Routes.Routes.erase(Routes.Routes.begin());
+  Net.Engine.release();
+  cr_assert(
+      turnUntil(Net.Events, [&] { return Net.Engine.ScoreFailures <= 0; }));
+  Net.pass(Millis{200});
+  Routes = Known;
+  Net.Gateways[0]->Batches->routesChanged();
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "completed");
+}
+
 Test(batch, scoringCallWhileNoEndpointIsThere_isSentOnceThereIsOne) {
   GatewayFixture Net(1);
   EndpointPool &Pool = Net.Gateways[0]->Pool;
