Fix: [Loads] An engine that returned loads only once it has stayed a second

Callers saw steps stand still for up to half a minute after a burst of crashes, though all was calm and engines had room: no engine had the version that the items wanted.

Cause: a loader ordered a load as soon as its engine answered again. In a burst each crash ended such a load and its return began another; by the durations measured, a load that a crash ended goes on slowing those of the others (the platform: 0.9 s, longer while more than two engines load). The turns in which engines load count from the naming of a version, so they did not spread these.

Fix: after the engine was lost, answered with status 421 or started to count its orders anew, no load is ordered for 1 s and the engine's turn.

Evidence: the tests enginesThatCrashAgainAndAgain_loadNothingInVain and engineThatRestartedUnseen_waitsToo failed with the wait taken out; enginesThatReturned_haveAllVersionsInTheTimeOfTheRule guards the other way.

--- a/packages/core/loads/load_controller_base.cpp
+++ b/packages/core/loads/load_controller_base.cpp
@@ -4,6 +4,7 @@
 #include "core/loads/load_controller_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphornotch {
 
@@ -26,6 +27,9 @@
 /// Wait for the answer to an order before another is decided. An order whose
 /// answer was lost may still be carried out, which the sequence shows.
 constexpr Millis UnansweredWait{700};
+/// Time that an engine must have answered again before it loads; engines that
+/// crash in a burst come and go within it.
+constexpr Millis ReturnWait{1'000};
 /// Wait after an order that the engine refused.
 constexpr Millis RefusedWait{200};
 
@@ -80,18 +84,32 @@
   const bool OwnTurn = News.Named % Halves == *Half;
   if (!Behind && !OwnTurn && Current >= News.Demanded)
     return false;
+  return Now >= News.NamedAt + this->turnDelay(ModelCount);
+}
+
+Millis LoadController::turnDelay(int64_t ModelCount) const {
   const int64_t AtOnce =
       std::max(this->Place.Count / LoadsAtOnceDivisor, LoadsAtOnceLeast);
   const int64_t Turn =
       this->Place.Rank / (ModelCount <= 1 ? Halves : ModelCount);
-  const Millis Delay{LoadTime.Count * Turn / AtOnce};
-  return Now >= News.NamedAt + Delay;
+  return Millis{LoadTime.Count * Turn / AtOnce};
+}
+
+void LoadController::noteReturn(const EngineReport &Report, Millis Now) {
+  const bool Restarted = Report.Sequence < this->LastSequence;
+  this->LastSequence = Report.Sequence;
+  if (!std::exchange(this->Lost, false) && !Restarted)
+    return;
+  const auto ModelCount = static_cast<int64_t>(Report.Versions.size());
+  this->NotBefore =
+      std::max(this->NotBefore, Now + ReturnWait + this->turnDelay(ModelCount));
 }
 
 std::optional<LoadOrder> LoadController::decide(const EngineReport &Report,
                                                 Millis Now) {
   if (this->NextPlace != this->Place && Now >= this->NextSince + PlaceSettles)
     this->Place = this->NextPlace;
+  this->noteReturn(Report, Now);
   if (Report.Busy || Now < this->NotBefore)
     return std::nullopt;
   std::optional<LoadOrder> Best;
--- a/packages/core/loads/load_controller_base.h
+++ b/packages/core/loads/load_controller_base.h
@@ -47,6 +47,11 @@
   /// @param Now the time.
   void placed(EnginePlace Place, Millis Now);
 
+  /// Notes that the engine did not answer, or has another id: it may restart.
+  /// Answers the load of engines that crash again and again: a load that a
+  /// crash ends slows those of the other engines in vain.
+  void lost() { this->Lost = true; }
+
   /// @param Report what the engine says now.
   /// @param Now the time.
   /// @return the order to send, if one is due.
@@ -77,6 +82,13 @@
   /// @return the half of the model's engines that this one is in; absent: it
   ///         does not keep the model.
   std::optional<int64_t> halfOf(int64_t ModelIndex, int64_t ModelCount) const;
+  /// @param ModelCount how many models the engine has.
+  /// @return how long the engine waits for others to load first.
+  Millis turnDelay(int64_t ModelCount) const;
+  /// Waits a while after the engine's return.
+  /// @param Report what the engine says now.
+  /// @param Now the time.
+  void noteReturn(const EngineReport &Report, Millis Now);
   /// @param News a model.
   /// @param ModelIndex its place among the engine's models.
   /// @param ModelCount how many models the engine has.
@@ -98,6 +110,10 @@
   bool HasPlace = false;
   /// No order before this time.
   Millis NotBefore{0};
+  /// Whether the engine was lost since its last report.
+  bool Lost = false;
+  /// Orders that the engine had accepted by its last report.
+  int64_t LastSequence = 0;
 };
 
 } // namespace camphornotch
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -165,6 +165,7 @@
       logLine(LogLevel::Warn, "engine lost",
               {{"cause", Failure.Cause.Message}});
     this->Report.Sequence = -1;
+    this->Controller.lost();
     this->Events.callAfter(this->Settings.ReportPoll,
                            [this] { this->askEngine(); });
   };
@@ -207,6 +208,7 @@
       this->LoadingModel.clear();
     if (Response.Status == StatusMisdirected) {
       this->WrongIds.insert(Engine);
+      this->Controller.lost();
       this->place();
     }
     this->Controller.answered(Accepted, steadyNow());
--- a/tests/loads/load_controller_test.cpp
+++ b/tests/loads/load_controller_test.cpp
@@ -54,6 +54,15 @@
       Each.Controller.named(Model, Version, this->Now);
   }
 
+  /// Crashes all engines, which return at once with the versions they had.
+  void crashAll() {
+    for (Engine &Each : this->Engines) {
+      Each.Report.Busy = false;
+      Each.Report.Sequence = 0;
+      Each.Controller.lost();
+    }
+  }
+
   /// Lets time pass.
   /// @param Span how long.
   void pass(Millis Span) {
@@ -197,6 +206,41 @@
                "whichever comes second finds another sequence");
 }
 
+Test(loadController, enginesThatCrashAgainAndAgain_loadNothingInVain) {
+  EnginesFixture Each(9, {"a", "b", "c"});
+  constexpr int Crashes = 20;
+  Each.crashAll();
+  for (const char *Model : {"a", "b", "c"})
+    Each.name(Model, 4);
+  for (int Times = 0; Times < Crashes; ++Times) {
+    Each.pass(Millis{600});
+    Each.crashAll();
+  }
+  cr_assert_eq(Each.loads(), 0);
+}
+
+Test(loadController, enginesThatReturned_haveAllVersionsInTheTimeOfTheRule) {
+  EnginesFixture Each(9, {"a", "b", "c"});
+  constexpr Millis CalmWithoutEngine = seconds(5);
+  for (const char *Model : {"a", "b", "c"})
+    Each.name(Model, 4);
+  Each.crashAll();
+  Each.pass(CalmWithoutEngine);
+  for (const char *Model : {"a", "b", "c"})
+    cr_assert_gt(Each.with(Model, 4), 0);
+}
+
+Test(loadController, engineThatRestartedUnseen_waitsToo) {
+  EnginesFixture Each(1, {"m"});
+  Each.name("m", 4);
+  Each.pass(Millis{200});
+  cr_assert_eq(Each.Engines[0].Loads, 1);
+  Each.Engines[0].Report.Busy = false;
+  Each.Engines[0].Report.Sequence = 0;
+  Each.pass(Millis{200});
+  cr_assert_eq(Each.Engines[0].Loads, 1);
+}
+
 Test(loadController, changedPlace_countsOnlyAfterAWhile) {
   LoadController Controller;
   Controller.placed(EnginePlace{0, 9}, seconds(1));
