Fix: [Net] Bodies under collection are bounded together

Some tens of endpoints' answers that go on without end at the same time, each under the limit of one answer, could still hold more memory than a process has: 40 of them at 4 MiB are 160 MB.

Cause: the bound stood on each body alone.

A client counts what it holds of the bodies it collects; beyond 32 MiB, the call that holds most fails with ErrorKind::TooLarge and its connection is closed. Calls with a larger limit of their own (log pages, the daemon's services) are not counted.

On the code before, twelve answers of 4 MiB were held at once (answersThatTogetherHoldTooMuch_areCutButTheOthersArrive); now four or more are cut and the others arrive whole.

--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -141,6 +141,8 @@
     bool Written = false;
     /// Bytes of the answer so far.
     size_t Received = 0;
+    /// Bytes of the body that count among those held.
+    size_t Held = 0;
 
     /// @param Most a number of bytes.
     /// @return whether the body is longer, or will be by its head.
@@ -176,6 +178,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<Running>> Calls;
   /// The last name given out.
   uint64_t LastCall = 0;
+  /// Bytes held of bodies that are being collected.
+  size_t Held = 0;
 
   /// @param Id a call.
   /// @return it, or null.
@@ -262,6 +266,22 @@
     Self.progress(Id, State);
   }
 
+  /// Counts what a call holds; if all hold too much, that with most is cut.
+  /// @param Call the call, whose body is collected.
+  void count(Running &Call) {
+    if (Call.Call.MostBodyBytes > DefaultMostBodyBytes)
+      return;
+    this->Held -= Call.Held;
+    Call.Held = Call.Reader.response().Body.size();
+    this->Held += Call.Held;
+    if (this->Held <= MostHeldBytes)
+      return;
+    const auto Most = std::ranges::max_element(
+        this->Calls, {}, [](const auto &Each) { return Each.second->Held; });
+    this->fail(Most->first, "answers under way hold too much",
+               ErrorKind::TooLarge);
+  }
+
   /// Tells what a read brought.
   /// @param Id the call.
   /// @param State how far the answer is.
@@ -288,6 +308,12 @@
       this->fail(Id, "the body is over its limit", ErrorKind::TooLarge);
       return;
     }
+    if (!Call->Tell.Chunk) {
+      this->count(*Call);
+      Call = this->find(Id);
+      if (Call == nullptr)
+        return;
+    }
     std::string &Body = Call->Reader.response().Body;
     if (Call->Tell.Chunk && !Body.empty()) {
       const std::string Part = std::exchange(Body, std::string());
@@ -377,6 +403,7 @@
     std::unique_ptr<Running> Last = std::move(Node.mapped());
     this->Events.cancel(Last->Timer);
     this->Events.cancel(Last->ConnectTimer);
+    this->Held -= Last->Held;
     if (Last->Socket != nullptr)
       h2o_socket_close(std::exchange(Last->Socket, nullptr));
     return Last;
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -83,6 +83,10 @@
 /// largest answer, 1 MB of values in base64 with their keys and one value more.
 inline constexpr size_t DefaultMostBodyBytes = size_t{4} << 20;
 
+/// Most bytes that a client holds of bodies that are being collected: a quarter
+/// of the smallest process. Calls with a limit of their own are not counted.
+inline constexpr size_t MostHeldBytes = size_t{32} << 20;
+
 /// A request that the client sends.
 struct HttpCall {
   /// Where to.
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -344,6 +344,38 @@
   cr_assert_eq(Net.Answers[0].Body.size(), MostBodyBytes);
 }
 
+Test(httpClient, answersThatTogetherHoldTooMuch_areCutButTheOthersArrive) {
+  ClientFixture Net;
+  constexpr size_t Calls = 12;
+  for (size_t Index = 0; Index < Calls; ++Index) {
+    Net.start(false);
+    cr_assert(Net.arrives(Index, 1));
+    Net.Server.send(Index, "HTTP/1.1 200 OK\r\ncontent-length: " +
+                               std::to_string(MostBodyBytes) + "\r\n\r\n");
+  }
+  const std::string Body(MostBodyBytes, 'x');
+  for (size_t Index = 0; Index < Calls; ++Index) {
+    const size_t FailedBefore = Net.Failures.size();
+    size_t Sent = 0;
+    turnUntil(Net.Events, [&] {
+      Sent += Net.Server.sendSome(
+          Index, std::string_view(Body).substr(Sent, Body.size() - 1 - Sent));
+      return Sent == Body.size() - 1 || Net.Failures.size() > FailedBefore;
+    });
+    Net.settle();
+  }
+  const size_t Cut = Net.Failures.size();
+  cr_assert_geq(Cut, 4U, "12 answers of 4 MiB were held at once");
+  for (const HttpFailure &Each : Net.Failures)
+    cr_assert_eq(Each.Cause.Kind, ErrorKind::TooLarge);
+  for (size_t Index = 0; Index < Calls; ++Index)
+    if (!Net.Server.closed(Index))
+      Net.Server.send(Index, "x");
+  cr_assert(Net.ends(Calls));
+  cr_assert_geq(Net.Answers.size(), 4U);
+  cr_assert(Net.Answers[0].Body == Body);
+}
+
 Test(httpClient, headThatNeverEnds_isCut) {
   const std::string Good = "HTTP/1.1 200 OK\r\n";
   struct Shape {
