--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -5,6 +5,7 @@
 
 #include "base/clock_func.h"
 #include "net/h2o_internal.h"
+#include "net/http_head_internal.h"
 #include "net/http_parser_internal.h"
 #include "net/listen_internal.h"
 
@@ -32,44 +33,6 @@
 /// Idle connections kept to one target.
 constexpr size_t MaxIdlePerTarget = 16;
 
-/// @param Call a request.
-/// @return its head as sent.
-std::string requestHead(const HttpCall &Call) {
-  std::string Head = absl::StrCat(Call.Method, " ", Call.Path, " HTTP/1.1\r\n");
-  if (Call.Host.empty())
-    absl::StrAppend(&Head, "host: ", Call.Target.Address, ":", Call.Target.Port,
-                    "\r\n");
-  else
-    absl::StrAppend(&Head, "host: ", Call.Host, "\r\n");
-  for (const HttpHeader &Header : Call.Headers)
-    absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
-  const bool HasBody = !Call.Body.empty() || Call.Method == "POST" ||
-                       Call.Method == "PUT" || Call.Method == "PATCH";
-  if (HasBody)
-    absl::StrAppend(&Head, "content-length: ", Call.Body.size(), "\r\n");
-  absl::StrAppend(&Head, "connection: ", Call.Reuse ? "keep-alive" : "close",
-                  "\r\n\r\n");
-  return Head;
-}
-
-/// @param Text a part of a request's head.
-/// @return whether it would end its line, and so change the request.
-bool breaksLine(std::string_view Text) {
-  constexpr std::string_view LineEnds("\r\n\0", 3);
-  return Text.find_first_of(LineEnds) != std::string_view::npos;
-}
-
-/// @param Call a request.
-/// @return whether its head can be sent as it is.
-bool isSendable(const HttpCall &Call) {
-  for (const HttpHeader &Header : Call.Headers)
-    if (breaksLine(Header.Name) || breaksLine(Header.Value))
-      return false;
-  const bool Spaced = Call.Path.find(' ') != std::string::npos;
-  return !breaksLine(Call.Method) && !breaksLine(Call.Path) &&
-         !breaksLine(Call.Host) && !Spaced;
-}
-
 /// @param Call a call.
 /// @param Cause what happened.
 /// @param Kind its kind.
