Fix: [Gateway] A stream is read no faster than its caller takes it

What an endpoint streamed to a caller that reads slowly or not at all was held by the gateway whole, without a bound, until the caller's time was over.

Cause: the parts of a stream went into the answer's queue whatever waited there.

The bound is on memory held and not on the length: HttpClient::pause() and resume() leave the call's time running.

On the code before, streamOfASlowCaller_isHeldBackAndArrivesWhole showed all 48 MiB taken from the endpoint while the caller read nothing (also seen with the pause taken out again). Now the endpoint is held back, and the 48 MiB arrive whole once the caller reads.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -332,6 +332,18 @@
   return Last;
 }
 
+void ForwardTask::pause(ForwardId Id) {
+  if (const Running *Each = this->find(Id))
+    for (const auto &[Number, Made] : Each->Attempts)
+      this->Http.pause(Made.Call);
+}
+
+void ForwardTask::resume(ForwardId Id) {
+  if (const Running *Each = this->find(Id))
+    for (const auto &[Number, Made] : Each->Attempts)
+      this->Http.resume(Made.Call);
+}
+
 void ForwardTask::cancel(ForwardId Id) {
   if (this->find(Id) == nullptr)
     return;
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -71,6 +71,14 @@
   /// @return whether it is under way; one can end before start() returns.
   bool isRunning(ForwardId Id) const { return this->Jobs.contains(Id); }
 
+  /// Reads no more of a request's answers until resume(): its caller is slow.
+  /// @param Id the request; one that has ended is ignored.
+  void pause(ForwardId Id);
+
+  /// Reads on after pause().
+  /// @param Id the request; one that has ended is ignored.
+  void resume(ForwardId Id);
+
   /// @return requests under way.
   size_t running() const { return this->Jobs.size(); }
 
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/event_stream_base.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
@@ -21,6 +22,9 @@
 /// Largest body taken before any configuration says less; the sites' limit
 /// with room.
 constexpr size_t MaxBodyBytes = size_t{40} << 20;
+/// Bytes of a stream that wait for its caller before no more of it is read: the
+/// largest event.
+constexpr size_t MostUnsentBytes = MostEventBytes;
 /// Part of a caller's time that is kept for the way of the answer back.
 constexpr Millis AnswerMargin{15};
 /// Time of a caller that names none.
@@ -301,8 +305,11 @@
   Sink.StreamStart = [Exchange](HttpResponse Head) {
     Exchange->start(std::move(Head));
   };
-  Sink.StreamPart = [Exchange](std::string_view Part) {
+  const auto Own = std::make_shared<ForwardId>();
+  Sink.StreamPart = [this, Exchange, Own](std::string_view Part) {
     Exchange->write(Part);
+    if (Exchange->unsentBytes() > MostUnsentBytes)
+      this->Forward.pause(*Own);
   };
   Sink.StreamEnd = [Exchange, Log](bool Whole) {
     Log(StatusOk, Whole ? "stream ended" : "stream broken off");
@@ -312,6 +319,8 @@
       Exchange->abort();
   };
   const ForwardId Id = this->Forward.start(std::move(Job), std::move(Sink));
+  *Own = Id;
+  Exchange->onDrained([this, Id] { this->Forward.resume(Id); });
   Exchange->onGone([this, Id, Request = Asked.RequestId] {
     logLine(LogLevel::Info, "caller left", {{"request_id", Request}});
     this->Forward.cancel(Id);
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -98,6 +98,8 @@
     bool HeadTold = false;
     /// Whether a connection was had.
     bool Connected = false;
+    /// Whether its answer is not read for now.
+    bool Paused = false;
     /// Whether the connection was kept from an earlier call.
     bool Reused = false;
     /// Whether the request was written whole.
@@ -443,6 +445,21 @@
   this->Inner->Events.defer([Last] {});
 }
 
+void HttpClient::pause(HttpCallId Call) {
+  State::Running *Each = this->Inner->find(Call.Value);
+  if (Each == nullptr || !Each->Connected)
+    return;
+  Each->Paused = true;
+  h2o_socket_read_stop(Each->Socket);
+}
+
+void HttpClient::resume(HttpCallId Call) {
+  State::Running *Each = this->Inner->find(Call.Value);
+  if (Each == nullptr || !std::exchange(Each->Paused, false))
+    return;
+  h2o_socket_read_start(Each->Socket, State::onRead);
+}
+
 void HttpClient::dropIdle(const HttpTarget &Target) {
   this->Inner->dropAllIdle(Target);
 }
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -60,6 +60,14 @@
   /// @param Call a call; a finished one is ignored.
   void cancel(HttpCallId Call);
 
+  /// Reads no more of a call's answer until resume(); its time goes on.
+  /// @param Call a call; a finished one is ignored.
+  void pause(HttpCallId Call);
+
+  /// Reads on after pause().
+  /// @param Call a call; one that is not paused is ignored.
+  void resume(HttpCallId Call);
+
   /// Closes the idle connections to a target: one that went silent may be one
   /// of many. Done by itself when a call on a kept connection times out.
   /// @param Target the target.
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -13,11 +13,13 @@
 
 namespace {
 
-/// A configuration with a route for calls and one for submissions.
+/// A configuration with routes for calls, for submissions and for streams.
 constexpr const char *ConfigText = R"({"version":1,"routes":[
   {"name":"a","host":"h","path_prefix":"/a/","kind":"safe","service":"s",
    "timeout_ms":60000,"target_latency_ms":200,"attempts":2},
-  {"name":"b","host":"h","path_prefix":"/b/","kind":"rollout","service":"s"}],
+  {"name":"b","host":"h","path_prefix":"/b/","kind":"rollout","service":"s"},
+  {"name":"s","host":"h","path_prefix":"/s/","kind":"streaming","service":"s",
+   "timeout_ms":60000,"target_latency_ms":200,"attempts":2}],
  "services":[{"name":"s"}],
  "limits":{"header_bytes":1000,"body_bytes":2000,"header_timeout_ms":200,
    "idle_timeout_ms":600000}})";
@@ -194,6 +196,53 @@
   cr_assert(turnUntil(Net.Events, [&] { return Engine.Held[0]->gone(); }));
 }
 
+Test(gateway, streamOfASlowCaller_isHeldBackAndArrivesWhole) {
+  WholeGateway Net;
+  Net.configure();
+  ScriptedServer Engine;
+  Net.enter("i-1", Engine.target().Port);
+  std::unique_ptr<PlainSocket> Caller;
+  cr_assert(turnUntil(Net.Events, [&] {
+    if (Caller == nullptr || !Caller->received().empty()) {
+      // The endpoint is not known yet.
+      Caller = std::make_unique<PlainSocket>(Net.Tested->front().Port);
+      Caller->send("GET /s/y HTTP/1.1\r\nhost: h\r\n"
+                   "x-camphornotch-request-id: r2\r\n\r\n");
+    }
+    return Engine.hasRequests(0, 1);
+  }));
+  constexpr size_t EventBytes = size_t{64} << 10;
+  constexpr size_t EventCount = 768;
+  const std::string Event =
+      "id: 1\ndata: " + std::string(EventBytes - 14, 'x') + "\n\n";
+  cr_assert_eq(Event.size(), EventBytes);
+  Engine.send(0, "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r2\r\n"
+                 "x-camphornotch-response-signature: sig\r\n"
+                 "content-length: " +
+                     std::to_string(EventBytes * EventCount) + "\r\n\r\n");
+  size_t Sent = 0;
+  const auto SendOn = [&] {
+    const size_t Left = EventBytes * EventCount - Sent;
+    const size_t Taken = Engine.sendSome(
+        0, std::string_view(Event).substr(Sent % EventBytes, Left));
+    Sent += Taken;
+    return Taken;
+  };
+  int TurnsInVain = 0;
+  turnUntil(Net.Events, [&] {
+    TurnsInVain = SendOn() > 0 ? 0 : TurnsInVain + 1;
+    constexpr int Enough = 200;
+    return TurnsInVain > Enough;
+  });
+  cr_assert_lt(Sent, EventBytes * EventCount,
+               "the gateway holds what the caller does not read");
+  cr_assert(turnUntil(Net.Events, [&] {
+    SendOn();
+    return Caller->received().ends_with("0\r\n\r\n");
+  }));
+  cr_assert_geq(Caller->received().size(), EventBytes * EventCount);
+}
+
 Test(gateway, requestThatBrokeThreeEndpoints_reachesNoMore) {
   WholeGateway Net;
   Net.configure();
