Fix: [Agent] A failure of a completion that never ends breaks the work

The agent held the body of an engine's failure without a bound and, since a completion has no time of its own, for as long as the engine sent it.

Cause: only events of a stream were bounded, not the body of an answer that is no stream.

Beyond 16 MiB, the largest message to an entry, the work counts as broken and the connection is closed, with a line in the log.

On the code before, failureThatNeverEnds_breaksTheWork took in 64 MiB without a close; eventThatNeverEnds_breaksTheWork passed already.

--- a/packages/daemon/agent_endpoint_base.cpp
+++ b/packages/daemon/agent_endpoint_base.cpp
@@ -110,6 +110,8 @@
     return;
   if (Found->second.Status != StatusOk) {
     Found->second.Body.append(Bytes);
+    if (Found->second.Body.size() > MaxFrameBytes)
+      this->breakOff(Run);
     return;
   }
   Found->second.Splitter.add(Bytes);
@@ -117,8 +119,7 @@
     Result<StreamEvent> Event = parseStreamEvent(*Data);
     if (!Event.has_value()) {
       logLine(LogLevel::Warn, Event.error().Message);
-      this->Http.cancel(Found->second.Call);
-      this->finish(Run, EndpointBroke{Run});
+      this->breakOff(Run);
       return;
     }
     StreamEvent &Told = Event.value();
@@ -133,10 +134,15 @@
     if (Found == this->Attempts.end())
       return;
   }
-  if (Found->second.Splitter.pending() > MaxEventBytes) {
-    this->Http.cancel(Found->second.Call);
-    this->finish(Run, EndpointBroke{Run});
-  }
+  if (Found->second.Splitter.pending() > MaxEventBytes)
+    this->breakOff(Run);
+}
+
+void EndpointClient::breakOff(RunId Run) {
+  logLine(LogLevel::Warn, "work at the endpoint is broken off",
+          {{"cause", "its answer is no answer or has no end"}});
+  this->Http.cancel(this->Attempts.at(Run).Call);
+  this->finish(Run, EndpointBroke{Run});
 }
 
 void EndpointClient::onEnd(RunId Run) {
--- a/packages/daemon/agent_endpoint_base.h
+++ b/packages/daemon/agent_endpoint_base.h
@@ -92,6 +92,8 @@
   void onEnd(RunId Run);
   /// The connection failed.
   void onFailure(RunId Run, const HttpFailure &Failure);
+  /// Closes the connection of an attempt whose answer cannot be taken.
+  void breakOff(RunId Run);
   /// Forgets an attempt and tells its end.
   void finish(RunId Run, AgentEvent Event);
   /// Closes an attempt's connection and tells that it stopped.
