Add: [Tests] Many refused refreshes are not each tried again, known red

Fails on this code: each refused read plans a further one and each new caller starts a chain of its own, so the reads of one partition grow with the callers.

--- a/tests/gateway_tasks/partition_follower_test.cpp
+++ b/tests/gateway_tasks/partition_follower_test.cpp
@@ -113,3 +113,26 @@
   cr_assert(turnUntil(Net.Events, [&] { return Told; }));
   cr_assert(Reached);
 }
+
+Test(partitionFollower, manyRefusedRefreshes_areNotEachTriedAgain) {
+  FollowerFixture Net;
+  Net.Follower.keep(steadyNow() + seconds(60));
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Store.ReadsByTopic["batch"] == 2; }));
+  Net.Store.RefusesReads = true;
+  constexpr int Callers = 10;
+  int Told = 0;
+  for (int Count = 0; Count < Callers; ++Count) {
+    Net.Follower.refresh([&](bool) { ++Told; });
+    // The read for this caller is refused before the next one comes.
+    const Millis End = steadyNow() + Millis{10};
+    turnUntil(Net.Events, [&] { return steadyNow() >= End; });
+  }
+  cr_assert(turnUntil(Net.Events, [&] { return Told == Callers; }));
+  const std::string Text = Net.Counts.text();
+  const std::string Name = "partition_reads_total{outcome=\"failed\"} ";
+  const size_t At = Text.find(Name);
+  cr_assert(At != std::string::npos, "%s", Text.c_str());
+  cr_assert_leq(std::stoi(Text.substr(At + Name.size())), 2 * Callers, "%s",
+                Text.substr(At, Name.size() + 4).c_str());
+}
