Fix: [Batch] Refused refreshes of many callers are tried again together

Each caller of a partition whose read for callers was refused began a chain of retries of its own: 10 callers caused 44 refused reads. One retry is planned for all of them. Found by review; manyRefusedRefreshes_areNotEachTriedAgain failed before.

--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -140,7 +140,7 @@
 }
 
 void PartitionFollower::readNow() {
-  if (this->ReadingNow)
+  if (this->ReadingNow || this->RetryPlanned)
     return;
   this->ReadingNow = true;
   this->Parts.Counts.begun();
@@ -159,9 +159,11 @@
 }
 
 void PartitionFollower::readNowAgain(Millis Pause) {
-  if (this->Waiters.empty())
+  if (this->Waiters.empty() || this->RetryPlanned)
     return;
+  this->RetryPlanned = true;
   this->Parts.Events.callAfter(Pause, [this] {
+    this->RetryPlanned = false;
     if (this->AtEnd && !this->Waiters.empty())
       this->readNow();
   });
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -137,6 +137,8 @@
   bool AtEnd = false;
   /// Whether a read for callers that wait is under way.
   bool ReadingNow = false;
+  /// Whether that read is planned again.
+  bool RetryPlanned = false;
   /// Whether it is owned.
   bool Owned = false;
   /// Until when it is asked for.
