--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -19,9 +19,9 @@
 /// Wait of one read for a record; results have to be seen everywhere within a
 /// second of being read anywhere.
 constexpr Millis PollWait{800};
-/// Most kilobytes of a read from the end on: the longest record. What is more
-/// is read through the gate.
-constexpr int64_t PollKilobytes = 256;
+/// Most kilobytes of a read from the end on: above the longest record with its
+/// length. What is more is read through the gate.
+constexpr int64_t PollKilobytes = 320;
 /// Age of the last answer up to which the state counts as fresh: a read's wait
 /// and the slowest answer seen from a slow store.
 constexpr Millis FreshFor{1'300};
