--- a/packages/core/store/store_type.h
+++ b/packages/core/store/store_type.h
@@ -103,6 +103,14 @@
   std::vector<PartitionId> Parts;
 };
 
+/// A member that has a partition.
+struct PartitionOwner {
+  /// The partition.
+  PartitionId Where;
+  /// The member.
+  std::string Member;
+};
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_CORE_STORE_STORE_TYPE_H
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -73,6 +73,8 @@
     this->onMember(Exchange, true);
   else if (Path == "/-/log-leave")
     this->onMember(Exchange, false);
+  else if (Path == "/-/log-owners")
+    this->onOwners(Exchange);
   else
     reply(Exchange, 404, "{}");
 }
@@ -222,4 +224,12 @@
           .dump());
 }
 
+void StandinStoreServer::onOwners(
+    const std::shared_ptr<HttpExchange> &Exchange) {
+  nlohmann::json Owners = nlohmann::json::array();
+  for (const auto &[Part, Member] : this->State.holders())
+    Owners.push_back({"batch", Part, Member, 0});
+  reply(Exchange, 200, nlohmann::json{{"owners", Owners}}.dump());
+}
+
 } // namespace camphornotch::standin
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -92,6 +92,8 @@
   /// @param Exchange a join or leave.
   /// @param Joins whether it joins.
   void onMember(const std::shared_ptr<HttpExchange> &Exchange, bool Joins);
+  /// @param Exchange a question for the owners.
+  void onOwners(const std::shared_ptr<HttpExchange> &Exchange);
   /// Answers waiting reads that have records now.
   void wakeReads();
   /// @param Read a read.
--- a/standins/store/store_state.h
+++ b/standins/store/store_state.h
@@ -92,6 +92,11 @@
   /// @param Member who.
   void leave(const std::string &Member);
 
+  /// @return who holds each partition.
+  const std::map<int64_t, std::string> &holders() const {
+    return this->Holders;
+  }
+
   /// @return the group's generation.
   int64_t generation() const { return this->Generation; }
 
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -25,6 +25,11 @@
   (void)decodeKeyedRecord(Text, 0);
   (void)decodeKeyedPage(Text);
   (void)decodeGroupShare(Text);
+  const auto Owners = decodeOwners(Text);
+  if (Owners.has_value())
+    for (const PartitionOwner &Each : Owners.value())
+      if (Each.Member.empty())
+        std::abort();
   const auto Page = decodeReadPage(0, Text);
   if (Page.has_value() &&
       decodeReadPage(0, std::string(16, '\0') +
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -332,3 +332,22 @@
   cr_assert(Page.has_value());
   cr_assert(Page.value().Records == Records);
 }
+
+Test(decodeOwners, rowsThatNameNoMember_areLeftOut) {
+  for (const char *List : {"owners", "parts"}) {
+    const auto Read = decodeOwners(
+        std::string("{\"generation\":3,\"") + List +
+        R"(":[["t",1,"m@10.0.0.1:7",9],["t",2,"",0],["t",3,null,0],["t",4],
+           [5,"t","m",0],7]})");
+    cr_assert(Read.has_value());
+    cr_assert_eq(Read.value().size(), 1U);
+    cr_assert(Read.value()[0].Where == (PartitionId{"t", 1}));
+    cr_assert(Read.value()[0].Member == "m@10.0.0.1:7");
+  }
+}
+
+Test(decodeOwners, answerWithoutRows_isAnErrorAndNoOwnerIsNone) {
+  for (const char *Text : {"", "[]", "{}", R"({"owners":7})"})
+    cr_assert(decodeOwners(Text).has_error(), "%s", Text);
+  cr_assert(decodeOwners(R"({"owners":[]})").value().empty());
+}
