Fix: [Gateway] A call about a submission is brought to its partition's owner

Callers saw 503 "partition not read" for minutes after a loss of power, and could not read submissions that had been accepted. Each gateway read each partition that callers asked it about, from offset 0; with 30 gateways and 24 partitions these reads shared the store's bandwidth, were given up after 600 ms and begun again, and none ended.

Now a gateway that does not own a partition asks its owner, over HTTP, at the second internal port, and passes the answer on. The owner serves from what it read and never passes on; it answers 421 if it does not read the partition and 503 until it has, and names itself in its answers, since another process may have its address by now. An owner that does not serve is looked up again; its callers come again for a second if it is silent, for three if it is new or reading, then the gateway reads the partition as before. A gateway goes on reading a partition that it lost for 15 s, so that hand-overs go unnoticed. A submission is appended without following its partition. A call that nobody can serve yet is tried again for half a second before it is refused.

batch::lostHistory* asked a gateway that now brings the call to an owner with the whole history, and got the results: the first owner hands over before, so that the gateway without history is the one that answers. twoOwners* names the member by its new name.

--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -124,6 +124,8 @@
 struct GatewaySettings {
   /// What all roles need.
   CommonSettings Common;
+  /// Where other gateways connect to.
+  Address ListenPeers;
   /// Where callers connect to.
   Address Front;
   /// The platform's store.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -68,6 +68,9 @@
                 0, 0, "", "Where peers connect to."},
     SettingSpec{"listen", "http", &CommonSettings::ListenHttp, NoDefault,
                 0, 0, "", "Where callers, probes and metrics connect to."},
+    SettingSpec{"listen", "peers", &GatewaySettings::ListenPeers, NoDefault,
+                0, 0, "",
+                "Where other gateways ask for submissions of owned partitions."},
 
     SettingSpec{"platform", "log", &CommonSettings::LogService, "", 0, 0,
                 "", "The log service; entries need it."},
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "core/store/member_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -49,7 +50,9 @@
 
 } // namespace
 
-void BatchTask::begin() {
+void BatchTask::begin(const Address &Peers) {
+  this->Member.Member = memberName(this->Settings.Common.Host, Peers);
+  this->OwnerCalls.begin(this->Member.Member);
   // The topic has its partitions from the first append or read on.
   this->join();
   this->forgetOld();
@@ -95,6 +98,7 @@
 
 bool BatchTask::takeShare(const GroupShare &Share) {
   this->Member.Generation = Share.Generation;
+  this->OwnerCalls.generationSeen(Share.Generation);
   const std::set<PartitionId> Now(Share.Parts.begin(), Share.Parts.end());
   if (Now == this->Owned)
     return false;
@@ -109,6 +113,7 @@
       continue;
     this->Adopted.erase(Where);
     this->follower(Where).own(false);
+    this->readHere(Where);
     // The next owner starts once this one has joined again.
     for (const auto &[Id, State] : this->follower(Where).fold().all()) {
       this->Items.save(Id);
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -22,22 +22,32 @@
 /// Time after which a silent owner loses its partitions; the store's least is
 /// 1 s, and links between regions and a slow store need some of it.
 constexpr Millis MemberLifetime{1'800};
-/// How long a partition is followed after it was asked for: callers come back
-/// twice a second.
-constexpr Millis FollowFor{15'000};
+/// How long a partition is followed beyond the calls that are served from it:
+/// the longest wait of a read, and time to answer it.
+constexpr Millis FollowTail{2'000};
+/// Time that an owner gets to append the end of a submission.
+constexpr Millis OwnerAppendTime{1'500};
 /// Time for the append of a submission or its end, before the caller is told
 /// that its fate is unknown.
 constexpr Millis CallerAppendTime{3'500};
 /// Retry-After where the store does not answer.
 constexpr Millis RetryStore{400};
 
+/// @param Exchange a request of a caller or a peer.
+/// @param Response its answer.
+void reply(const std::shared_ptr<HttpExchange> &Exchange,
+           HttpResponse Response) {
+  markAnswer(Exchange->request(), Response);
+  Exchange->answer(Response);
+}
+
 /// @param Exchange a request.
 /// @param Status the status.
 void answerEmpty(const std::shared_ptr<HttpExchange> &Exchange, int Status) {
   HttpResponse Response;
   Response.Status = Status;
   Response.Body = "{}";
-  Exchange->answer(Response);
+  reply(Exchange, std::move(Response));
 }
 
 /// @param Exchange a read of results.
@@ -49,7 +59,7 @@
   HttpResponse Response;
   Response.Status = StatusOk;
   Response.Body = platform::encodeResults(State, Asked.From);
-  Exchange->answer(Response);
+  reply(Exchange, std::move(Response));
 }
 
 } // namespace
@@ -64,6 +74,8 @@
       Demanded(std::move(Demanded)),
       Appender(Parts.Events, Parts.Store,
                static_cast<size_t>(Settings.RecordBytes)),
+      OwnerCalls(Parts.Events, Parts.Http, Parts.Store, Parts.Counts,
+                 BatchGroup),
       Leftovers(Parts.Events, Parts.Store, Histories, Settings.Partitions,
                 static_cast<size_t>(Settings.RecordBytes)),
       Items(Parts.Events, Parts.Http, Parts.Pool, Parts.Forward, Parts.Counts,
@@ -89,7 +101,6 @@
             ItemTaskOptions{parseItemOrder(Settings.ItemOrder),
                             Settings.MoveItems, Settings.SecondRuns}) {
   this->Member.Group = BatchGroup;
-  this->Member.Member = Settings.Common.Host;
   this->Member.Topics = {BatchTopic};
   this->Member.Lifetime = MemberLifetime;
 }
@@ -125,7 +136,7 @@
   this->Counts.countRefusal(Status == StatusBadRequest
                                 ? RefusalReason::BadRequest
                                 : RefusalReason::LogUnavailable);
-  Exchange->answer(platform::encodeRefusal(Status, Why, RetryAfter));
+  reply(Exchange, platform::encodeRefusal(Status, Why, RetryAfter));
 }
 
 void BatchTask::submit(const std::shared_ptr<HttpExchange> &Exchange,
@@ -139,9 +150,7 @@
   const SubmissionId Id{Asked.RequestId};
   const PartitionId Where = this->partitionOf(Id);
   const Millis Now = steadyNow();
-  PartitionFollower &Following = this->follower(Where);
-  Following.keep(Now + FollowFor);
-  if (Following.fold().find(Id) != nullptr) {
+  if (this->follower(Where).fold().find(Id) != nullptr) {
     answerEmpty(Exchange, StatusAccepted);
     return;
   }
@@ -173,7 +182,10 @@
                                const SubmissionId &Id, const FoundCall &Then) {
   const PartitionId Where = this->partitionOf(Id);
   PartitionFollower &Following = this->follower(Where);
-  Following.keep(steadyNow() + FollowFor);
+  const auto Until = this->HereUntil.find(Where);
+  const Millis Now = steadyNow();
+  Following.keep((Until == this->HereUntil.end() ? Now : Until->second) +
+                 FollowTail);
   if (const SubmissionState *State = Following.fold().find(Id)) {
     Then(*State);
     return;
@@ -192,6 +204,13 @@
 
 void BatchTask::readResults(const std::shared_ptr<HttpExchange> &Exchange,
                             const platform::ResultsRead &Asked) {
+  this->route(Exchange, Asked.Id, Asked.Wait, [this, Exchange, Asked] {
+    this->readResultsHere(Exchange, Asked);
+  });
+}
+
+void BatchTask::readResultsHere(const std::shared_ptr<HttpExchange> &Exchange,
+                                const platform::ResultsRead &Asked) {
   this->withSubmission(Exchange, Asked.Id,
                        [this, Exchange, Asked](const SubmissionState &State) {
                          this->answerOrWait(Exchange, Asked, State);
@@ -231,7 +250,7 @@
                                 const platform::ResultsRead &Asked) {
   const PartitionId Where = this->partitionOf(Asked.Id);
   PartitionFollower &Following = this->follower(Where);
-  Following.keep(steadyNow() + FollowFor);
+  Following.keep(steadyNow() + FollowTail);
   Following.refresh([this, Exchange, Asked, Where](bool Reached) {
     const SubmissionState *State = this->follower(Where).fold().find(Asked.Id);
     const bool HasNews =
@@ -266,6 +285,12 @@
 
 void BatchTask::readBody(const std::shared_ptr<HttpExchange> &Exchange,
                          const platform::ItemBodyRead &Asked) {
+  this->route(Exchange, Asked.Key.Submission, Millis{0},
+              [this, Exchange, Asked] { this->readBodyHere(Exchange, Asked); });
+}
+
+void BatchTask::readBodyHere(const std::shared_ptr<HttpExchange> &Exchange,
+                             const platform::ItemBodyRead &Asked) {
   this->withSubmission(
       Exchange, Asked.Key.Submission,
       [this, Exchange, Asked](const SubmissionState &State) {
@@ -277,12 +302,18 @@
         HttpResponse Response;
         Response.ContentType = "application/octet-stream";
         Response.Body = Item->Body;
-        Exchange->answer(Response);
+        reply(Exchange, std::move(Response));
       });
 }
 
 void BatchTask::endSubmission(const std::shared_ptr<HttpExchange> &Exchange,
                               const platform::SubmissionEnding &Asked) {
+  this->route(Exchange, Asked.Id, OwnerAppendTime,
+              [this, Exchange, Asked] { this->endHere(Exchange, Asked); });
+}
+
+void BatchTask::endHere(const std::shared_ptr<HttpExchange> &Exchange,
+                        const platform::SubmissionEnding &Asked) {
   const SubmissionId Id = Asked.Id;
   this->withSubmission(
       Exchange, Id, [this, Exchange, Id](const SubmissionState &State) {
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -7,6 +7,7 @@
 #include "base/settings_type.h"
 #include "gateway/item_task_base.h"
 #include "gateway/leftover_task_base.h"
+#include "gateway/owner_call_base.h"
 #include "gateway/partition_appender_base.h"
 #include "gateway/partition_follower_base.h"
 #include "net/http_server_base.h"
@@ -48,7 +49,16 @@
             std::function<void(const std::string &, int64_t)> Demanded);
 
   /// Joins the group.
-  void begin();
+  /// @param Peers where this process answers other gateways.
+  void begin(const Address &Peers);
+
+  /// @return this process's name in the group.
+  const std::string &member() const { return this->Member.Member; }
+
+  /// Serves a call of another gateway, from what this one has read; it is never
+  /// passed on.
+  /// @param Exchange the request.
+  void onPeer(const std::shared_ptr<HttpExchange> &Exchange);
 
   /// Takes a submission.
   /// @param Exchange the request.
@@ -111,6 +121,36 @@
   /// @param Where a partition.
   /// @return its follower.
   PartitionFollower &follower(const PartitionId &Where);
+  /// @param Where a partition.
+  /// @param Now the time.
+  /// @return whether calls about it are served from what is read here.
+  bool readsHere(const PartitionId &Where, Millis Now);
+  /// Reads a partition of another process here for a while.
+  /// @param Where the partition.
+  void readHere(const PartitionId &Where);
+  /// Serves a call about a submission, or has its partition's owner do it.
+  /// @param Exchange the request.
+  /// @param Id the submission.
+  /// @param Wait time that serving it may take.
+  /// @param Here serves it here.
+  void route(const std::shared_ptr<HttpExchange> &Exchange,
+             const SubmissionId &Id, Millis Wait,
+             const std::function<void()> &Here);
+  /// Serves a read of results here.
+  /// @param Exchange the request.
+  /// @param Asked what is asked.
+  void readResultsHere(const std::shared_ptr<HttpExchange> &Exchange,
+                       const platform::ResultsRead &Asked);
+  /// Serves a read of an item's body here.
+  /// @param Exchange the request.
+  /// @param Asked what is asked.
+  void readBodyHere(const std::shared_ptr<HttpExchange> &Exchange,
+                    const platform::ItemBodyRead &Asked);
+  /// Ends a submission here.
+  /// @param Exchange the request.
+  /// @param Asked what is asked.
+  void endHere(const std::shared_ptr<HttpExchange> &Exchange,
+               const platform::SubmissionEnding &Asked);
   /// Finds a submission, after a read of its partition if need be; answers
   /// 404 or 503 itself.
   /// @param Exchange the request.
@@ -198,6 +238,10 @@
   std::set<PartitionId> Owned;
   /// When a join was last answered.
   Millis JoinedAt{0};
+  /// Until when partitions of others are read here.
+  std::map<PartitionId, Millis> HereUntil;
+  /// Asks the owners of other partitions.
+  OwnerCallTask OwnerCalls;
   /// Joins in a row that gave no partition.
   int EmptyJoins = 0;
   /// Owned partitions whose submissions were taken over.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -107,7 +107,7 @@
   });
 }
 
-Result<void> Gateway::begin() {
+Result<void> Gateway::listen() {
   const Result<uint16_t> Linked = this->Peers.listen();
   if (!Linked.has_value())
     return Linked.error();
@@ -122,6 +122,17 @@
   if (!Probed.has_value())
     return Probed.error();
   this->Probes = std::move(Probed.value());
+  HttpServerConfig Peers;
+  Peers.Address = this->Settings.ListenPeers.Ip;
+  Peers.Port = this->Settings.ListenPeers.Port;
+  auto Asked =
+      HttpServer::listen(this->Events, Peers,
+                         [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                           this->Batches.onPeer(Exchange);
+                         });
+  if (!Asked.has_value())
+    return Asked.error();
+  this->ForPeers = std::move(Asked.value());
   HttpServerConfig ForCallers;
   ForCallers.Address = this->Settings.Front.Ip;
   ForCallers.Port = this->Settings.Front.Port;
@@ -134,10 +145,18 @@
   if (!Fronted.has_value())
     return Fronted.error();
   this->Front = std::move(Fronted.value());
+  return boost::outcome_v2::success();
+}
+
+Result<void> Gateway::begin() {
+  const Result<void> Listens = this->listen();
+  if (!Listens.has_value())
+    return Listens.error();
   this->Events.takeSignals([this](int) { this->beginStop(); }, logReload);
   this->Published.begin();
   this->Directory.begin();
-  this->Batches.begin();
+  this->Batches.begin(
+      Address{this->Settings.ListenPeers.Ip, this->ForPeers->port()});
   logLine(LogLevel::Info, "gateway started",
           {{"data_centre", this->Settings.Common.DataCentre}});
   return boost::outcome_v2::success();
@@ -429,13 +448,15 @@
           {{"requests", concat(this->Forward.running())},
            {"partitions", concat(this->Batches.owned())}});
   this->Front->beginDrain();
+  this->ForPeers->beginDrain();
   this->Batches.handOver([this] { this->HandedOver = true; });
   this->lookForEnd();
 }
 
 void Gateway::lookForEnd() {
   const Millis Since = steadyNow() - this->StopAt;
-  const bool Idle = this->Front->inFlight() == 0 && this->HandedOver;
+  const bool Idle = this->Front->inFlight() == 0 &&
+                    this->ForPeers->inFlight() == 0 && this->HandedOver;
   const Millis Most = parseGrace(this->Settings.GraceSeconds) - StopMargin;
   if ((Idle && Since >= StopAccept) || Since >= Most) {
     logLine(LogLevel::Info, "gateway ended",
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -37,6 +37,9 @@
 private:
   /// @param Exchange a request to the address of probes and metrics.
   void onProbe(const std::shared_ptr<HttpExchange> &Exchange);
+  /// Opens the sockets of probes, other gateways and callers.
+  /// @return nothing, or why an address cannot be had.
+  Result<void> listen();
   /// Brings the gauges up to date.
   void setGauges();
   /// @param Exchange a request of a caller.
@@ -119,6 +122,8 @@
   std::unique_ptr<HttpServer> Front;
   /// For probes and metrics.
   std::unique_ptr<HttpServer> Probes;
+  /// For other gateways.
+  std::unique_ptr<HttpServer> ForPeers;
   /// Draws shares of routes.
   std::mt19937_64 Draws;
   /// When SIGTERM came; 0: it did not.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -52,7 +52,8 @@
 }
 
 void StandinStoreServer::handle(const std::shared_ptr<HttpExchange> &Exchange) {
-  if (this->Silent) {
+  if (this->Silent ||
+      (this->ReadsSilent && Exchange->request().Path == "/-/log-read")) {
     this->Unanswered.push_back(Exchange);
     return;
   }
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -48,6 +48,8 @@
   AppendFault Fault = AppendFault::None;
   /// How late late appends are carried out.
   Millis LateBy{150};
+  /// Whether reads of partitions are not answered.
+  bool ReadsSilent = false;
   /// Whether no call is answered.
   bool Silent = false;
   /// Whether all calls get 503.
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -130,7 +130,7 @@
   cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 3)).Status, 202);
   cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 3; }));
   // The first owner does not hear of its loss before it has its results.
-  Net.Store.state().leave("gateway-0");
+  Net.Store.state().leave(Net.Gateways[0]->Batches->member());
   Net.add("gateway-1");
   cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() >= 4; }));
   Net.Engine.release();
@@ -443,7 +443,12 @@
     Net.Store.state().append("batch", Part, {"x"}, std::nullopt);
     Net.Store.state().dropHistory("batch", Part);
   }
+  bool Left = false;
+  Net.Gateways[0]->Batches->handOver([&] { Left = true; });
+  cr_assert(turnUntil(Net.Events, [&] { return Left; }));
   Net.add("gateway-1");
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Gateways[1]->Batches->owned() == 2; }));
   HttpCall Call;
   Call.Path = "/-/lots/s";
   Net.pass(Millis{300});
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -170,6 +170,17 @@
         Events, HttpServerConfig{},
         [this](const std::shared_ptr<HttpExchange> &One) { this->take(One); });
     this->Server = std::move(Made.value());
+    auto Asked =
+        HttpServer::listen(Events, HttpServerConfig{},
+                           [this](const std::shared_ptr<HttpExchange> &One) {
+                             this->answer(One);
+                           });
+    this->ForPeers = std::move(Asked.value());
+  }
+
+  /// Joins the group.
+  void begin() {
+    this->Batches->begin(Address{"127.0.0.1", this->ForPeers->port()});
   }
 
   /// @return where callers connect to.
@@ -177,6 +188,31 @@
     return HttpTarget{"127.0.0.1", this->Server->port()};
   }
 
+  /// @return where other gateways connect to.
+  HttpTarget peers() const {
+    return HttpTarget{"127.0.0.1", this->ForPeers->port()};
+  }
+
+  /// Stops answering other gateways, as a dead process does.
+  void closeToPeers() { this->ForPeers.reset(); }
+
+  /// @return reads of partitions that were answered.
+  double partitionReads() {
+    return this->Counts
+        .counter("partition_reads_total", "Reads of partitions by outcome.",
+                 {{"outcome", "answered"}})
+        .Value();
+  }
+
+  /// @return calls to owners that got no answer.
+  double silentOwners() {
+    return this->Counts
+        .counter("owner_calls_total",
+                 "Calls to owners of partitions by outcome.",
+                 {{"outcome", "silent"}})
+        .Value();
+  }
+
   /// The settings.
   GatewaySettings Settings;
   /// The routes.
@@ -193,6 +229,8 @@
   ForwardTask Forward;
   /// Batch submissions.
   std::unique_ptr<BatchTask> Batches;
+  /// Calls of peers so far.
+  size_t PeerCalls = 0;
 
 private:
   /// One route for submissions, one for scoring calls.
@@ -226,6 +264,12 @@
     }
   }
 
+  /// @param One a peer's request.
+  void answer(const std::shared_ptr<HttpExchange> &One) {
+    ++this->PeerCalls;
+    this->Batches->onPeer(One);
+  }
+
   /// @param One a caller's request.
   void take(const std::shared_ptr<HttpExchange> &One) {
     const platform::CallerAsk Ask =
@@ -243,6 +287,8 @@
 
   /// For callers.
   std::unique_ptr<HttpServer> Server;
+  /// For other gateways.
+  std::unique_ptr<HttpServer> ForPeers;
 };
 
 /// Two gateways, one engine, one store, and a caller.
@@ -274,7 +320,7 @@
     this->Gateways.push_back(
         std::make_unique<FakeGateway>(this->Events, this->Store.target(), Name,
                                       this->Engine, this->Partitions));
-    this->Gateways.back()->Batches->begin();
+    this->Gateways.back()->begin();
   }
 
   /// Sends a call and waits for its answer.
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -44,6 +44,7 @@
     Settings.Common.ListenLinks = Address{"127.0.0.1", 0};
     Settings.Common.Heartbeat = Millis{500};
     Settings.Common.LinkSilence = seconds(2);
+    Settings.ListenPeers = Address{"127.0.0.1", 0};
     Settings.Front = Address{"127.0.0.1", 0};
     Settings.Store = Address{"127.0.0.1", this->Store.target().Port};
     Settings.GraceSeconds = "8";
