Fix: [Net] Trailers are no headers of an answer

Fields after the last chunk of a body were added to the headers of the answer, and so reached a gateway's caller as headers that the head did not have, though the answer had been judged by its head.

Cause: the library tells trailers by the same calls as headers.

The reader passes over fields that come after the head. On the code before, trailers_areNoHeadersOfTheAnswer found three headers in place of one.

--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -56,6 +56,9 @@
     Made.on_header_field = [](http_parser *Parser, const char *At,
                               size_t Length) {
       HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      // Trailers are no part of the head that was told.
+      if (Self.HeadRead)
+        return 0;
       if (Self.Response.Headers.empty() || Self.InValue)
         Self.Response.Headers.emplace_back();
       Self.InValue = false;
@@ -65,6 +68,8 @@
     Made.on_header_value = [](http_parser *Parser, const char *At,
                               size_t Length) {
       HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      if (Self.HeadRead)
+        return 0;
       Self.InValue = true;
       Self.Response.Headers.back().Value.append(At, Length);
       return 0;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -233,6 +233,18 @@
   cr_assert_eq(Net.Answers.at(0).Status, 200);
 }
 
+Test(httpClient, trailers_areNoHeadersOfTheAnswer) {
+  ClientFixture Net;
+  Net.start();
+  cr_assert(Net.arrives(0, 1));
+  Net.Server.send(0, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                     "2\r\nok\r\n0\r\nx-late: 1\r\nx-more: 2\r\n\r\n");
+  cr_assert(Net.ends(1));
+  cr_assert_eq(Net.Answers.size(), 1U);
+  cr_assert(Net.Answers[0].Body == "ok");
+  cr_assert_eq(Net.Answers[0].Headers.size(), 1U);
+}
+
 Test(httpClient, answerInSingleBytes_isUnderstood) {
   ClientFixture Net;
   Net.start();
