Fix: [Gateway] Bytes that are no answer are not blamed on the request

A request whose bytes three faulty endpoints answered with something else than an answer was refused from then on like one that crashes its endpoints, at all gateways that heard of it.

Cause: each failed call without a head counted as a connection that broke.

The client tells such bytes as ErrorKind::BadInput (too many: TooLarge), and only a connection that was closed or reset counts against the request.

On the code before, bytesThatAreNoAnswer_areNotBlamedOnTheRequest found the endpoint told as broken, for garbage and for interim responses without end; connectionBrokenBeforeTheAnswer_isBlamedOnTheRequest and gateway::requestThatBrokeThreeEndpoints_reachesNoMore hold the other side.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -256,7 +256,10 @@
   const Running *Each = this->find(Id);
   const bool Sent =
       Each != nullptr && Each->Attempts.contains(Number) && !Failure.NotSent;
-  if (Sent && Each->Sink.Broken && Each->Attempts.at(Number).Head.Status == 0)
+  // An endpoint that sends something else than an answer is faulty itself.
+  const bool Closed = Failure.Cause.Kind == ErrorKind::Unavailable;
+  if (Sent && Closed && Each->Sink.Broken &&
+      Each->Attempts.at(Number).Head.Status == 0)
     Each->Sink.Broken(Each->Attempts.at(Number).Endpoint);
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptEnd::NotSent : AttemptEnd::Failed,
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -42,9 +42,9 @@
                absl::StrCat(Call.Method, " ", Call.Target.Address, ":",
                             Call.Target.Port, Call.Path, ": ",
                             std::string(Cause)),
-               Kind == ErrorKind::TooLarge
-                   ? "see what the process at this address sends"
-                   : "see whether the process at this address runs"};
+               Kind == ErrorKind::Unavailable
+                   ? "see whether the process at this address runs"
+                   : "see what the process at this address sends"};
 }
 
 /// @param Response a head.
@@ -252,7 +252,7 @@
   /// @param State how far the answer is.
   void progress(uint64_t Id, ReadState State) {
     if (State == ReadState::Invalid) {
-      this->fail(Id, "the bytes received are no answer");
+      this->fail(Id, "the bytes received are no answer", ErrorKind::BadInput);
       return;
     }
     Running *Call = this->find(Id);
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -19,7 +19,8 @@
 
 /// How a call failed.
 struct HttpFailure {
-  /// What happened; of kind TooLarge if the answer went over its limit.
+  /// What happened; of kind BadInput if the bytes received are no answer, and
+  /// TooLarge if the answer went over its limit.
   Error Cause;
   /// Whether the request was surely never sent.
   bool NotSent = false;
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -35,6 +35,8 @@
   std::string Stream;
   /// How a stream ended: 'w' whole, 'b' broken off; 0: it did not.
   char StreamEnd = 0;
+  /// Endpoints told as broken by the request.
+  int BrokenTold = 0;
   /// The request.
   ForwardId Id;
 
@@ -60,6 +62,7 @@
       this->Answer = std::move(Response);
     };
     Sink.Refuse = [this](const EndRequest &End) { this->Refused = End; };
+    Sink.Broken = [this](const EndpointId &) { ++this->BrokenTold; };
     Sink.StreamStart = [](const HttpResponse &) {};
     Sink.StreamPart = [this](std::string_view Part) { this->Stream += Part; };
     Sink.StreamEnd = [this](bool Whole) {
@@ -235,6 +238,26 @@
   }
 }
 
+Test(forward, bytesThatAreNoAnswer_areNotBlamedOnTheRequest) {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string &Bytes : {std::string("garbage"), Interim}) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    cr_assert(Net.closesOn(Bytes));
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.Refused.Status, 502);
+    cr_expect_eq(Net.BrokenTold, 0);
+  }
+}
+
+Test(forward, connectionBrokenBeforeTheAnswer_isBlamedOnTheRequest) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.Server.reset(0);
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.BrokenTold, 1);
+}
+
 Test(forward, eventThatNeverEnds_isCutAndTheStreamResumed) {
   ForwardFixture Net(RouteKind::Stream, 3);
   cr_assert(Net.arrives());
