Fix: [Batch] What is known ages while the host is suspended, too

The steady clock does not count a suspension, so an owner that was just resumed took its reads for fresh and could answer "nothing new" with a state seconds old, now also to gateways that had run all the while. Ages of what is known are taken by CLOCK_BOOTTIME.

--- a/packages/base/clock_func.cpp
+++ b/packages/base/clock_func.cpp
@@ -4,6 +4,7 @@
 #include "base/clock_func.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace camphornotch {
 
@@ -22,6 +23,14 @@
   return toMillis(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+Millis bootNow() {
+  timespec Now = {};
+  // Fails only for clocks that the kernel does not know.
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return toMillis(std::chrono::seconds(Now.tv_sec) +
+                  std::chrono::nanoseconds(Now.tv_nsec));
+}
+
 Millis wallNow() {
   return toMillis(std::chrono::system_clock::now().time_since_epoch());
 }
--- a/packages/base/clock_func.h
+++ b/packages/base/clock_func.h
@@ -11,6 +11,10 @@
 /// @return the steady clock, which never goes back.
 Millis steadyNow();
 
+/// @return the time since the host started, which never goes back and also
+///         counts while the host is suspended: for the age of what is known.
+Millis bootNow();
+
 /// @return milliseconds since the Unix epoch, for logs and expiry records.
 Millis wallNow();
 
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -64,7 +64,7 @@
   this->Store.join(this->Member, [this](const StoreResult<GroupShare> &Share) {
     bool Lost = false;
     if (Share.has_value())
-      this->JoinedAt = steadyNow();
+      this->JoinedAt = bootNow();
     if (Share.has_value() && !this->Leaving)
       Lost = this->takeShare(Share.value());
     else if (!Share.has_value())
@@ -82,7 +82,7 @@
 bool BatchTask::knowsEnd(const SubmissionId &Id) {
   const PartitionId Where = this->partitionOf(Id);
   const Millis KnownAt = this->follower(Where).knownAt();
-  const Millis Unread = steadyNow() - KnownAt;
+  const Millis Unread = bootNow() - KnownAt;
   // While the store answers nothing, no end is acknowledged either.
   const bool StoreServes = this->JoinedAt - KnownAt > ReadInterval;
   if (Unread < UnreadMost || !StoreServes) {
--- a/packages/gateway/batch_peer.cpp
+++ b/packages/gateway/batch_peer.cpp
@@ -56,7 +56,7 @@
   if (Until == this->HereUntil.end())
     return false;
   if (Now < Until->second)
-    return this->follower(Where).fresh(Now);
+    return this->follower(Where).fresh();
   this->HereUntil.erase(Until);
   return false;
 }
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -224,8 +224,7 @@
   if (HasNews || Asked.Wait <= Millis{0} || State.Ended || this->Leaving) {
     // Results may be listed after the end, too.
     const bool Sure =
-        HasNews ||
-        this->follower(this->partitionOf(Asked.Id)).fresh(steadyNow());
+        HasNews || this->follower(this->partitionOf(Asked.Id)).fresh();
     if (Sure)
       answerResults(Exchange, Asked, State);
     else
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -236,7 +236,7 @@
   std::map<PartitionId, std::unique_ptr<PartitionFollower>> Followers;
   /// The owned partitions.
   std::set<PartitionId> Owned;
-  /// When a join was last answered.
+  /// When a join was last answered, by bootNow().
   Millis JoinedAt{0};
   /// Until when partitions of others are read here.
   std::map<PartitionId, Millis> HereUntil;
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -70,8 +70,9 @@
     this->keep(steadyNow());
 }
 
-bool PartitionFollower::fresh(Millis Now) const {
-  return this->Following && this->CaughtUp && Now - this->KnownAt < FreshFor;
+bool PartitionFollower::fresh() const {
+  return this->Following && this->CaughtUp &&
+         bootNow() - this->KnownAt < FreshFor;
 }
 
 void PartitionFollower::readOn() {
@@ -100,7 +101,7 @@
         const Millis Now = steadyNow();
         // The store answers when there is a record, or after the wait.
         if (this->ended(Page, Now - SentAt, Nobody))
-          this->KnownAt = Now;
+          this->KnownAt = bootNow();
         this->readOn();
       });
 }
@@ -180,7 +181,7 @@
       Page.value().From + std::ssize(Page.value().Records) >= Page.value().End;
   // An answer is as old as its read.
   if (Reached)
-    this->KnownAt = std::max(this->KnownAt, steadyNow() - Took);
+    this->KnownAt = std::max(this->KnownAt, bootNow() - Took);
   this->take(Page.value());
   if (this->AtEnd)
     this->tell(Last, true);
--- a/packages/gateway/partition_follower_base.h
+++ b/packages/gateway/partition_follower_base.h
@@ -67,12 +67,11 @@
   /// @return whether the end was reached since it follows.
   bool caughtUp() const { return this->CaughtUp; }
 
-  /// @return the time up to which all records are known.
+  /// @return the time up to which all records are known, by bootNow().
   Millis knownAt() const { return this->KnownAt; }
 
-  /// @param Now the time.
   /// @return whether what it knows is as new as a read can tell.
-  bool fresh(Millis Now) const;
+  bool fresh() const;
 
 private:
   /// A caller that waits for the end.
@@ -145,7 +144,7 @@
   Millis KeepUntil{0};
   /// Whether the end was reached.
   bool CaughtUp = false;
-  /// The time up to which all records are known.
+  /// The time up to which all records are known, by bootNow().
   Millis KnownAt{0};
   /// When it began to follow.
   Millis FollowsSince{0};
--- a/tests/gateway_tasks/partition_follower_test.cpp
+++ b/tests/gateway_tasks/partition_follower_test.cpp
@@ -87,7 +87,7 @@
   cr_assert(turnUntil(Net.Events, [&] {
     if (Net.Store.ReadsByTopic["batch"] > Asked && !Net.Follower.caughtUp()) {
       Asked = Net.Store.ReadsByTopic["batch"];
-      LastPageAskedAt = steadyNow();
+      LastPageAskedAt = bootNow();
       cr_assert_eq(Net.Follower.knownAt().Count, 0);
     }
     return Net.Follower.caughtUp();
