--- a/tests/gateway_tasks/store_client_test.cpp
+++ b/tests/gateway_tasks/store_relay_test.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// The store's client before a stand-in of the store and a peer that the test
-/// commands.
+/// Calls to the store through a peer, before a stand-in of the store and a peer
+/// that the test commands.
 
 #include "platform/store_client_base.h"
 #include "standins/store/store_server.h"
@@ -13,7 +13,7 @@
 namespace {
 
 /// A client, its store, and a peer.
-struct StoreClientFixture {
+struct StoreRelayFixture {
   /// The loop.
   Loop Events;
   /// The store.
@@ -28,7 +28,7 @@
   int PeerCalls = 0;
 
   /// Sets the peer up.
-  StoreClientFixture() {
+  StoreRelayFixture() {
     this->Client.setRelay([this](const platform::RawStoreCall &,
                                  const platform::RawStoreReply &Reply) {
       ++this->PeerCalls;
@@ -54,8 +54,8 @@
 
 } // namespace
 
-Test(storeClient, peerThatIsGone_isNotTriedFirstAgain) {
-  StoreClientFixture Net;
+Test(storeRelay, peerThatIsGone_isNotTriedFirstAgain) {
+  StoreRelayFixture Net;
   Net.Store.Busy = true;
   Net.PeerAnswer.Status = 200;
   Net.PeerAnswer.Body = std::string(16, '\0');
@@ -67,8 +67,8 @@
   cr_assert_eq(Net.PeerCalls, 2);
 }
 
-Test(storeClient, storeThatRefusesPeersToo_isNotAskedTwiceForEachCall) {
-  StoreClientFixture Net;
+Test(storeRelay, storeThatRefusesPeersToo_isNotAskedTwiceForEachCall) {
+  StoreRelayFixture Net;
   Net.Store.Busy = true;
   Net.PeerAnswer.Status = 503;
   constexpr int Reads = 10;
@@ -77,8 +77,8 @@
   cr_assert_eq(Net.PeerCalls, 3);
 }
 
-Test(storeClient, storeThatRefusesThisHostOnly_isReachedThroughAPeer) {
-  StoreClientFixture Net;
+Test(storeRelay, storeThatRefusesThisHostOnly_isReachedThroughAPeer) {
+  StoreRelayFixture Net;
   Net.Store.Busy = true;
   Net.PeerAnswer.Status = 200;
   Net.PeerAnswer.Body = std::string(16, '\0');
@@ -88,8 +88,8 @@
   cr_assert_eq(Net.PeerCalls, Reads);
 }
 
-Test(storeClient, onePeerThatIsRefusedToo_doesNotStopTheNext) {
-  StoreClientFixture Net;
+Test(storeRelay, onePeerThatIsRefusedToo_doesNotStopTheNext) {
+  StoreRelayFixture Net;
   Net.Store.Busy = true;
   Net.PeerAnswer.Status = 503;
   cr_assert(!Net.read());
