Fix: [Batch] The time for an append's answer grows when it was too short

An append that the store answered after more than 900 ms was given up and appended again each 980 ms until its caller was told 504, though a partition may hold up to 2 s of appends: the caller's submission was not acknowledged, and each repeat stood in the history, which is the class of the lost submissions. The time doubles after an append without answer, to 2.5 s, and starts anew after one that was answered.

--- a/packages/gateway/partition_appender_base.cpp
+++ b/packages/gateway/partition_appender_base.cpp
@@ -9,15 +9,16 @@
 #include "core/batch/partition_fold_base.h"
 #include "wire/codec_func.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphornotch {
 
 namespace {
 
-/// Time for the answer to an append: 60 times the store's usual answer is
-/// 240 ms, and a partition may hold up to 2 s of appends.
-constexpr Millis AppendTimeout{900};
+/// Most time for the answer to an append: the store refuses what a partition
+/// would take up later than in 2 s.
+constexpr Millis MostTimeout{2'500};
 /// Pause after a failed append.
 constexpr Millis RetryPause{80};
 /// Most bytes of one call; the platform takes 2 MB.
@@ -63,7 +64,7 @@
     ++Each.Sent;
     Parts.insert(Parts.end(), Next.Parts.begin(), Next.Parts.end());
   }
-  this->Store.append(Where, Parts, AppendTimeout,
+  this->Store.append(Where, Parts, Each.Timeout,
                      [this, Where](const StoreResult<int64_t> &Outcome) {
                        this->onAnswer(Where, Outcome);
                      });
@@ -74,6 +75,7 @@
   Queue &Each = this->Queues[Where];
   const size_t Sent = std::exchange(Each.Sent, 0);
   if (Outcome.has_value()) {
+    Each.Timeout = FirstAppendTimeout;
     std::vector<DoneCall> Calls;
     for (size_t Index = 0; Index < Sent; ++Index) {
       Calls.push_back(std::move(Each.Records.front().Done));
@@ -92,6 +94,9 @@
            {"cause", Failure.Cause.Message}});
   for (size_t Index = 0; Index < Sent; ++Index)
     Each.Records[Index].MaybeDone |= !Failure.NotDone;
+  // What is given up and appended again lengthens the history.
+  if (!Failure.NotDone)
+    Each.Timeout = std::min(Each.Timeout * 2, MostTimeout);
   Each.Paused = true;
   this->Events.callAfter(RetryPause, [this, Where] {
     this->Queues[Where].Paused = false;
--- a/packages/gateway/partition_appender_base.h
+++ b/packages/gateway/partition_appender_base.h
@@ -64,6 +64,10 @@
     bool MaybeDone = false;
   };
 
+  /// Time for the answer to an append after one that was answered: 60 times the
+  /// store's usual answer is 240 ms.
+  static constexpr Millis FirstAppendTimeout{900};
+
   /// What waits for one partition.
   struct Queue {
     /// In order.
@@ -72,6 +76,8 @@
     size_t Sent = 0;
     /// Whether a pause after a failure runs.
     bool Paused = false;
+    /// Time for the answer to the next append.
+    Millis Timeout = FirstAppendTimeout;
   };
 
   /// Sends what waits, unless a call is under way.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -100,7 +100,7 @@
     this->Events.callAfter(this->LateBy, [Carry] { Carry(); });
   if (this->Fault == AppendFault::LoseAnswer)
     Carry();
-  if (this->Fault != AppendFault::None) {
+  if (this->Fault != AppendFault::None && this->Fault != AppendFault::Slow) {
     this->Unanswered.push_back(Exchange);
     return;
   }
@@ -109,7 +109,14 @@
   nlohmann::json Body{{"end", End}};
   if (Offset.has_value())
     Body["offset"] = *Offset;
-  reply(Exchange, Offset.has_value() ? 200 : 412, Body.dump());
+  const int Status = Offset.has_value() ? 200 : 412;
+  if (this->Fault != AppendFault::Slow) {
+    reply(Exchange, Status, Body.dump());
+    return;
+  }
+  this->Events.callAfter(this->LateBy, [Exchange, Status, Text = Body.dump()] {
+    reply(Exchange, Status, Text);
+  });
 }
 
 void StandinStoreServer::onRead(const std::shared_ptr<HttpExchange> &Exchange) {
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -20,6 +20,7 @@
   LoseCall,   ///< Does nothing and never answers.
   Late,       ///< Carries them out after a while and never answers.
   Refuse,     ///< Answers 503.
+  Slow,       ///< Carries them out and answers after a while.
 };
 
 /// Serves the state.
@@ -46,7 +47,7 @@
 
   /// What happens to appends.
   AppendFault Fault = AppendFault::None;
-  /// How late late appends are carried out.
+  /// How late late appends are carried out, and slow ones answered.
   Millis LateBy{150};
   /// Whether reads of partitions are not answered.
   bool ReadsSilent = false;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -109,6 +109,17 @@
   cr_assert_eq(Before.size(), 2U);
 }
 
+Test(batch, appendsThatAreAnsweredSlowly_areAcknowledgedAndNotRepeatedForEver) {
+  GatewayFixture Net(1);
+  Net.Store.Fault = standin::AppendFault::Slow;
+  Net.Store.LateBy = Millis{1'400};
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  const int64_t Part = partitionFor("batch", "s", Net.Partitions).Part;
+  // The first time for an answer is too short, the second is not.
+  cr_assert_leq(Net.Store.state().partition("batch", Part).end(), 2);
+}
+
 Test(batch, resultsWithLostAnswers_areListedOnce) {
   GatewayFixture Net;
   Net.Engine.Hold = true;
