--- a/packages/gateway/history_gate_base.cpp
+++ b/packages/gateway/history_gate_base.cpp
@@ -45,8 +45,8 @@
   const platform::ReadBounds Bounds{Millis{0}, Read.Timeout, Read.Kilobytes};
   this->Store.read(Read.Where, From, Bounds,
                    [this, Where = Read.Where, From, Done = Each.Done,
-                    SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
-                     const Millis Took = steadyNow() - SentAt;
+                    SentAt = bootNow()](const StoreResult<ReadPage> &Page) {
+                     const Millis Took = bootNow() - SentAt;
                      // An expired read tells where to go on.
                      const bool Served =
                          Page.has_value() || (Page.error().Expired &&
--- a/packages/gateway/partition_follower_base.cpp
+++ b/packages/gateway/partition_follower_base.cpp
@@ -22,9 +22,10 @@
 /// Most kilobytes of a read from the end on: above the longest record with its
 /// length. What is more is read through the gate.
 constexpr int64_t PollKilobytes = 320;
-/// Age of the last answer up to which the state counts as fresh: a read's wait
-/// and the slowest answer seen from a slow store.
-constexpr Millis FreshFor{1'300};
+/// Time for an answer beyond the wait: the slowest seen from a slow store.
+constexpr Millis AnswerTime{500};
+/// Age of the last answer up to which the state counts as fresh.
+constexpr Millis FreshFor = PollWait + AnswerTime;
 /// Pause before a failed read for callers is tried again.
 constexpr Millis RefreshRetryPause{200};
 /// Longest wait of a caller for the end of a partition. Callers come back at
@@ -95,13 +96,15 @@
   this->Parts.Counts.begun();
   this->Parts.Store.read(
       this->Where, this->Next, pollBounds(PollWait),
-      [this, SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
+      [this, SentAt = bootNow()](const StoreResult<ReadPage> &Page) {
         // Callers that wait have a read of their own.
         constexpr uint64_t Nobody = 0;
-        const Millis Now = steadyNow();
-        // The store answers when there is a record, or after the wait.
-        if (this->ended(Page, Now - SentAt, Nobody))
-          this->KnownAt = bootNow();
+        const Millis Now = bootNow();
+        const bool Reached = this->ended(Page, Now - SentAt, Nobody);
+        // The store answers when there is a record, or after the wait; later,
+        // the answer has lain here while this process stood still.
+        if (Reached && Now - SentAt < PollWait + AnswerTime)
+          this->KnownAt = Now;
         this->readOn();
       });
 }
@@ -148,10 +151,10 @@
   this->Parts.Store.read(
       this->Where, this->Next, pollBounds(Millis{0}),
       [this, Last = this->LastWaiter,
-       SentAt = steadyNow()](const StoreResult<ReadPage> &Page) {
+       SentAt = bootNow()](const StoreResult<ReadPage> &Page) {
         this->ReadingNow = false;
         const bool WasAtEnd = this->AtEnd;
-        this->ended(Page, steadyNow() - SentAt, Last);
+        this->ended(Page, bootNow() - SentAt, Last);
         // A failure here does not end the read that waits at the store.
         if (!Page.has_value())
           this->AtEnd = WasAtEnd;
