Fix: [Gateway] Scoring calls wait while the submission's end cannot be known

Cause: items start only if their owner would know by now that the submission has ended (KnowsEnd), but scoring calls did not ask. An owner whose reads of the partition failed, while the store served others, began scoring calls for any length of time after an end that was acknowledged elsewhere, and repeated or hedged them for 2 s more. The rule for items holds for their scoring calls.

Change: ForwardCallbacks::MaySend is asked before each attempt; a request that may not be sent waits until it may, or its deadline. Scoring calls ask KnowsEnd.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -24,6 +24,8 @@
 /// endpoint are closed, since they may be dead, too. Several times the longest
 /// request of the sites.
 constexpr Millis SilentAfter{800};
+/// Pause before MaySend is asked again.
+constexpr Millis MaySendInterval{50};
 
 /// @param Status an HTTP status.
 /// @return whether the status tells callers that the request was not executed.
@@ -99,6 +101,12 @@
     const Millis Now = steadyNow();
     const ForwardStep Step = Active->Plan.next(this->Pool, Now);
     if (const auto *Send = std::get_if<SendAttempt>(&Step)) {
+      if (Active->Callbacks.MaySend && !Active->Callbacks.MaySend()) {
+        this->Events.cancel(Active->PlanTimer);
+        Active->PlanTimer = this->Events.callAfter(
+            MaySendInterval, [this, Id] { this->advance(Id); });
+        return;
+      }
       this->send(Id, *Active, Send->Endpoint);
       continue;
     }
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -42,6 +42,9 @@
   /// The connection closed after the request was sent and before any answer.
   /// Optional.
   std::function<void(const EndpointId &)> OnConnectionBroken;
+  /// @return whether an attempt may be sent now; if not, the request waits
+  ///   until it may or its deadline passes. Optional: always.
+  std::function<bool()> MaySend;
   /// The head of a stream arrived.
   std::function<void(HttpResponse)> OnStreamStart;
   /// Complete events of a stream arrived.
--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -67,6 +67,10 @@
   Callbacks.OnRefusal = [this, Key](const EndRequest &End) {
     this->retryScoring(Key, End.Reason);
   };
+  // Scoring calls of an ended submission must not reach a service either.
+  Callbacks.MaySend = [this, Key] {
+    return this->Callbacks.KnowsEnd(Key.Submission);
+  };
   Active->Scoring = ForwardId{};
   const ForwardId Id =
       this->Forward.start(std::move(Job), std::move(Callbacks));
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -286,6 +286,44 @@
   cr_assert_eq(Net.Engine.Runs["s-0"].size(), Before);
 }
 
+Test(batch, ownerThatCannotReadItsPartition_startsNoScoringCall) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.Store.RefusesReads = true;
+  // Streams that give events all the time are not stalled.
+  for (int Event = 3; Event <= 8; ++Event) {
+    Net.runFor(Millis{600});
+    Net.Engine.EventCount = Event;
+    Net.Engine.continueHeld();
+  }
+  Net.Engine.release();
+  Net.runFor(Millis{500});
+  cr_assert_eq(Net.Engine.ScoringCalls, 0);
+  Net.Store.RefusesReads = false;
+  Net.runFor(seconds(2));
+  cr_assert_eq(Net.Engine.ScoringCalls, 1);
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+}
+
+Test(batch, scoringCallThatIsRepeated_isHeldOnceThePartitionCannotBeRead) {
+  GatewayFixture Net(1);
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  Net.Engine.ScoreAborts = 1'000;
+  cr_assert(
+      turnUntil(Net.Events, [&] { return Net.Engine.ScoringCalls >= 2; }));
+  Net.Store.RefusesReads = true;
+  Net.runFor(seconds(4));
+  const int Held = Net.Engine.ScoringCalls;
+  Net.runFor(seconds(1));
+  cr_assert_eq(Net.Engine.ScoringCalls, Held);
+  Net.Engine.ScoreAborts = 0;
+  Net.Store.RefusesReads = false;
+  Net.runFor(seconds(2));
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+}
+
 Test(batch, ownerThatCouldNotReadItsPartition_goesOnAfterwards) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -42,6 +42,15 @@
     this->Held.clear();
   }
 
+  /// Sends the events up to EventCount on all held streams.
+  void continueHeld() {
+    for (const auto &Exchange : this->Held) {
+      int64_t &Sent = this->HeldFrom[Exchange.get()];
+      while (Sent < this->EventCount)
+        FakeEngine::writeEvent(Exchange, ++Sent);
+    }
+  }
+
   /// Aborts all held streams.
   void abortHeld() {
     for (const auto &Exchange : this->Held)
@@ -63,6 +72,8 @@
   int ScoreAborts = 0;
   /// How many scoring calls are answered by status 500 after those.
   int64_t ScoreFailures = 0;
+  /// How many scoring calls arrived.
+  int ScoringCalls = 0;
   /// Status of the answers to further scoring calls.
   int ScoreStatus = 200;
   /// By item, for each run the last event that the gateway already had.
@@ -79,6 +90,7 @@
     Head.Headers = {{"X-Camphornotch-Request-Id", Id},
                     {"X-Camphornotch-Response-Signature", "receipt-" + Id}};
     if (Request.Path.starts_with("/score/")) {
+      ++this->ScoringCalls;
       if (this->ScoreAborts > 0) {
         --this->ScoreAborts;
         Exchange->start(Head);
