Fix: [Gateway] Published values are pulled from one peer at a time

Cause: a process asked each peer whose heartbeat showed a newer offset, until the values had arrived, and each of them sent all of it. Gateways announce a change to all loaders at once and loaders to all gateways, so a host received a configuration once for each link: gateways x loaders copies, though each process also reads the store itself.

A process with more than 4 MiB queued on its links does not answer pulls; the asker goes to another peer. Pulls and refused pulls are logged.

--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/peer_task_base.h"
 
+#include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "net/link_settings_func.h"
@@ -19,6 +20,11 @@
 /// Limit of relayed calls under way; further calls only go to the store itself.
 constexpr size_t MaxRelayedCalls = 256;
 
+/// Limit of the bytes queued on all links at which a peer's pull is not
+/// answered; the peer asks another one then. A configuration of 1,400 routes
+/// takes about 0.3 MB.
+constexpr size_t MaxQueuedForPulls = size_t{4} << 20;
+
 /// @return the first message of this process on a link.
 wire::Hello helloOf(const CommonSettings &Settings) {
   wire::Hello Self;
@@ -35,8 +41,9 @@
 PeerTask::PeerTask(Loop &Events, const CommonSettings &Settings,
                    platform::StoreClient &Store, const PublishedValues &Values,
                    PeerTaskCallbacks Callbacks)
-    : Events(Events), ListenAddress(Settings.ListenLinks), Store(Store),
-      Values(Values), Callbacks(std::move(Callbacks)),
+    : Events(Events), ListenAddress(Settings.ListenLinks),
+      Region(Settings.Region), Store(Store), Values(Values),
+      Callbacks(std::move(Callbacks)),
       Hub(Events, linkSettingsOf(Settings), helloOf(Settings),
           [this](const LinkEvent &Event) { this->onLinkEvent(Event); }) {
   this->Hub.onHeartbeat([this](wire::Heartbeat &Beat) {
@@ -57,35 +64,61 @@
   if (const auto *Up = std::get_if<LinkUp>(&Event)) {
     logLine(LogLevel::Info, "peer linked",
             {{"peer", Up->Peer.Value}, {"peer_role", Up->Hello.Role}});
+    if (Up->Hello.Region == this->Region)
+      this->NearPeers.insert(Up->Peer);
     this->Callbacks.OnLinkUp(Up->Peer);
   } else if (const auto *Down = std::get_if<LinkDown>(&Event)) {
     logLine(LogLevel::Info, "peer lost",
             {{"peer", Down->Peer.Value}, {"cause", Down->Cause}});
+    this->NearPeers.erase(Down->Peer);
+    this->Pull.onPeerLost(Down->Peer);
   } else {
     const auto &Message = std::get<LinkMessage>(Event);
     this->onMessage(Message.Peer, Message.Message);
   }
 }
 
-void PeerTask::onMessage(const HostId &Peer, const wire::PeerMessage &Message) {
-  if (Message.__isset.HeartbeatMsg &&
-      Message.HeartbeatMsg.ConfigOffset > this->Values.newestOffset()) {
-    wire::PeerMessage Pull;
-    wire::ConfigPull Known;
-    Known.HaveOffset = this->Values.newestOffset();
-    Pull.__set_ConfigPullMsg(Known);
-    this->Hub.send(Peer, Pull);
-  }
-  if (Message.__isset.ConfigPullMsg) {
-    wire::PeerMessage Push;
-    Push.__set_PublishedMsg(
-        this->Values.newerThan(Message.ConfigPullMsg.HaveOffset));
-    this->Hub.send(Peer, Push);
+void PeerTask::onHeartbeat(const HostId &Peer, const wire::Heartbeat &Beat) {
+  const int64_t HaveOffset = this->Values.newestOffset();
+  const ValueOffer Offer{Peer, this->NearPeers.contains(Peer),
+                         Beat.ConfigOffset};
+  if (!this->Pull.onOffer(Offer, HaveOffset, steadyNow()))
+    return;
+  logLine(LogLevel::Info, "published values pulled from a peer",
+          {{"peer", Peer.Value},
+           {"near", Offer.Near ? "yes" : "no"},
+           {"have", concat(HaveOffset)},
+           {"offered", concat(Beat.ConfigOffset)}});
+  wire::ConfigPull Known;
+  Known.HaveOffset = HaveOffset;
+  wire::PeerMessage Message;
+  Message.__set_ConfigPullMsg(Known);
+  this->Hub.send(Peer, Message);
+}
+
+void PeerTask::onPull(const HostId &Peer, const wire::ConfigPull &Known) {
+  const size_t Queued = this->queuedBytes();
+  if (Queued > MaxQueuedForPulls) {
+    logLine(LogLevel::Warn, "pull of published values not answered",
+            {{"peer", Peer.Value}, {"queued_bytes", concat(Queued)}});
+    return;
   }
-  if (Message.__isset.PublishedMsg)
+  wire::PeerMessage Push;
+  Push.__set_PublishedMsg(this->Values.newerThan(Known.HaveOffset));
+  this->Hub.send(Peer, Push);
+}
+
+void PeerTask::onMessage(const HostId &Peer, const wire::PeerMessage &Message) {
+  if (Message.__isset.HeartbeatMsg)
+    this->onHeartbeat(Peer, Message.HeartbeatMsg);
+  if (Message.__isset.ConfigPullMsg)
+    this->onPull(Peer, Message.ConfigPullMsg);
+  if (Message.__isset.PublishedMsg) {
+    this->Pull.onAnswer(Peer);
     for (const wire::PublishedValue &Value : Message.PublishedMsg.Values)
       this->Callbacks.OnPublished(
           KeyedRecord{Value.Key, Value.Value, Value.Offset});
+  }
   if (Message.__isset.EngineStateMsg)
     this->Callbacks.OnEngineState(Message.EngineStateMsg);
   if (Message.__isset.WeightsAnnounceMsg)
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -6,11 +6,13 @@
 #define CAMPHORNOTCH_GATEWAY_PEER_TASK_BASE_H
 
 #include "base/settings_type.h"
+#include "core/gateway/value_pull_base.h"
 #include "gateway/published_values_base.h"
 #include "net/link_hub_base.h"
 #include "platform/store_client_base.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace camphornotch {
@@ -48,7 +50,13 @@
   void disconnect(const HttpTarget &Target) { this->Hub.disconnect(Target); }
 
   /// @return whether there is a link to any peer.
-  bool hasPeers() const { return !this->Hub.peers().empty(); }
+  bool hasPeers() const { return this->peerCount() > 0; }
+
+  /// @return the number of peers with a link.
+  size_t peerCount() const { return this->Hub.peers().size(); }
+
+  /// @return the bytes that wait to be sent to peers.
+  size_t queuedBytes() const { return this->Hub.queuedBytes(); }
 
   /// Sends a message to all peers.
   void broadcast(const wire::PeerMessage &Message);
@@ -76,6 +84,11 @@
 
   void onLinkEvent(const LinkEvent &Event);
   void onMessage(const HostId &Peer, const wire::PeerMessage &Message);
+  /// Pulls published values if the peer's heartbeat shows that some are missing
+  /// here.
+  void onHeartbeat(const HostId &Peer, const wire::Heartbeat &Beat);
+  /// Sends a peer the published values that it lacks.
+  void onPull(const HostId &Peer, const wire::ConfigPull &Known);
   /// Makes a store call for a peer that cannot reach the store.
   void onStoreCall(const HostId &Peer, const wire::StoreCallRequest &Request);
   /// Passes on the answer of a relayed call, unless that timed out.
@@ -83,9 +96,13 @@
 
   Loop &Events;
   Address ListenAddress;
+  std::string Region;
   platform::StoreClient &Store;
   const PublishedValues &Values;
   PeerTaskCallbacks Callbacks;
+  ValuePull Pull;
+  /// Peers of the same region.
+  std::set<HostId> NearPeers;
   /// Calls that peers make for this process, by id.
   std::map<int64_t, RelayedCall> RelayedCalls;
   int64_t LastRelayId = 0;
--- a/packages/net/link_connection.cpp
+++ b/packages/net/link_connection.cpp
@@ -23,7 +23,7 @@
 bool LinkConnection::send(const wire::PeerMessage &Message,
                           size_t MaxQueuedBytes) {
   if (this->Socket == nullptr ||
-      this->Queued.size() + this->Writing.size() > MaxQueuedBytes)
+      this->queuedBytes() > MaxQueuedBytes)
     return false;
   this->Queued += encodeFrame(Message);
   ++this->Counters->MessagesOut;
--- a/packages/net/link_connection_internal.h
+++ b/packages/net/link_connection_internal.h
@@ -40,6 +40,11 @@
 
   bool closed() const { return this->Socket == nullptr; }
 
+  /// @return the bytes not yet written to the socket.
+  size_t queuedBytes() const {
+    return this->Queued.size() + this->Writing.size();
+  }
+
   /// Receives the messages of one read.
   std::function<void(std::vector<wire::PeerMessage>)> OnMessages;
   /// Called when the socket failed, the peer closed it, or invalid bytes
--- a/packages/net/link_hub_base.cpp
+++ b/packages/net/link_hub_base.cpp
@@ -497,4 +497,11 @@
 
 LinkCounters LinkHub::counters() const { return *this->Inner->Counters; }
 
+size_t LinkHub::queuedBytes() const {
+  size_t Sum = 0;
+  for (const auto &[Id, Connection] : this->Inner->Connections)
+    Sum += Connection.Transport->queuedBytes();
+  return Sum;
+}
+
 } // namespace camphornotch
--- a/packages/net/link_hub_base.h
+++ b/packages/net/link_hub_base.h
@@ -60,6 +60,9 @@
 
   LinkCounters counters() const;
 
+  /// @return the bytes that wait to be sent, on all connections.
+  size_t queuedBytes() const;
+
 private:
   struct State;
   /// Keeps h2o's headers out of this one.
--- a/tests/gateway_tasks/peer_task_test.cpp
+++ b/tests/gateway_tasks/peer_task_test.cpp
@@ -1,10 +1,12 @@
 /// @file
 /// Links between gateways and loaders on the loopback interface.
 
+#include "base/clock_func.h"
 #include "gateway/peer_task_base.h"
 #include "standins/store/store_server.h"
 #include "tests/net/net_fixture.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace camphornotch;
@@ -19,6 +21,8 @@
   platform::StoreClient Store;
   /// Reports of crashed endpoints that it received.
   std::vector<wire::CrashReport> Crashes;
+  /// How many published values it received from peers.
+  int ReceivedValues = 0;
   std::unique_ptr<PeerTask> Peers;
   /// The address for links.
   HttpTarget LinkTarget;
@@ -36,6 +40,7 @@
     this->Settings.MaxAnswerBytesHeld = 1 << 20;
     PeerTaskCallbacks Callbacks;
     Callbacks.OnPublished = [this](const KeyedRecord &Record) {
+      ++this->ReceivedValues;
       if (this->Values.update(Record))
         this->Peers->announce();
     };
@@ -75,6 +80,52 @@
   cr_assert(Right.Values.all().at("config").Value == "new");
 }
 
+Test(peers, configurationKnownToAllPeers_isReceivedOnce) {
+  Loop Events;
+  PeerHost Behind(Events, Nowhere, "loader");
+  constexpr int Gateways = 24;
+  std::vector<std::unique_ptr<PeerHost>> Peers;
+  for (int Number = 0; Number < Gateways; ++Number) {
+    Peers.push_back(std::make_unique<PeerHost>(
+        Events, Nowhere, "gateway-" + std::to_string(Number)));
+    Peers.back()->Peers->connect(Behind.LinkTarget);
+  }
+  cr_assert(turnUntil(Events, [&] { return Behind.Peers->peerCount() == 24; }));
+  // All of them read a change of the configuration from the store at once.
+  for (const auto &Each : Peers)
+    Each->Values.update(KeyedRecord{"config", std::string(300'000, 'r'), 7});
+  for (const auto &Each : Peers)
+    Each->Peers->announce();
+  cr_assert(
+      turnUntil(Events, [&] { return Behind.Values.newestOffset() == 7; }));
+  const Millis Until = steadyNow() + seconds(1);
+  turnUntil(Events, [&] { return steadyNow() >= Until; });
+  cr_assert_eq(Behind.ReceivedValues, 1);
+}
+
+Test(peers, configurationPulledByMany_isQueuedForAFewAtATime) {
+  Loop Events;
+  PeerHost Knowing(Events, Nowhere, "loader");
+  constexpr size_t ValueBytes = 2'000'000;
+  constexpr int Gateways = 12;
+  std::vector<std::unique_ptr<PeerHost>> Behind;
+  for (int Number = 0; Number < Gateways; ++Number) {
+    Behind.push_back(std::make_unique<PeerHost>(
+        Events, Nowhere, "gateway-" + std::to_string(Number)));
+    Behind.back()->Peers->connect(Knowing.LinkTarget);
+  }
+  cr_assert(
+      turnUntil(Events, [&] { return Knowing.Peers->peerCount() == 12; }));
+  Knowing.Values.update(KeyedRecord{"config", std::string(ValueBytes, 'r'), 7});
+  size_t MostQueued = 0;
+  cr_assert(turnUntil(Events, [&] {
+    MostQueued = std::max(MostQueued, Knowing.Peers->queuedBytes());
+    return std::ranges::all_of(
+        Behind, [](const auto &Each) { return Each->ReceivedValues == 1; });
+  }));
+  cr_assert_leq(MostQueued, 4U * ValueBytes);
+}
+
 Test(peers, olderValue_neverReplacesANewerOne) {
   PublishedValues Values;
   cr_assert(Values.update(KeyedRecord{"config", "new", 7}));
