Change: [Loader] Only gateways that place work get every engine report

Cause: each loader sent its engine's state to each gateway five times a second: gateways x loaders messages, 48,500 a second on the large site (133 x 73). Only owners of partitions, 24 of them, and gateways that forward requests to engines choose by it.

A gateway of an older release that says nothing gets every report.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -40,6 +40,8 @@
 constexpr Millis StopMargin{500};
 /// Interval of the check whether the process can end.
 constexpr Millis StopCheckInterval{50};
+/// Time after a request to an engine during which loaders send every report.
+constexpr Millis EngineUseMemory{10'000};
 
 /// Upper bounds of the request histogram's buckets, in seconds.
 const prometheus::Histogram::BucketBoundaries RequestBounds{
@@ -79,7 +81,10 @@
                 this->RequiredVersions.clear();
                 for (const auto &[Model, Version] : Known)
                   this->requireVersion(Model, Version);
-              }}),
+              },
+              {},
+              {},
+              [this] { return this->wantsLoad(); }}),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -290,6 +295,9 @@
   ForwardJob Job;
   Job.Params.MatchedRoute = MatchedRoute;
   Job.Params.Service = drawService(MatchedRoute, this->Random());
+  const ServiceInfo *Service = findService(this->Routes, Job.Params.Service);
+  if (Service != nullptr && Service->Engine.has_value())
+    this->EngineUsedAt = Now;
   Job.Params.ArrivedAt = Now;
   Job.Params.Deadline = Now + TimeLeft - AnswerMargin;
   Job.Request.Method = Request.Method;
@@ -423,6 +431,12 @@
     this->Batches.wake();
 }
 
+bool Gateway::wantsLoad() const {
+  return this->Batches.owned() > 0 ||
+         (this->EngineUsedAt > Millis{0} &&
+          steadyNow() - this->EngineUsedAt < EngineUseMemory);
+}
+
 void Gateway::requireVersion(const std::string &Model, int64_t Version) {
   int64_t &Known = this->RequiredVersions[Model];
   if (Version <= Known)
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -61,6 +61,9 @@
   void onEngineState(const wire::EngineStatePush &State);
   /// Tells all loaders which version of a model the submitted work needs.
   void requireVersion(const std::string &Model, int64_t Version);
+  /// @return whether this gateway chooses engines by their loads: it owns
+  ///   partitions or forwarded a request to an engine lately.
+  bool wantsLoad() const;
   /// Reports to all gateways that a connection broke while an endpoint
   /// processed the request.
   void reportBroken(RequestDigest Digest, const EndpointId &Endpoint);
@@ -89,6 +92,8 @@
   std::set<HttpTarget> Loaders;
   /// Newest version that submitted work needs, by model.
   std::map<std::string, int64_t> RequiredVersions;
+  /// When a request was last forwarded to an engine; 0: never.
+  Millis EngineUsedAt{0};
   /// Follows the topic of published values.
   KeyedFollower Published;
   /// Follows the registered endpoints.
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -46,7 +46,12 @@
               [this](const HostId &Peer) {
                 if (this->LastReport.Sequence >= 0)
                   this->Peers.send(Peer, this->stateMessage());
-              }}),
+              },
+              [this](const HostId &Peer) { this->Pushes.remove(Peer); },
+              [this](const HostId &Peer, bool Wanted) {
+                this->Pushes.setWanted(Peer, Wanted);
+              },
+              {}}),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -188,7 +193,19 @@
   if (this->FencingNumber > 0 && !this->EngineId.Value.empty())
     if (const auto Order = this->Controller.decide(Report, steadyNow()))
       this->sendOrder(*Order);
-  this->Peers.broadcast(this->stateMessage());
+  this->pushState();
+}
+
+void Loader::pushState() {
+  EngineLoad State;
+  State.LoadingModel = this->LoadingModel;
+  for (const auto &[Model, Version] : this->LastReport.Versions)
+    State.Versions[Model] = Version;
+  const wire::PeerMessage Message = this->stateMessage();
+  const std::vector<HostId> Gateways = this->Peers.peers();
+  for (const HostId &Gateway :
+       this->Pushes.recipients(Gateways, State, steadyNow()))
+    this->Peers.send(Gateway, Message);
 }
 
 void Loader::sendOrder(const LoadOrder &Order) {
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -7,6 +7,7 @@
 #include "base/settings_type.h"
 #include "core/gateway/suspect_table_base.h"
 #include "core/loads/load_controller_base.h"
+#include "core/loads/state_push_base.h"
 #include "gateway/directory_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
@@ -46,6 +47,8 @@
   void sendOrder(const LoadOrder &Order);
   /// Finds this engine's id and place among the engines of its service.
   void updatePlace();
+  /// Sends the engine's state to the gateways that need it now.
+  void pushState();
   /// @return the message with the engine's state for gateways.
   wire::PeerMessage stateMessage() const;
 
@@ -56,6 +59,8 @@
   platform::StoreClient Store;
   PublishedValues Values;
   EndpointPool Pool;
+  /// Which gateways get the engine's state.
+  StatePush Pushes;
   /// Reports that were forwarded.
   SuspectTable Suspects;
   PeerTask Peers;
--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -48,6 +48,8 @@
           [this](const LinkEvent &Event) { this->onLinkEvent(Event); }) {
   this->Hub.onHeartbeat([this](wire::Heartbeat &Beat) {
     Beat.ConfigOffset = this->Values.newestOffset();
+    if (this->Callbacks.WantsLoad)
+      Beat.__set_WantsLoad(this->Callbacks.WantsLoad());
   });
 }
 
@@ -72,6 +74,8 @@
             {{"peer", Down->Peer.Value}, {"cause", Down->Cause}});
     this->NearPeers.erase(Down->Peer);
     this->Pull.onPeerLost(Down->Peer);
+    if (this->Callbacks.OnLinkDown)
+      this->Callbacks.OnLinkDown(Down->Peer);
   } else {
     const auto &Message = std::get<LinkMessage>(Event);
     this->onMessage(Message.Peer, Message.Message);
@@ -79,6 +83,8 @@
 }
 
 void PeerTask::onHeartbeat(const HostId &Peer, const wire::Heartbeat &Beat) {
+  if (Beat.__isset.WantsLoad && this->Callbacks.OnLoadWanted)
+    this->Callbacks.OnLoadWanted(Peer, Beat.WantsLoad);
   const int64_t HaveOffset = this->Values.newestOffset();
   const ValueOffer Offer{Peer, this->NearPeers.contains(Peer),
                          Beat.ConfigOffset};
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -29,6 +29,13 @@
   std::function<void(const wire::CrashReport &)> OnEndpointBroken;
   /// A link to a peer was established.
   std::function<void(const HostId &)> OnLinkUp;
+  /// A link to a peer was lost. Optional.
+  std::function<void(const HostId &)> OnLinkDown;
+  /// A gateway said whether it places work by engine loads. Optional.
+  std::function<void(const HostId &, bool Wanted)> OnLoadWanted;
+  /// @return whether this gateway places work by engine loads. Optional: peers
+  ///   are told nothing.
+  std::function<bool()> WantsLoad;
 };
 
 /// Owns the links of a gateway or loader.
@@ -58,6 +65,9 @@
   /// @return the bytes that wait to be sent to peers.
   size_t queuedBytes() const { return this->Hub.queuedBytes(); }
 
+  /// @return the peers with a link.
+  std::vector<HostId> peers() const { return this->Hub.peers(); }
+
   /// Sends a message to all peers.
   void broadcast(const wire::PeerMessage &Message);
 
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -63,6 +63,7 @@
   4: optional LoadFigure Load,
   5: i64 EchoSequence,     // the last sequence received, for round trips
   6: optional i64 NewestVersion,
+  7: optional bool WantsLoad, // gateway to loader: places work by engine loads
 }
 
 /** Answered by ConfigPush when the sender is behind. */
--- a/tests/gateway_tasks/peer_task_test.cpp
+++ b/tests/gateway_tasks/peer_task_test.cpp
@@ -23,6 +23,10 @@
   std::vector<wire::CrashReport> Crashes;
   /// How many published values it received from peers.
   int ReceivedValues = 0;
+  /// Whether it places work by engine loads.
+  bool PlacesWork = false;
+  /// What peers said about that.
+  std::map<HostId, bool> LoadWanted;
   std::unique_ptr<PeerTask> Peers;
   /// The address for links.
   HttpTarget LinkTarget;
@@ -50,6 +54,10 @@
     Callbacks.OnEndpointBroken = [this](const wire::CrashReport &Report) {
       this->Crashes.push_back(Report);
     };
+    Callbacks.WantsLoad = [this] { return this->PlacesWork; };
+    Callbacks.OnLoadWanted = [this](const HostId &Peer, bool Wanted) {
+      this->LoadWanted[Peer] = Wanted;
+    };
     this->Peers =
         std::make_unique<PeerTask>(Events, this->Settings, this->Store,
                                    this->Values, std::move(Callbacks));
@@ -126,6 +134,19 @@
   cr_assert_leq(MostQueued, 4U * ValueBytes);
 }
 
+Test(peers, gatewayThatBeginsToPlaceWork_tellsTheLoader) {
+  Loop Events;
+  PeerHost Loader(Events, Nowhere, "loader");
+  PeerHost Gateway(Events, Nowhere, "gateway");
+  Gateway.Peers->connect(Loader.LinkTarget);
+  const HostId Name{"gateway"};
+  cr_assert(
+      turnUntil(Events, [&] { return Loader.LoadWanted.contains(Name); }));
+  cr_assert_not(Loader.LoadWanted.at(Name));
+  Gateway.PlacesWork = true;
+  cr_assert(turnUntil(Events, [&] { return Loader.LoadWanted.at(Name); }));
+}
+
 Test(peers, olderValue_neverReplacesANewerOne) {
   PublishedValues Values;
   cr_assert(Values.update(KeyedRecord{"config", "new", 7}));
