--- a/packages/net/link_connection.cpp
+++ b/packages/net/link_connection.cpp
@@ -22,8 +22,7 @@
 
 bool LinkConnection::send(const wire::PeerMessage &Message,
                           size_t MaxQueuedBytes) {
-  if (this->Socket == nullptr ||
-      this->queuedBytes() > MaxQueuedBytes)
+  if (this->Socket == nullptr || this->queuedBytes() > MaxQueuedBytes)
     return false;
   this->Queued += encodeFrame(Message);
   ++this->Counters->MessagesOut;
