Fix: [Gateway] An owner that stood still starts nothing before it has read

Cause: items start without a recent read of their partition if the store is taken to answer nobody, since it acknowledges no end then. That was inferred from the last answered join. After a process had been suspended for some seconds, both the last join and the last read were old, so it looked like an outage: items started at once, though another gateway might have had the submission's end acknowledged meanwhile.

Change: the decision is code of its own, EndKnowledge (core, no I/O). A process without a sign of running for 1 s counts as having stood still; after that it needs a read, or a join sent since that fails.

--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -28,12 +28,8 @@
 /// Time between the loss of partitions and the join that releases them. The
 /// progress of their runs is appended meanwhile, unless the store is slow.
 constexpr Millis ReleaseDelay{60};
-/// If a partition was not read for this long while the store answers joins, its
-/// items do not start: an item of an ended submission must not reach an engine
-/// later than 3 s after the end was acknowledged.
-constexpr Millis MaxUnreadTime{2'000};
-/// Longest time between two answered reads of a followed partition.
-constexpr Millis MaxReadInterval{1'000};
+/// Interval at which the process notes that it runs.
+constexpr Millis TickInterval{200};
 /// Pause between searches for submissions whose lifetime is over.
 constexpr Millis ForgetInterval{5'000};
 /// Pause between checks for unacknowledged appends during the hand-over.
@@ -55,15 +51,24 @@
   // The store creates the topic's partitions at the first append or read.
   this->join();
   this->forgetOld();
+  this->tick();
+}
+
+void BatchTask::tick() {
+  this->Ends.tick(bootNow());
+  this->Events.callAfter(TickInterval, [this] { this->tick(); });
 }
 
 void BatchTask::join() {
   if (this->Leaving)
     return;
-  this->Store.join(this->Member, [this](const StoreResult<GroupShare> &Share) {
+  this->Store.join(this->Member, [this, SentAt = bootNow()](
+                                     const StoreResult<GroupShare> &Share) {
     bool Lost = false;
     if (Share.has_value())
-      this->JoinedAt = bootNow();
+      this->Ends.joined(bootNow());
+    else
+      this->Ends.joinFailed(SentAt);
     if (Share.has_value() && !this->Leaving)
       Lost = this->applyShare(Share.value());
     else if (!Share.has_value())
@@ -81,17 +86,15 @@
 bool BatchTask::knowsEnd(const SubmissionId &Id) {
   const PartitionId Partition = this->partitionOf(Id);
   const Millis UpToDateAt = this->follower(Partition).upToDateAt();
-  const Millis Unread = bootNow() - UpToDateAt;
-  // While the store answers nothing, it acknowledges no end either.
-  const bool StoreServes = this->JoinedAt - UpToDateAt > MaxReadInterval;
-  if (Unread < MaxUnreadTime || !StoreServes) {
+  const Millis Now = bootNow();
+  if (this->Ends.permitsStart(UpToDateAt, Now)) {
     this->UnreadPartitions.erase(Partition);
     return true;
   }
   if (this->UnreadPartitions.insert(Partition).second)
     logLine(LogLevel::Warn, "items of an unread partition do not start",
             {{"partition", concat(Partition.Number)},
-             {"unread_ms", concat(Unread.Count)}});
+             {"unread_ms", concat((Now - UpToDateAt).Count)}});
   return false;
 }
 
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_GATEWAY_BATCH_TASK_BASE_H
 
 #include "base/settings_type.h"
+#include "core/batch/end_knowledge_base.h"
 #include "gateway/item_task_base.h"
 #include "gateway/leftover_task_base.h"
 #include "gateway/owner_call_base.h"
@@ -145,6 +146,8 @@
   /// @return whether the partition was read recently enough that an
   /// acknowledged end of the submission would be known here.
   bool knowsEnd(const SubmissionId &Id);
+  /// Notes, again and again, that the process runs.
+  void tick();
   /// Joins the group or renews the membership, and schedules the next join.
   void join();
   /// Applies a new assignment of partitions.
@@ -182,8 +185,8 @@
   /// Followers by partition; created at the partition's first use.
   std::map<PartitionId, std::unique_ptr<PartitionFollower>> Followers;
   std::set<PartitionId> Owned;
-  /// When the store last answered a join, by bootNow().
-  Millis JoinedAt{0};
+  /// Whether this process would know of ends; its times are by bootNow().
+  EndKnowledge Ends;
   /// Partitions of other owners that are followed here, and until when.
   std::map<PartitionId, Millis> FollowedUntil;
   OwnerCallTask OwnerCalls;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -6,7 +6,9 @@
 #include "gateway_fixture.h"
 #include "wire/codec_func.h"
 
+#include <chrono>
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace camphornotch;
 
@@ -324,6 +326,28 @@
   cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
 }
 
+Test(batch, ownerThatStoodStill_startsNothingBeforeItHasRead) {
+  GatewayFixture Net(1);
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Net.runFor(Millis{300});
+  const size_t Before = Net.Engine.Runs["s-0"].size();
+  // The process stands still; another gateway appends the end meanwhile.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+  wire::BatchRecord Record;
+  wire::SubmissionEndRecord End;
+  End.Submission = "s";
+  Record.__set_End(End);
+  Net.Store.state().append(
+      "batch", partitionFor("batch", "s", Net.Partitions).Number,
+      splitRecord(encodeBatchRecord(Record), 4'000), std::nullopt);
+  Net.Store.Silent = true;
+  Net.Engine.abortHeld();
+  Net.runFor(Millis{600});
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), Before);
+}
+
 Test(batch, ownerThatCouldNotReadItsPartition_goesOnAfterwards) {
   GatewayFixture Net(1);
   Net.Engine.Hold = true;
