Add: [Review] A stream that is resumed at an engine that rejects it ends as complete

Cause: a status from 400 to 499 ends the request as finished, also if it answers an attempt that resumes a stream whose head the caller has.

--- a/review/lib/endpoint.py
+++ b/review/lib/endpoint.py
@@ -40,9 +40,13 @@
         self.doubles = lambda request, status: False
         # Called when a request begins to run: whether it crashes the endpoint.
         self.crashes = lambda request: False
+        # Called with the head of a request: whether it is rejected before its body is in.
+        self.rejects = lambda request: False
+        # Called before each event of a stream: whether the answer breaks off here.
+        self.breaks_off = lambda request, number: False
 
     async def start(self):
-        self.server = await http11.serve(self.address, self.on_request)
+        self.server = await http11.serve(self.address, self.on_request, self.on_head)
         self.beating = asyncio.ensure_future(self.beat())
 
     def registration(self):
@@ -106,6 +110,16 @@
             self.record("second copy held", endpoint=self.id, id=name, status=status)
         return True
 
+    def on_head(self, request, connection):
+        if not self.rejects(request):
+            return False
+        name = request.header("x-camphornotch-request-id")
+        self.record("rejected early", endpoint=self.id, id=name)
+        self.answers += 1
+        connection.writer.write(http11.encode_answer(
+            413, {"X-Camphornotch-Request-Id": name}, b"too long"))
+        return True
+
     async def on_request(self, request, connection):
         self.connections.add(connection)
         try:
@@ -203,10 +217,15 @@
             if connection.closed_by_peer():
                 self.record("broken off", endpoint=self.id, id=name, event=number)
                 return False
+            if self.breaks_off(request, number):
+                self.record("breaks off", endpoint=self.id, id=name, event=number)
+                self.answers += 1
+                return False
             event = ("id: %d\ndata: %s-%d\n\n" % (number, name, number)).encode()
             connection.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await connection.writer.drain()
         connection.writer.write(b"0\r\n\r\n")
         await connection.writer.drain()
+        self.answers += 1
         self.record("ran", endpoint=self.id, id=name)
         return True
