Change: [Review] Case 5 shows the crashing request on a stream, with one disruption

Cause: the earlier form needed a server that was lost for good and ids that are kept over a start; a stream shows the lack of a count with the request alone. Change: review/5 sends a stream that crashes its engine after the first token.

--- a/review/lib/endpoint.py
+++ b/review/lib/endpoint.py
@@ -20,7 +20,9 @@
         self.record = record
         self.store = store
         self.service = service
-        self.id = "i-%s-%d" % (service, number)
+        self.name = "i-%s-%d" % (service, number)
+        self.id = self.name
+        self.lives = 1
         self.address = address
         self.zone = zone
         self.slots = asyncio.Semaphore(slots)
@@ -83,13 +85,22 @@
         await self.store.put("keyed.servers", self.id, b"")
         self.record("gone", endpoint=self.id)
 
-    async def crash(self, down_s):
-        """Crashes and is back under its id after some seconds."""
+    async def forget(self, old_id):
+        """The entry of an earlier life goes after three heartbeats of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.store.put("keyed.servers", old_id, b"")
+
+    async def crash(self, down_s, new_id=False):
+        """Crashes and is back after some seconds."""
         if self.server is None:
             return
         self.record("crashed", endpoint=self.id)
         await self.stop()
         await asyncio.sleep(down_s)
+        if new_id:
+            self.lives += 1
+            old, self.id = self.id, "%s-%d" % (self.name, self.lives)
+            asyncio.ensure_future(self.forget(old))
         self.sequence = 0
         self.present = 0
         self.slots = asyncio.Semaphore(self.slot_count)
@@ -224,6 +235,11 @@
             event = ("id: %d\ndata: %s-%d\n\n" % (number, name, number)).encode()
             connection.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await connection.writer.drain()
+            if self.crashes(request):
+                # The first token is out when the engine crashes.
+                await asyncio.sleep(self.event_ms / 1000)
+                asyncio.ensure_future(self.crash(2.0, new_id=True))
+                return False
         connection.writer.write(b"0\r\n\r\n")
         await connection.writer.drain()
         self.answers += 1
