--- a/review/lib/endpoint.py
+++ b/review/lib/endpoint.py
@@ -40,15 +40,9 @@
         self.answers = 0
         # Called with the request and the encoded answer: whether a second copy follows late.
         self.doubles = lambda request, status: False
-        # Called when a request begins to run: whether it crashes the endpoint.
-        self.crashes = lambda request: False
-        # Called with the head of a request: whether it is rejected before its body is in.
-        self.rejects = lambda request: False
-        # Called before each event of a stream: whether the answer breaks off here.
-        self.breaks_off = lambda request, number: False
 
     async def start(self):
-        self.server = await http11.serve(self.address, self.on_request, self.on_head)
+        self.server = await http11.serve(self.address, self.on_request)
         self.beating = asyncio.ensure_future(self.beat())
 
     def registration(self):
@@ -90,17 +84,16 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         await self.store.put("keyed.servers", old_id, b"")
 
-    async def crash(self, down_s, new_id=False):
-        """Crashes and is back after some seconds."""
+    async def crash(self, down_s):
+        """Crashes and is back under a new id after some seconds."""
         if self.server is None:
             return
         self.record("crashed", endpoint=self.id)
         await self.stop()
         await asyncio.sleep(down_s)
-        if new_id:
-            self.lives += 1
-            old, self.id = self.id, "%s-%d" % (self.name, self.lives)
-            asyncio.ensure_future(self.forget(old))
+        self.lives += 1
+        old, self.id = self.id, "%s-%d" % (self.name, self.lives)
+        asyncio.ensure_future(self.forget(old))
         self.sequence = 0
         self.present = 0
         self.slots = asyncio.Semaphore(self.slot_count)
@@ -121,16 +114,6 @@
             self.record("second copy held", endpoint=self.id, id=name, status=status)
         return True
 
-    def on_head(self, request, connection):
-        if not self.rejects(request):
-            return False
-        name = request.header("x-camphornotch-request-id")
-        self.record("rejected early", endpoint=self.id, id=name)
-        self.answers += 1
-        connection.writer.write(http11.encode_answer(
-            413, {"X-Camphornotch-Request-Id": name}, b"too long"))
-        return True
-
     async def on_request(self, request, connection):
         self.connections.add(connection)
         try:
@@ -165,9 +148,6 @@
     async def run(self, request, connection):
         name = request.header("x-camphornotch-request-id")
         self.record("run", endpoint=self.id, id=name, path=request.path)
-        if self.crashes(request):
-            asyncio.ensure_future(self.crash(2.0))
-            return False
         last = request.path.rsplit("/", 1)[-1]
         work_ms = int(last) if last.isdigit() else self.work_ms
         await asyncio.sleep(work_ms / 1000)
@@ -184,6 +164,8 @@
         self.versions = {model: 1 for model in models}
         self.event_ms = event_ms
         self.orders = 0
+        # Called after the first event: whether the request crashes the engine.
+        self.crashes = lambda request: False
 
     def models(self):
         return [{"name": model, "version": version, "adapters": []}
@@ -228,17 +210,13 @@
             if connection.closed_by_peer():
                 self.record("broken off", endpoint=self.id, id=name, event=number)
                 return False
-            if self.breaks_off(request, number):
-                self.record("breaks off", endpoint=self.id, id=name, event=number)
-                self.answers += 1
-                return False
             event = ("id: %d\ndata: %s-%d\n\n" % (number, name, number)).encode()
             connection.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await connection.writer.drain()
             if self.crashes(request):
                 # The first token is out when the engine crashes.
                 await asyncio.sleep(self.event_ms / 1000)
-                asyncio.ensure_future(self.crash(2.0, new_id=True))
+                asyncio.ensure_future(self.crash(2.0))
                 return False
         connection.writer.write(b"0\r\n\r\n")
         await connection.writer.drain()
--- a/review/lib/http11.py
+++ b/review/lib/http11.py
@@ -59,13 +59,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-async def serve(address, on_request, on_head=None):
+async def serve(address, on_request):
     """Serves until closed.
 
     on_request(request, connection) is awaited for each request in turn; it
     writes its answer to connection.writer and returns whether the connection is
-    kept. on_head(request, connection) is called before the body is read; if it
-    returns true, it has answered the request.
+    kept.
     """
 
     async def on_connection(reader, writer):
@@ -76,11 +75,7 @@
                 if head is None:
                     break
                 method, target, _ = head[0].split(" ", 2)
-                early = on_head is not None and on_head(
-                    Request(method, target, head[1], b""), connection)
                 body = await read_body(reader, head[1])
-                if early:
-                    continue
                 if not await on_request(Request(method, target, head[1], body), connection):
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
