--- a/review/2/case.py
+++ b/review/2/case.py
@@ -53,8 +53,8 @@
     for zone in ZONES:
         deployment.add_gateway(zone)
         deployment.add_endpoint(Endpoint, "desk", zone, 6, 24, 80)
-    # The old service stands in one zone, the new one in the two others.
-    for service, zone in [(OLD, ZONES[0])] * 2 + [(NEW, ZONES[1])] * 3 + [(NEW, ZONES[2])] * 3:
+    # One engine of seven belongs to the old service.
+    for service, zone in [(OLD, ZONES[0])] + [(NEW, zone) for zone in ZONES] * 2:
         deployment.add_loader(deployment.add_endpoint(
             Engine, service, zone, 8, 24, 20, models=[MODEL], event_ms=EVENT_MS))
     await deployment.start(CONFIG)
@@ -64,10 +64,6 @@
     accepted = await batch.submit(deployment, deployment.gateways()[0], HOST, "/front/", name,
                                   batch.submission(MODEL, ITEMS, 13))
 
-    async def retire(engine):
-        # The engine drains and serves on for drain_ms; then it is gone.
-        await engine.leave(SERVE_S)
-
     async def move():
         await asyncio.sleep(1.0)
         config = copy.deepcopy(CONFIG)
@@ -75,8 +71,10 @@
         config["routes"][0]["service"] = NEW
         await deployment.publish(config)
         await asyncio.sleep(0.5)
-        await asyncio.gather(*(retire(each) for each in deployment.endpoints
-                               if each.service == OLD))
+        for engine in deployment.endpoints:
+            if engine.service == OLD:
+                # It drains and serves on for drain_ms; then it is gone.
+                await engine.leave(SERVE_S)
 
     moving = asyncio.ensure_future(move()) if deployment.trouble else None
     results = await batch.read_results(deployment, HOST, name, len(ITEMS),
