Fix: [Gateway] A refusal of another request is not taken for one's own

Cause: an endpoint that refuses request A keeps the connection. A late second copy of that refusal arrives where the answer to request B is due. faultOf() compared the id of an answer only if the answer did not state that nothing was executed, so B counted as refused and was sent to another endpoint, while the first one executed it. The same for items: a refusal was taken as it came, and its connection went back to the pool with the item's own answer still due.

Change: a refusal counts only if it names the request. Another one ends the attempt as "may have run" and closes the connection. Items check it with the head.

The record shows what is left: the same request, sent again on the connection of its first refusal, takes the copy of that one for a second refusal.

--- a/packages/gateway/answer_fault_func.cpp
+++ b/packages/gateway/answer_fault_func.cpp
@@ -5,6 +5,12 @@
 
 namespace camphornotch {
 
+std::string_view refusalFault(const platform::EngineAnswer &Answer,
+                              std::string_view RequestId) {
+  return Answer.RequestId == RequestId ? ""
+                                       : "the refusal is for another request";
+}
+
 std::string_view answerFault(const platform::EngineAnswer &Answer,
                              std::string_view RequestId, bool Framed) {
   if (Answer.RequestId != RequestId)
--- a/packages/gateway/answer_fault_func.h
+++ b/packages/gateway/answer_fault_func.h
@@ -10,6 +10,13 @@
 
 namespace camphornotch {
 
+/// @param Answer one that states that a request was not executed.
+/// @param RequestId the id of the request that was sent.
+/// @return why it says nothing about that request, which may be executed all
+///   the same; empty: that request was not executed.
+std::string_view refusalFault(const platform::EngineAnswer &Answer,
+                              std::string_view RequestId);
+
 /// @param RequestId the id of the request that was sent.
 /// @param Framed whether the head tells where the body ends.
 /// @return why it may not be used as the answer to the request; empty: it may.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -42,12 +42,12 @@
 /// @param Answer the head of an answer.
 /// @param Request the request sent.
 /// @param Framed whether the head tells where the body ends.
-/// @return why the answer cannot be passed on; empty: it can, or nothing was
-///   executed.
+/// @return why the answer cannot be used; empty: it can be passed on, or states
+///   that this request was not executed.
 std::string_view faultOf(const platform::EngineAnswer &Answer,
                          const platform::EngineRequest &Request, bool Framed) {
   if (Answer.NotRun)
-    return "";
+    return refusalFault(Answer, Request.RequestId);
   const std::string_view Fault = answerFault(Answer, Request.RequestId, Framed);
   if (!Fault.empty())
     return Fault;
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -197,10 +197,12 @@
   Active->Head = platform::decodeEngineAnswer(Response);
   Active->Version = Active->Head.Version;
   const ScheduledItem *Scheduled = this->Scheduler.find(Key);
-  if (Response.Status != StatusOk || Scheduled == nullptr)
+  const bool Success = Response.Status == StatusOk;
+  if ((!Success && !Active->Head.NotRun) || Scheduled == nullptr)
     return;
   const std::string_view Fault =
-      answerFault(Active->Head, Key.Item.Value, Response.Framed);
+      Success ? answerFault(Active->Head, Key.Item.Value, Response.Framed)
+              : refusalFault(Active->Head, Key.Item.Value);
   if (!Fault.empty()) {
     this->requeue(Key, RequeueReason::ConnectionBroken,
                   WorkOutcome::ConnectionBroken, Fault);
@@ -208,7 +210,7 @@
   }
   // Without a version in the head nothing may be left to generate; an event
   // without a version is rejected.
-  if (Active->Version < 0 && Active->EventsAtStart > 0)
+  if (!Success || (Active->Version < 0 && Active->EventsAtStart > 0))
     return;
   this->Pool.versionSeen(Active->Endpoint, Scheduled->Model, Active->Version);
   if (Active->Version < Scheduled->MinVersion)
--- a/tests/gateway_tasks/endless_item_test.cpp
+++ b/tests/gateway_tasks/endless_item_test.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// Items whose engine sends bytes or events without end.
+/// Items whose engine sends bytes or events without end, or an answer to
+/// another request.
 
 #include "gateway_fixture.h"
 #include "tests/net/scripted_server.h"
@@ -24,7 +25,7 @@
   /// Submits one item, which starts at the bad engine, then adds the good one.
   /// @param Tokens the item's token limit; 0: none given.
   /// @return whether the item was started.
-  bool start(int64_t Tokens = 0) {
+  bool startItem(int64_t Tokens = 0) {
     EndpointPool &Pool = this->Net.Gateways[0]->Pool;
     const EndpointRecord Good = Pool.find(EndpointId{"i-llm"})->Record;
     EndpointRecord Bad = Good;
@@ -41,6 +42,14 @@
     EndpointRecord Spare = Good;
     Spare.Id = EndpointId{"i-spare"};
     Pool.put(Spare);
+    return Started;
+  }
+
+  /// Starts the item and the bad engine's stream.
+  /// @param Tokens the item's token limit; 0: none given.
+  /// @return whether the item was started.
+  bool start(int64_t Tokens = 0) {
+    const bool Started = this->startItem(Tokens);
     this->Bad.send(0, "HTTP/1.1 200 OK\r\n"
                       "x-camphornotch-request-id: s-0\r\n"
                       "x-camphornotch-response-signature: sig\r\n"
@@ -113,3 +122,17 @@
   cr_assert_eq(Run.Net.Engine.Runs["s-0"].back(), 0);
   cr_assert(Run.Bad.closed(0));
 }
+
+// Guards against answers to the wrong request: the item's own answer is still
+// due on the connection, so no other request may be sent on it.
+Test(endlessItem, refusalOfAnotherRequest_closesTheConnection) {
+  EndlessFixture Run;
+  cr_assert(Run.startItem());
+  Run.Bad.send(0, "HTTP/1.1 503 Busy\r\nx-camphornotch-request-id: other\r\n"
+                  "x-camphornotch-not-executed: 1\r\n"
+                  "content-length: 0\r\n\r\n");
+  const platform::Json Read = Run.Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["text"] == "e1\ne2\ne3\ne4");
+  cr_assert(Run.Bad.closed(0));
+}
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -158,6 +158,26 @@
   cr_assert_eq(Net.Refused.Status, 502);
 }
 
+// Guards against a second run: a late copy of an earlier refusal says nothing
+// about the request that was sent after it.
+Test(forward, refusalOfAnotherRequest_isNotTakenForItsOwn) {
+  for (const std::string Status :
+       {"503 Busy", "421 Misdirected", "429 Too Many"}) {
+    ForwardFixture Net(RouteKind::AtMostOnce, 2);
+    ScriptedServer Spare;
+    cr_assert(Net.arrives());
+    Net.addEndpoint("i-2", Spare);
+    std::string Bytes = ForwardFixture::answer(
+        Status, "x-camphornotch-not-executed: 1\r\n");
+    Bytes.replace(Bytes.find("r1"), 2, "r0");
+    Net.Server.send(0, Bytes);
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.Refused.Status, 502, "%s", Status.c_str());
+    cr_expect_not(Spare.hasRequests(0, 1), "%s", Status.c_str());
+    cr_expect(turnUntil(Net.Events, [&] { return Net.Server.closed(0); }));
+  }
+}
+
 Test(forward, encodedAnswer_isNotPassedOn) {
   ForwardFixture Net(RouteKind::AtMostOnce);
   cr_assert(Net.arrives());
