Fix: [Gateway] A repeated request does not read a late copy of its own answer

Cause: a request that all endpoints refused goes to them once more after 20 ms, on the connection used last, which is that of the first refusal. A late second copy of it arrives where the second answer is due. It names the right id, so nothing tells them apart. The same can count a failure of an item or of a scoring call twice.

A pooled connection whose previous call had the same identity is passed over; another one is taken, or a new one opened. A copy arrives at the next call of its connection only, and there the id differs, which ends the attempt without a verdict.

Not chosen: closing each connection that refuses, or a new one for each repetition: under load both open connections to full endpoints, which reset them, and a request that may run once then ends in doubt.

--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -109,6 +109,8 @@
     State *Owner;
     HttpTarget Target;
     h2o_socket_t *Socket;
+    /// HttpCall::Identity of its previous call.
+    std::string LastIdentity;
     /// Closes the connection.
     TimerId Timer;
   };
@@ -134,14 +136,30 @@
     return Found == this->Calls.end() ? nullptr : Found->second.get();
   }
 
+  /// Removes the most recently used connection that a call may use from the
+  /// pool.
+  /// @return null if there is none.
+  std::unique_ptr<IdleConnection> takeIdle(const HttpCall &Call) {
+    const auto Found = this->Pool.find(Call.Target);
+    if (!Call.Reuse || Found == this->Pool.end())
+      return nullptr;
+    IdleList &List = Found->second;
+    const auto Usable = std::find_if(
+        List.rbegin(), List.rend(), [&Call](const auto &Connection) {
+          return Call.Identity.empty() ||
+                 Connection->LastIdentity != Call.Identity;
+        });
+    if (Usable == List.rend())
+      return nullptr;
+    std::unique_ptr<IdleConnection> Taken = std::move(*Usable);
+    List.erase(std::next(Usable).base());
+    return Taken;
+  }
+
   /// Takes a connection from the pool or opens one.
   void connect(ActiveCall &Call) {
-    const auto Found = this->Pool.find(Call.Call.Target);
-    if (Call.Call.Reuse && Found != this->Pool.end() &&
-        !Found->second.empty()) {
-      const std::unique_ptr<IdleConnection> Connection =
-          std::move(Found->second.back());
-      Found->second.pop_back();
+    if (const std::unique_ptr<IdleConnection> Connection =
+            this->takeIdle(Call.Call)) {
       this->Events.cancel(Connection->Timer);
       Call.Socket = Connection->Socket;
       Call.Reused = true;
@@ -280,7 +298,7 @@
     const bool Reusable = Call.Call.Reuse && Call.Written &&
                           Call.Reader.unread() == 0 && Call.Reader.keepsAlive();
     if (Reusable)
-      this->addToPool(std::exchange(Call.Socket, nullptr), Call.Call.Target,
+      this->addToPool(std::exchange(Call.Socket, nullptr), Call.Call,
                       idleTime(Call.Reader.response()));
     const std::unique_ptr<ActiveCall> Last = this->removeCall(Call.Id);
     if (Last->Callbacks.Finished)
@@ -288,15 +306,16 @@
   }
 
   /// Adds a connection to the pool, or closes it if the pool is full.
+  /// @param Last its previous call.
   /// @param Time how long it may stay idle; 0 or less: it is closed at once.
-  void addToPool(h2o_socket_t *Socket, const HttpTarget &Target, Millis Time) {
-    IdleList &List = this->Pool[Target];
+  void addToPool(h2o_socket_t *Socket, const HttpCall &Last, Millis Time) {
+    IdleList &List = this->Pool[Last.Target];
     if (Time <= Millis{0} || List.size() >= MaxIdlePerTarget) {
       h2o_socket_close(Socket);
       return;
     }
     auto Made = std::make_unique<IdleConnection>(
-        IdleConnection{this, Target, Socket, {}});
+        IdleConnection{this, Last.Target, Socket, Last.Identity, {}});
     IdleConnection *Raw = Made.get();
     Socket->data = Raw;
     // Bytes that arrive on an idle connection belong to no request.
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -97,6 +97,10 @@
   /// afterwards. Calls that must not be repeated set this to false, because the
   /// server may close a pooled connection while the request is being sent.
   bool Reuse = true;
+  /// Identifies the request over its repetitions; empty: it needs no check. It
+  /// is not sent on a connection whose previous call had the same identity,
+  /// because a late second copy of that response would pass for its own.
+  std::string Identity;
   /// Size limit of a collected response body; the call fails if it is exceeded.
   /// A body that is delivered in chunks has no limit.
   size_t MaxBodyBytes = DefaultMaxBodyBytes;
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -178,6 +178,21 @@
   }
 }
 
+// Guards against a second run: a late copy of a refusal passes for the answer
+// to the same request, sent to the same endpoint again.
+Test(forward, retryAfterARefusal_doesNotReadALateCopyOfIt) {
+  ForwardFixture Net(RouteKind::AtMostOnce, 2);
+  const std::string Refusal =
+      ForwardFixture::answer("503 Busy", "x-camphornotch-not-executed: 1\r\n");
+  cr_assert(Net.arrives());
+  Net.Server.send(0, Refusal);
+  cr_assert(Net.arrives(1), "the retry is on the connection of the refusal");
+  Net.Server.send(0, Refusal);
+  Net.Server.send(1, ForwardFixture::answer("200 OK"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Answer.Status, 200);
+}
+
 Test(forward, encodedAnswer_isNotPassedOn) {
   ForwardFixture Net(RouteKind::AtMostOnce);
   cr_assert(Net.arrives());
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -31,8 +31,10 @@
 
   /// Starts a POST.
   /// @param Reuse whether a pooled connection may be used.
-  void start(bool Reuse = true, std::string Body = "x") {
+  void start(bool Reuse = true, std::string Body = "x",
+             std::string Identity = "") {
     HttpCall Call;
+    Call.Identity = std::move(Identity);
     Call.Target = this->Server.target();
     Call.Method = "POST";
     Call.Body = std::move(Body);
@@ -195,6 +197,27 @@
   cr_assert_eq(Net.Server.poll(), 1U);
 }
 
+// Guards against a late second copy of a response that passes for the response
+// to the repeated request.
+Test(httpClient, repeatedRequest_goesOnAnotherConnectionThanBefore) {
+  ClientFixture Net;
+  Net.start(true, "x", "r1");
+  cr_assert(Net.requestsArrive(0, 1));
+  Net.Server.send(0, GoodAnswer);
+  cr_assert(Net.callsEnd(1));
+  Net.start(true, "x", "r1");
+  cr_assert(Net.requestsArrive(1, 1));
+  Net.Server.send(1, GoodAnswer);
+  cr_assert(Net.callsEnd(2));
+  Net.start(true, "x", "r2");
+  cr_assert(Net.requestsArrive(1, 2));
+  Net.Server.send(1, GoodAnswer);
+  cr_assert(Net.callsEnd(3));
+  Net.start(true, "x", "r1");
+  cr_assert(Net.requestsArrive(1, 3));
+  cr_assert_eq(Net.Server.poll(), 2U);
+}
+
 Test(httpClient, keepAliveTimeoutOfZero_closesTheConnection) {
   ClientFixture Net;
   Net.start();
