Fix: [Batch] Waiting items follow their route to another service

Cause: ItemScheduler::add() copied the route's service into each item when its submission was taken over. A new configuration only started submissions that had no route at that time; for the others the scheduler went on asking the pool for endpoints of the old service.

Change: a new configuration updates service, priority and the single version rule of all items that have no result. Runs under way end where they are, the next start follows the route. Items of a removed route keep what it said last. One log line for each submission that moves.

Related paths read: forwarded requests and scoring calls take their service for one attempt of at most 2 s; second runs and moved runs ask the scheduler's item and so follow, too.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -83,6 +83,15 @@
   return ItemRank{false, 0, Item.Arrival, false, Item.IndexInSubmission, 0};
 }
 
+/// Sets what an item takes from its submission's route.
+void applyRoute(const Route &SubmissionRoute, ScheduledItem &Item) {
+  Item.Service = SubmissionRoute.Services.empty()
+                     ? ""
+                     : SubmissionRoute.Services.front().Service;
+  Item.SingleVersion = SubmissionRoute.SingleVersion;
+  Item.Priority = SubmissionRoute.Priority;
+}
+
 } // namespace
 
 ItemOrder parseItemOrder(std::string_view Name) {
@@ -110,13 +119,9 @@
       continue;
     ScheduledItem Added;
     Added.Key = Key;
-    Added.Service = SubmissionRoute.Services.empty()
-                        ? ""
-                        : SubmissionRoute.Services.front().Service;
+    applyRoute(SubmissionRoute, Added);
     Added.Model = State.Record.Model;
     Added.MinVersion = State.Record.MinVersion;
-    Added.SingleVersion = SubmissionRoute.SingleVersion;
-    Added.Priority = SubmissionRoute.Priority;
     Added.Arrival = Arrival;
     Added.IndexInSubmission = ++Index;
     Added.LengthHint = Item.LengthHint;
@@ -127,6 +132,25 @@
   }
 }
 
+std::set<SubmissionId> ItemScheduler::submissions() const {
+  std::set<SubmissionId> Ids;
+  for (const auto &[Key, Item] : this->Items)
+    Ids.insert(Ids.end(), Key.Submission);
+  return Ids;
+}
+
+bool ItemScheduler::updateRoute(const SubmissionId &Id,
+                                const Route &SubmissionRoute) {
+  bool Moved = false;
+  for (auto Each = this->Items.lower_bound(ItemKey{Id, ItemId{}});
+       Each != this->Items.end() && Each->first.Submission == Id; ++Each) {
+    const std::string ServiceBefore = Each->second.Service;
+    applyRoute(SubmissionRoute, Each->second);
+    Moved |= Each->second.Service != ServiceBefore;
+  }
+  return Moved;
+}
+
 void ItemScheduler::drop(const ItemKey &Key) {
   const auto Found = this->Items.find(Key);
   if (Found == this->Items.end())
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -34,6 +34,14 @@
   void add(const SubmissionState &State, const Route &SubmissionRoute,
            const std::set<ItemId> &ResubmittedItems = {});
 
+  /// @return the submissions that have items here.
+  std::set<SubmissionId> submissions() const;
+
+  /// Applies a changed route to the items of a submission. Running items end
+  /// where they are; their next start follows the route.
+  /// @return whether the items belong to another service now.
+  bool updateRoute(const SubmissionId &Id, const Route &SubmissionRoute);
+
   /// Removes an item that has its result.
   void drop(const ItemKey &Key);
 
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -15,7 +15,7 @@
 /// An item that waits for an engine or runs on one.
 struct ScheduledItem {
   ItemKey Key;
-  /// The service whose engines can run it.
+  /// The service whose engines can run it, by its submission's current route.
   std::string Service;
   std::string Model;
   /// The oldest weight version that may make its text.
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -179,7 +179,7 @@
 void BatchTask::routesChanged() {
   for (const SubmissionId &Id : std::exchange(this->Unrouted, {}))
     this->startItems(Id);
-  this->Items.scheduleStart();
+  this->Items.updateRoutes();
 }
 
 void BatchTask::storeLeftovers(const SubmissionState &State) {
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -69,6 +69,26 @@
   return true;
 }
 
+void ItemTask::updateRoutes() {
+  for (const SubmissionId &Id : this->Scheduler.submissions()) {
+    const SubmissionState *State = this->Callbacks.FindSubmission(Id);
+    const Route *Current =
+        State == nullptr ? nullptr
+                         : findRoute(this->Callbacks.CurrentRoutes(),
+                                     State->Record.Host, State->Record.Path);
+    // Items of a removed route keep what it said last.
+    if (Current == nullptr || !this->Scheduler.updateRoute(Id, *Current))
+      continue;
+    logLine(LogLevel::Info, "items follow their route to another service",
+            {{"submission", Id.Value},
+             {"service", Current->Services.empty()
+                             ? ""
+                             : Current->Services.front().Service},
+             {"config", concat(this->Callbacks.CurrentRoutes().Version)}});
+  }
+  this->scheduleStart();
+}
+
 void ItemTask::removeSubmission(const SubmissionId &Id) {
   this->Scheduler.dropSubmission(Id);
   std::erase_if(this->Finished, [&Id](const auto &Each) {
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -56,6 +56,9 @@
   bool addSubmission(const SubmissionState &State,
                      const std::set<ItemId> &Resubmitted);
 
+  /// Applies the current routes to the items of all submissions.
+  void updateRoutes();
+
   /// Sets the text that an earlier submission stored for an item.
   /// @param Key an item that is not added yet.
   /// @param Text a text of usable versions.
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -148,6 +148,29 @@
   cr_assert_eq(Each.plan().size(), 1U);
 }
 
+// Guards against lost items: a moved route left them waiting for the engines
+// of its former service.
+Test(itemScheduler, routeMovedToAnotherService_itemsStartThere) {
+  SchedulerFixture Plan(1, 1);
+  Plan.submit("a", {10, 10, 10});
+  cr_assert_eq(Plan.plan().size(), 1U);
+  EndpointRecord Record;
+  Record.Id = EndpointId{"other"};
+  Record.Service = "s2";
+  Record.DataCentre = "dc";
+  Record.Slots = 4;
+  Record.Versions["m"] = 5;
+  Plan.Pool.put(std::move(Record));
+  Plan.Pool.remove(EndpointId{"e0"});
+  cr_assert_eq(Plan.plan().size(), 0U);
+  Route Moved = Plan.SubmissionRoute;
+  Moved.Services = {{"s2", 1}};
+  cr_assert(Plan.Scheduler.updateRoute(SubmissionId{"a"}, Moved));
+  cr_assert_not(Plan.Scheduler.updateRoute(SubmissionId{"a"}, Moved));
+  cr_assert_not(Plan.Scheduler.updateRoute(SubmissionId{"b"}, Moved));
+  cr_assert_eq(Plan.plan().size(), 2U);
+}
+
 Test(itemScheduler, brokenConnection_sendsItemToAnotherEngine) {
   SchedulerFixture Each(2, 2);
   Each.submit("s", {1});
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -566,3 +566,22 @@
   Net.Gateways[0]->Batches->routesChanged();
   cr_assert_eq(Net.results(0, "s", 2).size(), 2U);
 }
+
+// Guards against lost items: they waited for the service that their route had
+// when they were accepted.
+Test(batch, routeMovedToAnotherService_waitingItemsRunThere) {
+  GatewayFixture Net(1);
+  FakeGateway &Gateway = *Net.Gateways[0];
+  EndpointRecord Engine = Gateway.Pool.find(EndpointId{"i-llm"})->Record;
+  Gateway.Pool.remove(Engine.Id);
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 2)).Status, 202);
+  Net.runFor(Millis{200});
+  cr_assert_eq(Net.Engine.Runs.size(), 0U);
+  Engine.Id = EndpointId{"i-other"};
+  Engine.Service = "other";
+  Gateway.Pool.put(Engine);
+  Gateway.Routes.Version = 2;
+  Gateway.Routes.Routes[0].Services = {{"other", 1}};
+  Gateway.Batches->routesChanged();
+  cr_assert_eq(Net.results(0, "s", 2).size(), 2U);
+}
