Fix: [Gateway] A stopping gateway takes no request that it might cut off

Cause: beginStop() only asks clients to close with their next answer. A connection whose last answer was before SIGTERM, or whose stream began before it, stays open, and the server went on reading requests from it until the process ended.

Change: HttpServer::beginStop() also closes connections that no request uses, and those that become idle while it stops; a request that has begun to arrive is still handled. The gateway calls it 3.2 s after SIGTERM, when the platform sends no new connections, and refuses what arrives after that with 503 as not run. From 2.9 s on it refuses requests whose deadline lies behind the end of the process.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -35,6 +35,9 @@
 /// Time after SIGTERM during which callers may still connect: the platform
 /// removes a host after two failed probes, one second apart.
 constexpr Millis StopAcceptTime{3'200};
+/// Time after SIGTERM from which a request is served only if its deadline is
+/// before the end of the process. Callers must expect an earlier one to be cut.
+constexpr Millis StopServeAllTime{2'900};
 /// The process ends this long before the end of the grace period even if it is
 /// not idle.
 constexpr Millis StopMargin{500};
@@ -227,7 +230,30 @@
   Exchange->answer(platform::encodeRefusal(Status, Reason, RetryAfter));
 }
 
+Millis Gateway::stopLimit() const {
+  return this->StopRequestedAt + parseGracePeriod(this->Settings.GraceSeconds) -
+         StopMargin;
+}
+
+bool Gateway::mayStart(Millis Deadline) const {
+  if (this->StopRequestedAt == Millis{0})
+    return true;
+  const Millis Since = steadyNow() - this->StopRequestedAt;
+  return Since < StopServeAllTime ||
+         (Since < StopAcceptTime && Deadline < this->stopLimit());
+}
+
+void Gateway::refuseStopping(const std::shared_ptr<HttpExchange> &Exchange) {
+  this->Counts.countRefusal(RefusalReason::Leaving);
+  // Another gateway takes the request at once.
+  this->refuse(Exchange, StatusUnavailable, "stopping", Millis{0});
+}
+
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
+  if (!this->mayStart(steadyNow())) {
+    this->refuseStopping(Exchange);
+    return;
+  }
   if (this->Routes.Version == 0) {
     this->Counts.countRefusal(RefusalReason::Starting);
     this->refuse(Exchange, StatusUnavailable, "starting", StartingRetryAfter);
@@ -292,6 +318,10 @@
       Routed.TimeLeft == Never ? DefaultTimeLeft : Routed.TimeLeft;
   if (MatchedRoute.Timeout > Millis{0})
     TimeLeft = std::min(TimeLeft, MatchedRoute.Timeout);
+  if (!this->mayStart(Now + TimeLeft)) {
+    this->refuseStopping(Exchange);
+    return;
+  }
   ForwardJob Job;
   Job.Params.MatchedRoute = MatchedRoute;
   Job.Params.Service = drawService(MatchedRoute, this->Random());
@@ -481,9 +511,11 @@
   const bool Idle = this->CallerServer->inFlight() == 0 &&
                     this->PeerServer->inFlight() == 0 &&
                     this->PartitionsHandedOver;
-  const Millis MaxStopTime =
-      parseGracePeriod(this->Settings.GraceSeconds) - StopMargin;
-  if ((Idle && Since >= StopAcceptTime) || Since >= MaxStopTime) {
+  if (Since >= StopAcceptTime && !this->CallerServerStopped) {
+    this->CallerServerStopped = true;
+    this->CallerServer->beginStop([] {});
+  }
+  if ((Idle && Since >= StopAcceptTime) || steadyNow() >= this->stopLimit()) {
     logLine(LogLevel::Info, "gateway ended",
             {{"requests", concat(this->CallerServer->inFlight())}});
     this->Events.stop();
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -69,6 +69,14 @@
   void reportBroken(RequestDigest Digest, const EndpointId &Endpoint);
   /// @return why this gateway does not accept callers; empty: it does.
   std::string_view whyNotReady() const;
+  /// @return when the process ends after SIGTERM, even if it is not idle.
+  Millis stopLimit() const;
+  /// @param Deadline when a new request ends at the latest.
+  /// @return whether it may be handled; a gateway that stops refuses requests
+  ///   that it might have to cut off.
+  bool mayStart(Millis Deadline) const;
+  /// Refuses a request because this gateway stops.
+  void refuseStopping(const std::shared_ptr<HttpExchange> &Exchange);
   /// Drains the servers and hands the partitions over, after SIGTERM.
   void beginStop();
   /// Ends the process once it is idle or its grace period is over; otherwise
@@ -108,6 +116,8 @@
   /// When SIGTERM arrived; 0: not yet.
   Millis StopRequestedAt{0};
   bool PartitionsHandedOver = false;
+  /// Whether the server of callers no longer accepts connections.
+  bool CallerServerStopped = false;
   prometheus::Histogram &RequestSeconds;
 };
 
--- a/packages/net/head_watch_base.cpp
+++ b/packages/net/head_watch_base.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Timeout for the headers of a request.
+/// Timeout for the headers of a request, and the end of idle connections.
 
 #include "net/head_watch_internal.h"
 
@@ -20,6 +20,15 @@
   return !Bytes.empty() && Bytes.find(HeadEnd) == std::string_view::npos;
 }
 
+/// @return whether bytes have arrived that h2o has not handled.
+bool hasInput(const h2o_socket_t &Socket) {
+  if (Socket.input->size > 0)
+    return true;
+  char Byte = 0;
+  return recv(h2o_socket_get_fd(const_cast<h2o_socket_t *>(&Socket)), &Byte,
+              sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace
 
 void HeadWatch::add(h2o_socket_t *Socket) {
@@ -52,6 +61,18 @@
   return Late;
 }
 
+int HeadWatch::closeIdle(const std::unordered_set<h2o_socket_t *> &Busy) {
+  int Idle = 0;
+  for (const auto &[Socket, Each] : this->Connections) {
+    if (Each->ShutDown || Busy.contains(Socket) || hasInput(*Socket))
+      continue;
+    ++Idle;
+    Each->ShutDown = true;
+    shutdown(h2o_socket_get_fd(Socket), SHUT_RDWR);
+  }
+  return Idle;
+}
+
 void HeadWatch::onClosed(void *Data) {
   const auto *Closed = static_cast<Connection *>(Data);
   Closed->Owner->Connections.erase(Closed->Socket);
--- a/packages/net/head_watch_internal.h
+++ b/packages/net/head_watch_internal.h
@@ -1,5 +1,5 @@
 /// @file
-/// Timeout for the headers of a request.
+/// Timeout for the headers of a request, and the end of idle connections.
 
 #ifndef CAMPHORNOTCH_NET_HEAD_WATCH_INTERNAL_H
 #define CAMPHORNOTCH_NET_HEAD_WATCH_INTERNAL_H
@@ -9,12 +9,13 @@
 
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 namespace camphornotch {
 
-/// Limits the time in which the head of a request must arrive on each
-/// connection of a server. h2o has one limit for request heads and idle
-/// connections together.
+/// Watches the connections of a server. Limits the time in which the head of a
+/// request must arrive on each; h2o has one limit for request heads and idle
+/// connections together. Closes the idle ones of a server that stops.
 class HeadWatch {
 public:
   /// @param Limit time from the first byte of a head to its last; 0: no limit.
@@ -28,12 +29,20 @@
   /// @return how many were shut down.
   int closeLate(Millis Now);
 
+  /// Shuts down the connections on which no request is open and no byte of the
+  /// next one has arrived.
+  /// @param Busy those with an open request.
+  /// @return how many were shut down.
+  int closeIdle(const std::unordered_set<h2o_socket_t *> &Busy);
+
 private:
   struct Connection {
     HeadWatch *Owner = nullptr;
     h2o_socket_t *Socket = nullptr;
     /// When an incomplete head was first seen; Never: there is none.
     Millis PartialSince = Never;
+    /// Whether it was shut down; h2o closes it when it reads the end.
+    bool ShutDown = false;
   };
 
   /// h2o's callback when a connection is closed.
--- a/packages/net/http_responder_base.cpp
+++ b/packages/net/http_responder_base.cpp
@@ -131,14 +131,17 @@
     Self->sendNext();
 }
 
+h2o_socket_t *HttpResponder::socket() const {
+  h2o_conn_t *Connection = this->Request->conn;
+  return Connection->callbacks->get_socket(Connection);
+}
+
 bool HttpResponder::clientClosed() const {
   if (this->Request->version >= VersionHttp2 || this->LastSent)
     return false; // h2o reads on and disposes of the request itself.
-  h2o_conn_t *Connection = this->Request->conn;
-  h2o_socket_t *Socket = Connection->callbacks->get_socket(Connection);
   char Byte = 0;
-  const ssize_t Got = recv(h2o_socket_get_fd(Socket), &Byte, sizeof(Byte),
-                           MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t Got = recv(h2o_socket_get_fd(this->socket()), &Byte,
+                           sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
   const bool WouldBlock = errno == EAGAIN || errno == EWOULDBLOCK;
   return Got == 0 || (Got < 0 && !WouldBlock);
 }
--- a/packages/net/http_responder_internal.h
+++ b/packages/net/http_responder_internal.h
@@ -48,6 +48,9 @@
     return this->Queued.size() + this->Writing.size();
   }
 
+  /// @return the connection of the request.
+  h2o_socket_t *socket() const;
+
   /// @return whether the client has closed its HTTP/1.1 connection.
   bool clientClosed() const;
 
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -106,6 +106,8 @@
   HeadWatch Heads;
   /// Runs the next checkClients().
   TimerId CheckTimer;
+  /// Whether idle connections are closed.
+  bool Stopping = false;
 
   /// Sets up h2o's configuration and context.
   void configure(const HttpServerConfig &Limits) {
@@ -181,9 +183,23 @@
               {{"count", concat(Late)}});
   }
 
+  /// Closes the connections that no request uses, while the server stops.
+  void closeIdleConnections() {
+    if (!this->Stopping)
+      return;
+    std::unordered_set<h2o_socket_t *> Busy;
+    for (const HttpResponder *Each : this->Requests.Open)
+      Busy.insert(Each->socket());
+    const int Idle = this->Heads.closeIdle(Busy);
+    if (Idle > 0)
+      logLine(LogLevel::Info, "closed idle connections of a stopping server",
+              {{"count", concat(Idle)}});
+  }
+
   /// Finds clients that disconnected while their request is being handled.
   void checkClients() {
     this->checkHeads();
+    this->closeIdleConnections();
     std::vector<HttpResponder *> Closed;
     for (const auto &[Responder, Exchange] : this->OpenExchanges)
       if (Responder->clientClosed())
@@ -345,6 +361,8 @@
 void HttpServer::beginStop(std::function<void()> Done) {
   this->beginDrain();
   this->Inner->closeListener();
+  this->Inner->Stopping = true;
+  this->Inner->closeIdleConnections();
   if (this->Inner->Requests.Open.empty()) {
     this->Inner->Events.defer(std::move(Done));
     return;
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -109,7 +109,9 @@
   /// Asks clients to close (GOAWAY, Connection: close); still accepts requests.
   void beginDrain();
 
-  /// Stops accepting connections and asks clients to close, like beginDrain().
+  /// Stops accepting connections, closes those that are or become idle, and
+  /// asks clients to close, like beginDrain(). A request that has begun to
+  /// arrive is still handled.
   /// @param Done called when no request is in flight.
   void beginStop(std::function<void()> Done);
 
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -167,8 +167,8 @@
     ScriptedServer Spare;
     cr_assert(Net.arrives());
     Net.addEndpoint("i-2", Spare);
-    std::string Bytes = ForwardFixture::answer(
-        Status, "x-camphornotch-not-executed: 1\r\n");
+    std::string Bytes =
+        ForwardFixture::answer(Status, "x-camphornotch-not-executed: 1\r\n");
     Bytes.replace(Bytes.find("r1"), 2, "r0");
     Net.Server.send(0, Bytes);
     cr_assert(Net.ends());
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <csignal>
 
 using namespace camphornotch;
 
@@ -257,3 +258,35 @@
     After += Each->Broken;
   cr_assert_eq(After, Before);
 }
+
+// Guards against requests that are cut off at the end of a planned stop: they
+// were read from kept connections for as long as the process ran.
+Test(gateway, stoppingBesideAnOpenStream_takesNoRequestThatItMightCutOff) {
+  WholeGateway Net;
+  FakeEngine Engine(Net.Events);
+  Net.configure();
+  Net.addEngine(Engine);
+  Engine.Hold = true;
+  const uint16_t Port = Net.Tested->callerTarget().Port;
+  PlainSocket Stream(Port);
+  Stream.send("GET /s/y HTTP/1.1\r\nhost: h\r\n"
+              "x-camphornotch-request-id: r2\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return !Engine.Held.empty(); }));
+  PlainSocket Kept(Port);
+  Kept.send("GET /nowhere/ HTTP/1.1\r\nhost: h\r\n\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return !Kept.received().empty(); }));
+  PlainSocket Arriving(Port);
+  Arriving.send("POST /s/z HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n"
+                "x-camphornotch-request-id: r3\r\n\r\n");
+  raise(SIGTERM);
+  cr_assert(turnUntil(Net.Events, [&] { return Kept.ended(); }));
+  cr_assert_not(Stream.ended());
+  cr_assert_not(PlainSocket(Port).Connected);
+  Arriving.send("body");
+  cr_assert(turnUntil(Net.Events, [&] { return Arriving.ended(); }));
+  cr_assert(Arriving.received().starts_with("HTTP/1.1 503 "));
+  cr_assert_not(Engine.Runs.contains("r3"));
+  Engine.release();
+  cr_assert(turnUntil(
+      Net.Events, [&] { return Stream.received().ends_with("0\r\n\r\n"); }));
+}
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -323,6 +323,44 @@
   cr_assert_neq(Client.received().find("whole"), std::string::npos);
 }
 
+// Guards against requests that are cut off: a stopping server read new ones
+// on connections that clients had kept.
+Test(http, stop_closesIdleConnectionsAndThoseThatBecomeIdle) {
+  HttpFixture Net;
+  std::shared_ptr<HttpExchange> Pending;
+  Net.Handler = [&](std::shared_ptr<HttpExchange> Exchange) {
+    if (Exchange->request().Method == "POST")
+      Pending = std::move(Exchange);
+    else
+      echo(Exchange);
+  };
+  PlainSocket Kept(Net.Server->port());
+  Kept.send("GET /a HTTP/1.1\r\nhost: a\r\n\r\n");
+  PlainSocket Streaming(Net.Server->port());
+  Streaming.send(
+      "POST /s HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody");
+  PlainSocket Arriving(Net.Server->port());
+  Arriving.send("GET /b HTTP/1.1\r\nhost: a\r\n");
+  cr_assert(turnUntil(Net.Events, [&] {
+    return !Kept.received().empty() && Pending != nullptr;
+  }));
+  Pending->start(HttpResponse{200, "text/plain", {}, "first"});
+  cr_assert(
+      turnUntil(Net.Events, [&] { return !Streaming.received().empty(); }));
+  Net.Server->beginStop([] {});
+  cr_assert(turnUntil(Net.Events, [&] { return Kept.ended(); }));
+  cr_assert_not(Streaming.ended());
+  cr_assert_not(Arriving.ended());
+  Arriving.send("\r\n");
+  cr_assert(turnUntil(Net.Events, [&] { return Arriving.ended(); }));
+  cr_assert_neq(Arriving.received().find("/b|"), std::string::npos);
+  Pending->write("last");
+  Pending->finish();
+  Pending.reset();
+  cr_assert(turnUntil(Net.Events, [&] { return Streaming.ended(); }));
+  cr_assert(Streaming.received().ends_with("0\r\n\r\n"));
+}
+
 Test(http, portInUse_isRefused) {
   HttpFixture Net;
   HttpServerConfig Config;
