Fix: [Gateway] A request that crashes endpoints within its stream is held back

Cause: onFailed() told the table of suspects about a broken connection only if the head of the answer had not arrived. The head of a stream comes with its first event, so that no crash of a running stream counted.

Change: a connection that closes within a stream counts as well. One that closes within another answer does not: its head is sent when the request has ended, and endpoints that shorten answers do so to sound requests.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -280,9 +280,13 @@
   // Only a closed connection is blamed on the request: an endpoint that sends
   // bytes other than an answer is faulty itself.
   const bool Closed = Failure.Cause.Kind == ErrorKind::Unavailable;
-  if (Sent && Closed && Active->Callbacks.OnConnectionBroken &&
-      Active->Attempts.at(Number).Head.Status == 0)
-    Active->Callbacks.OnConnectionBroken(Active->Attempts.at(Number).Endpoint);
+  if (Sent && Closed && Active->Callbacks.OnConnectionBroken) {
+    const Attempt &Current = Active->Attempts.at(Number);
+    // The request still runs while its stream is open. The head of another
+    // answer is sent when it has ended.
+    if (Current.Head.Status == 0 || Current.Streams)
+      Active->Callbacks.OnConnectionBroken(Current.Endpoint);
+  }
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptOutcome::NotSent
                                    : AttemptOutcome::Failed,
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -39,8 +39,8 @@
   /// An endpoint answered with a status of 500 or more and the request may be
   /// retried. Optional.
   std::function<void(int Status)> OnServerError;
-  /// The connection closed after the request was sent and before any answer.
-  /// Optional.
+  /// The connection closed while the endpoint had the request: before any
+  /// answer, or within a stream. Optional.
   std::function<void(const EndpointId &)> OnConnectionBroken;
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -292,6 +292,37 @@
   cr_assert_eq(Net.BrokenReports, 1);
 }
 
+// Guards against a request that crashes endpoints for ever: the head of a
+// stream comes with its first event, so that its crashes were not counted.
+Test(forward, streamBrokenAfterItsFirstEvent_isReportedForTheRequest) {
+  for (const bool Reset : {false, true}) {
+    ForwardFixture Net(RouteKind::Stream);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                              "content-length: 999\r\n\r\nid: 1\ndata: a\n\n"));
+    cr_assert(turnUntil(Net.Events, [&] { return !Net.Stream.empty(); }));
+    if (Reset)
+      Net.Server.reset(0);
+    else
+      Net.Server.end(0);
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.StreamEnd, 'b');
+    cr_expect_eq(Net.BrokenReports, 1);
+  }
+}
+
+// Sound requests are not blamed for an endpoint that shortens its answers.
+Test(forward, answerCutWithinItsBody_isNotReportedForTheRequest) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  const std::string Bytes = ForwardFixture::answer("200 OK");
+  Net.Server.send(0, std::string_view(Bytes).substr(0, Bytes.size() - 1));
+  Net.Server.end(0);
+  cr_assert(Net.ends());
+  cr_expect_eq(Net.Refused.Status, 502);
+  cr_expect_eq(Net.BrokenReports, 0);
+}
+
 Test(forward, eventThatNeverEnds_isAbortedAndTheStreamResumed) {
   ForwardFixture Net(RouteKind::Stream, 3);
   cr_assert(Net.arrives());
