Fix: [Gateway] A request that crashes endpoints is not let through each minute

Cause: a quarantine was only the count of reports that are younger than 60 s.

Change: the end of the quarantine is kept. So that this does not hold back sound requests, a request that an endpoint executed completely is forgotten: one that crashes endpoints crashes each that begins it.

--- a/packages/core/gateway/suspect_table_base.h
+++ b/packages/core/gateway/suspect_table_base.h
@@ -23,12 +23,20 @@
 
 /// Counts the endpoints that each request broke, as gateways report them.
 /// Repeated reports on the same endpoint count once.
+///
+/// A request that broke three endpoints is quarantined for a minute. If it
+/// breaks one more after that, it is quarantined again, each time for twice as
+/// long, so that it costs few endpoints however often it comes.
 class SuspectTable {
 public:
   /// Notes that a connection broke while an endpoint had a request.
-  /// @return whether this endpoint is new for the request.
+  /// @return whether this endpoint was not reported for the request lately.
   bool add(RequestDigest Digest, const EndpointId &Endpoint, Millis Now);
 
+  /// Notes that an endpoint executed a request completely. It forgets the
+  /// request, since one that crashes endpoints crashes each that begins it.
+  void succeeded(RequestDigest Digest) { this->Suspects.erase(Digest); }
+
   /// @return whether the request broke so many endpoints that it must not be
   ///         sent to another.
   bool isQuarantined(RequestDigest Digest, Millis Now) const;
@@ -37,8 +45,19 @@
   void forgetOld(Millis Now);
 
 private:
-  /// When each endpoint was last reported broken, by request.
-  std::map<RequestDigest, std::map<EndpointId, Millis>> BrokenAt;
+  struct Suspect {
+    /// When each endpoint was last reported broken.
+    std::map<EndpointId, Millis> BrokenAt;
+    /// End of the quarantine; 0: there was none.
+    Millis QuarantinedUntil{0};
+    /// Length of the last quarantine.
+    Millis QuarantineTime{0};
+  };
+
+  /// @return whether nothing about it is needed any more.
+  static bool isOld(const Suspect &Known, Millis Now);
+
+  std::map<RequestDigest, Suspect> Suspects;
 };
 
 } // namespace camphornotch
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -356,8 +356,11 @@
   Callbacks.OnConnectionBroken = [this, Digest](const EndpointId &Endpoint) {
     this->reportBroken(Digest, Endpoint);
   };
-  Callbacks.OnAnswer = [Exchange, Log](const HttpResponse &Response) {
+  Callbacks.OnAnswer = [this, Exchange, Log,
+                        Digest](const HttpResponse &Response) {
     Log(Response.Status, "endpoint");
+    if (Response.Status < StatusFirstFailure)
+      this->Suspects.succeeded(Digest);
     Exchange->answer(Response);
   };
   Callbacks.OnRefusal = [Exchange, Log](const EndRequest &End) {
@@ -375,12 +378,14 @@
     if (Exchange->unsentBytes() > MaxUnsentBytes)
       this->Forward.pause(*AssignedId);
   };
-  Callbacks.OnStreamEnd = [Exchange, Log](bool Complete) {
+  Callbacks.OnStreamEnd = [this, Exchange, Log, Digest](bool Complete) {
     Log(StatusOk, Complete ? "stream ended" : "stream cut off");
-    if (Complete)
+    if (Complete) {
+      this->Suspects.succeeded(Digest);
       Exchange->finish();
-    else
+    } else {
       Exchange->abort();
+    }
   };
   const ForwardId Id =
       this->Forward.start(std::move(Job), std::move(Callbacks));
--- a/tests/gateway/suspect_table_test.cpp
+++ b/tests/gateway/suspect_table_test.cpp
@@ -4,6 +4,7 @@
 #include "core/gateway/suspect_table_base.h"
 
 #include <criterion/criterion.h>
+#include <string>
 
 using namespace camphornotch;
 
@@ -29,3 +30,47 @@
   Table.forgetOld(seconds(120));
   cr_assert(Table.add(Digest, EndpointId{"a"}, seconds(121)));
 }
+
+// Guards against a request that is let through again each minute, and crashes
+// an endpoint each time.
+Test(suspectTable, requestThatBreaksAgainAfterQuarantine_isHeldBackForLonger) {
+  SuspectTable Table;
+  const RequestDigest Digest = digestOf("h", "/a", "body");
+  for (const char *Name : {"a", "b", "c"})
+    Table.add(Digest, EndpointId{Name}, seconds(1));
+  int Retries = 0;
+  constexpr int64_t QuarterHour = 900;
+  for (int64_t Second = 2; Second < QuarterHour; ++Second) {
+    const Millis Now = seconds(Second);
+    Table.forgetOld(Now);
+    if (Table.isQuarantined(Digest, Now))
+      continue;
+    ++Retries;
+    Table.add(Digest, EndpointId{"e" + std::to_string(Second)}, Now);
+  }
+  cr_assert_leq(Retries, 3);
+}
+
+Test(suspectTable, soundRequestAfterQuarantine_isForgotten) {
+  SuspectTable Table;
+  const RequestDigest Digest = digestOf("h", "/a", "body");
+  for (const char *Name : {"a", "b", "c"})
+    Table.add(Digest, EndpointId{Name}, seconds(1));
+  cr_assert(Table.isQuarantined(Digest, seconds(60)));
+  cr_assert_not(Table.isQuarantined(Digest, seconds(61)));
+  Table.forgetOld(seconds(121));
+  Table.add(Digest, EndpointId{"a"}, seconds(122));
+  cr_assert_not(Table.isQuarantined(Digest, seconds(122)));
+}
+
+// Sound requests that are equal, as those without a body, are under way at
+// many endpoints: breaks between which one succeeds are not its fault.
+Test(suspectTable, successBetweenTheBreaks_startsTheCountAnew) {
+  SuspectTable Table;
+  const RequestDigest Digest = digestOf("h", "/a", "");
+  Table.add(Digest, EndpointId{"a"}, seconds(1));
+  Table.add(Digest, EndpointId{"b"}, seconds(1));
+  Table.succeeded(Digest);
+  Table.add(Digest, EndpointId{"c"}, seconds(2));
+  cr_assert_not(Table.isQuarantined(Digest, seconds(2)));
+}
