--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -259,6 +259,41 @@
   cr_assert_eq(After, Before);
 }
 
+// Guards against a list of endpoints that is no longer followed, or a process
+// that ends, because of one entry of another writer.
+Test(gateway, oddEntryAmongTheEndpoints_theOthersAreFollowed) {
+  WholeGateway Net;
+  constexpr size_t Depth = size_t{120} << 10;
+  const std::string Start = R"({"service":"s","zone":"dc","state":"ready",)";
+  const std::vector<std::string> OddValues{
+      std::string(Depth, '['),
+      std::string(Depth, '[') + std::string(Depth, ']'),
+      Start + R"("slots":1e400,"address":"127.0.0.1:1"})",
+      Start + R"("slots":99999999999999999999,"address":"127.0.0.1:1"})",
+      Start + R"("slots":8,"address":"127.0.0.1:99999"})",
+      "\xff\xfe",
+      "null"};
+  const auto PutOdd = [&](const std::string &Prefix) {
+    for (size_t Index = 0; Index < OddValues.size(); ++Index)
+      Net.Store.put("keyed.servers", Prefix + std::to_string(Index),
+                    OddValues[Index]);
+  };
+  // Some are in the list of the newest records, others follow one by one.
+  PutOdd("a");
+  Net.configure();
+  FakeEngine Engine(Net.Events);
+  PutOdd("b");
+  Net.addEngine(Engine);
+  PutOdd("j");
+  FakeEngine Second(Net.Events);
+  Net.registerEndpoint("i-2", Second.where().Port);
+  Net.Store.put("keyed.servers", "i-1", "");
+  cr_assert(turnUntil(Net.Events, [&] {
+    Net.ask("GET", "/a/x", {});
+    return !Second.Runs.empty();
+  }));
+}
+
 // Guards against requests that are cut off at the end of a planned stop: they
 // were read from kept connections for as long as the process ran.
 Test(gateway, stoppingBesideAnOpenStream_takesNoRequestThatItMightCutOff) {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -98,6 +98,52 @@
   cr_assert_eq(Decoded.value().Versions.size(), 1U);
 }
 
+// Guards against use of an entry that no engine wrote.
+Test(decodeEndpoint, memberMissingOrMistyped_isAnError) {
+  const std::string Good = endpointText("ready");
+  cr_assert(decodeEndpoint("i", Good).has_value());
+  const Json Object = Json::parse(Good);
+  for (const char *Name : {"service", "address", "zone", "slots", "state"}) {
+    Json Changed = Object;
+    Changed.erase(Name);
+    cr_expect(decodeEndpoint("i", Changed.dump()).has_error(), "%s", Name);
+  }
+  for (const char *Name :
+       {"service", "address", "zone", "slots", "state", "version", "models",
+        "cold_remaining_ms", "sequence", "born"}) {
+    Json Changed = Object;
+    Changed[Name] = Json::object({{"a", 1}});
+    cr_expect(decodeEndpoint("i", Changed.dump()).has_error(), "%s", Name);
+    Changed[Name] = nullptr;
+    cr_expect(decodeEndpoint("i", Changed.dump()).has_error(), "%s", Name);
+  }
+}
+
+// Guards against processes that end on an entry of another writer.
+Test(decodeEndpoint, deeplyNestedOrTooLarge_isAnErrorOrIgnored) {
+  constexpr size_t Depth = size_t{120} << 10;
+  const std::string Open(Depth, '[');
+  const std::string Nested = Open + std::string(Depth, ']');
+  cr_expect(decodeEndpoint("i", Open).has_error());
+  cr_expect(decodeEndpoint("i", Nested).has_error());
+  std::string Text = endpointText("ready");
+  Text.pop_back();
+  cr_expect(decodeEndpoint("i", Text + ",\"x\":" + Nested + "}").has_value());
+  cr_expect(
+      decodeEndpoint("i", Text + ",\"models\":" + Nested + "}").has_value());
+  cr_expect(decodeEndpoint("i", Text + ",\"x\":1e400}").has_error());
+  for (const char *Number :
+       {"1e300", "-1e300", "99999999999999999999", "18446744073709551615"})
+    cr_expect(decodeEndpoint("i", endpointText("ready", Number)).has_error(),
+              "%s", Number);
+  for (const char *Port :
+       {"0", "65536", "99999", "4294967297", "-1", "1e3", ""}) {
+    Json Changed = Json::parse(endpointText("ready"));
+    Changed["address"] = std::string("10.0.0.9:") + Port;
+    cr_expect(decodeEndpoint("i", Changed.dump()).has_error(), "%s", Port);
+  }
+}
+
 Test(decodeEndpoint, unknownOrInvalidRegistration_isAnError) {
   cr_assert(decodeEndpoint("i", endpointText("asleep")).has_error());
   cr_assert(decodeEndpoint("i", endpointText("ready", "0")).has_error());
