Fix: [Gateway] A resumed stream ends as complete only where it is complete

A stream had begun and broke off, the next engine answered with an error. Here the caller never got the error's text, but the stream ended as if it were complete: onFinished() passed a status of 400 to 499 to finish(), which ends a stream that has begun as complete whatever the status. Beside it: events of a resumed stream were passed on whatever their ids were, so that one came twice or was missing if an engine began elsewhere.

Change: an answer that does not continue a stream which has begun ends its attempt; the next endpoint may go on with it, or the caller sees it cut off. The first event of a resumed stream must follow the last one that was passed on.

Evidence: forward/streamResumedAtAnEndpointThatFails (complete after 400, 404 and 413) and streamResumedAtAnotherEvent (events 1, 3 and one without an id passed on) failed before.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -186,8 +186,10 @@
   if (!Starts)
     return;
   Current.Streams = true;
-  if (Active->Streaming)
+  if (Active->Streaming) {
+    Current.ResumesAfter = Active->Request.ReceivedEvents;
     return;
+  }
   Active->Streaming = true;
   HttpResponse Head;
   Head.Status = Response.Status;
@@ -196,6 +198,16 @@
   Active->Callbacks.OnStreamStart(std::move(Head));
 }
 
+bool ForwardTask::resumes(Attempt &Current) {
+  const size_t End = Current.Buffer.find(EventEnd);
+  if (End == std::string::npos)
+    return true;
+  const Result<platform::EngineEvent> First = platform::decodeEngineEvent(
+      std::string_view(Current.Buffer).substr(0, End));
+  const int64_t Expected = std::exchange(Current.ResumesAfter, 0) + 1;
+  return First.has_value() && First.value().Id == Expected;
+}
+
 void ForwardTask::onChunk(ForwardId Id, uint64_t Number,
                           std::string_view Part) {
   ActiveRequest *Active = this->find(Id);
@@ -208,6 +220,10 @@
       this->abortAttempt(Id, Number, "the body is over its limit");
     return;
   }
+  if (Current.ResumesAfter > 0 && !this->resumes(Current)) {
+    this->abortAttempt(Id, Number, "the stream does not go on where it ended");
+    return;
+  }
   const size_t LastEnd = Current.Buffer.rfind(EventEnd);
   if (LastEnd == std::string::npos) {
     if (Current.Buffer.size() > MaxEventBytes)
@@ -253,6 +269,13 @@
                      "the stream ended within an event");
     return;
   }
+  if (Active->Streaming) {
+    // The caller has a part of the stream, which this answer does not continue.
+    this->endAttempt(Id, Number, AttemptOutcome::Failed, WorkOutcome::Answered,
+                     concat("status ", Response.Status,
+                            " in place of the rest of the stream"));
+    return;
+  }
   if (Stream)
     Response.Body = Current.Buffer;
   const bool MayRetry = Response.Status >= StatusServerError &&
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -92,6 +92,9 @@
     platform::EngineAnswer Head;
     /// Whether its events are passed to the caller.
     bool Streams = false;
+    /// The event that the caller had last when a resumed stream began, until
+    /// its first event has been checked; 0: there is nothing to check.
+    int64_t ResumesAfter = 0;
     /// Bytes of an incomplete event, or the body of a failure.
     std::string Buffer;
   };
@@ -118,6 +121,9 @@
   void send(ForwardId Id, ActiveRequest &Active, const EndpointId &Endpoint);
   void onHead(ForwardId Id, uint64_t Number, const HttpResponse &Response);
   void onChunk(ForwardId Id, uint64_t Number, std::string_view Part);
+  /// Checks the first event of a resumed stream once it is complete.
+  /// @return false if it does not follow the last one that the caller has.
+  static bool resumes(Attempt &Current);
   void onFinished(ForwardId Id, uint64_t Number, HttpResponse Response);
   void onFailed(ForwardId Id, uint64_t Number, const HttpFailure &Failure);
   /// Aborts an attempt whose answer may not be passed on or may never end, then
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -97,6 +97,20 @@
     });
   }
 
+  /// Begins a stream and breaks it off after its first event.
+  /// @return whether the request is sent to an endpoint again.
+  bool breaksWithinStream() {
+    if (!this->arrives())
+      return false;
+    this->Server.send(0, "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r1\r\n"
+                         "x-camphornotch-response-signature: sig\r\n"
+                         "content-length: 999\r\n\r\nid: 1\ndata: a\n\n");
+    if (!turnUntil(this->Events, [&] { return !this->Stream.empty(); }))
+      return false;
+    this->Server.reset(0);
+    return this->arrives(1);
+  }
+
   /// @param Chunk what the endpoint sends repeatedly.
   /// @return whether the connection is closed before EndlessBytes are sent.
   bool closesOn(const std::string &Chunk) {
@@ -423,3 +437,61 @@
   cr_assert_eq(Net.StreamEnd, 'w');
   cr_assert(Net.Stream.ends_with("data: b\n\nid: 3\ndata: c\n\n"));
 }
+
+// Guards against a stream that ends as if it were complete, or with the text
+// of an error, once the endpoint that should go on with it answers otherwise.
+Test(forward, streamResumedAtAnEndpointThatFails_endsAsIncomplete) {
+  for (const std::string Status :
+       {"400 Bad", "404 Not Found", "413 Large", "500 Oops", "504 Late"}) {
+    ForwardFixture Net(RouteKind::Stream, 2);
+    cr_assert(Net.breaksWithinStream());
+    Net.Server.send(1, ForwardFixture::answer(Status));
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.StreamEnd, 'b', "%s", Status.c_str());
+    cr_expect_str_eq(Net.Stream.c_str(), "id: 1\ndata: a\n\n");
+  }
+}
+
+// Guards against events that come twice or are missing.
+Test(forward, streamResumedAtAnotherEvent_endsAsIncomplete) {
+  for (const std::string First : {"id: 1", "id: 3", "x: 2"}) {
+    ForwardFixture Net(RouteKind::Stream, 2);
+    cr_assert(Net.breaksWithinStream());
+    const std::string Rest = First + "\ndata: b\n\n";
+    Net.Server.send(1,
+                    concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                           "content-length: ", Rest.size(), "\r\n\r\n", Rest));
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.StreamEnd, 'b', "%s", First.c_str());
+    cr_expect_str_eq(Net.Stream.c_str(), "id: 1\ndata: a\n\n");
+  }
+}
+
+// Guards against a success with an empty or short body: the endpoint closed
+// the connection within the head of its answer.
+Test(forward, answerCutWithinItsHead_isNeverPassedOn) {
+  const std::string Whole = ForwardFixture::answer("200 OK");
+  for (size_t Length = 0; Length < Whole.size(); Length += 3) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, std::string_view(Whole).substr(0, Length));
+    Net.Server.end(0);
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.Answer.Status, 0, "cut after %zu bytes", Length);
+    cr_expect_eq(Net.Refused.Status, 502, "cut after %zu bytes", Length);
+  }
+}
+
+Test(forward, streamCutWithinItsHead_startsNothing) {
+  const std::string Head = concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                                  "transfer-encoding: chunked\r\n\r\n");
+  for (size_t Length = 0; Length < Head.size(); Length += 3) {
+    ForwardFixture Net(RouteKind::Stream);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, std::string_view(Head).substr(0, Length));
+    Net.Server.end(0);
+    cr_assert(Net.ends());
+    cr_expect_eq(Net.StreamEnd, 0, "cut after %zu bytes", Length);
+    cr_expect_eq(Net.Refused.Status, 502, "cut after %zu bytes", Length);
+  }
+}
