Feature: [Gateway] An endpoint that says in an answer that it leaves gets no more

Nothing read the header that an endpoint which leaves sends in all its answers.

Change: platform/ decodes the header (exactly "1") and leaves it among the headers that are passed on. The gateway believes it from the head of an answer, whatever its status, of forwarded requests, streams and their resumptions, items, second runs and scoring calls. The pool keeps it for the lifetime (id and start), through entries that say otherwise, go or come back; a new lifetime is free of it. An answer with 421 or to another request marks nobody. Marks go 300 s after their lifetime's entry, 8,192 at most. One log line for each lifetime, two counters.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -32,6 +32,14 @@
 /// Maximum age of a usable measurement: other load at the sites slows an
 /// endpoint for a few seconds at a time.
 constexpr Millis MeasurementMaxAge{3'000};
+/// Time for which a lifetime without an entry in the directory stays marked as
+/// leaving: the longest time for which the store keeps history.
+constexpr Millis LeavingMemory{300'000};
+/// Limit on the marks; a release replaces all endpoints of a service. Beyond
+/// it, the older half goes.
+constexpr size_t MaxLeavingMarks = 8'192;
+/// Interval of the search for marks that are no longer needed.
+constexpr Millis LeavingTrimInterval{10'000};
 /// Factor on the expected time of an avoided endpoint.
 constexpr double AvoidPenalty = 50.0;
 
@@ -48,6 +56,11 @@
   if (!Same) {
     EndpointState State;
     State.Distance = this->distanceTo(Record.DataCentre);
+    // Without a time of its start, another address is the only sign of a new
+    // lifetime.
+    if (Record.StartedAtMs == 0)
+      this->LeavingMarks.erase(Record.lifetime());
+    State.Leaving = this->LeavingMarks.contains(Record.lifetime());
     const EndpointId Id = Record.Id;
     State.Record = std::move(Record);
     this->Endpoints.insert_or_assign(Id, std::move(State));
@@ -63,6 +76,43 @@
 
 void EndpointPool::remove(const EndpointId &Id) { this->Endpoints.erase(Id); }
 
+bool EndpointPool::leavingSeen(const EndpointLifetime &Lifetime, Millis Now) {
+  if (!this->LeavingMarks.insert_or_assign(Lifetime, Now).second)
+    return false;
+  const auto Found = this->Endpoints.find(Lifetime.Id);
+  if (Found != this->Endpoints.end() &&
+      Found->second.Record.lifetime() == Lifetime)
+    Found->second.Leaving = true;
+  this->trimLeavingMarks(Now);
+  return true;
+}
+
+void EndpointPool::trimLeavingMarks(Millis Now) {
+  const bool TooMany = this->LeavingMarks.size() > MaxLeavingMarks;
+  if (!TooMany && Now - this->LeavingTrimmedAt < LeavingTrimInterval)
+    return;
+  this->LeavingTrimmedAt = Now;
+  std::erase_if(this->LeavingMarks, [this, Now](const auto &Mark) {
+    const EndpointState *State = this->find(Mark.first.Id);
+    const bool Registered =
+        State != nullptr && State->Record.lifetime() == Mark.first;
+    return !Registered && Now - Mark.second >= LeavingMemory;
+  });
+  if (this->LeavingMarks.size() <= MaxLeavingMarks)
+    return;
+  std::vector<Millis> Times;
+  for (const auto &[Lifetime, At] : this->LeavingMarks)
+    Times.push_back(At);
+  const auto Middle =
+      Times.begin() + static_cast<std::ptrdiff_t>(Times.size() / 2);
+  std::ranges::nth_element(Times, Middle);
+  std::erase_if(this->LeavingMarks, [OldestKept = *Middle](const auto &Mark) {
+    return Mark.second < OldestKept;
+  });
+  while (this->LeavingMarks.size() > MaxLeavingMarks)
+    this->LeavingMarks.erase(this->LeavingMarks.begin());
+}
+
 void EndpointPool::loadReported(const Address &ListenAddress,
                                 const EngineLoad &Load, Millis Now) {
   for (auto &[Id, State] : this->Endpoints) {
@@ -107,7 +157,7 @@
 bool EndpointPool::isEligible(const EndpointState &State,
                               const EndpointQuery &Query, Millis Now) {
   const EndpointRecord &Record = State.Record;
-  if (Record.Service != Query.Service || Record.Draining ||
+  if (Record.Service != Query.Service || Record.Draining || State.Leaving ||
       Query.ExcludedEndpoints.contains(Record.Id))
     return false;
   if (Query.Model.empty())
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -46,10 +46,19 @@
 
   void remove(const EndpointId &Id);
 
+  /// Notes that an endpoint said in an answer that it leaves. Its lifetime is
+  /// not chosen any more, whatever the directory says of it, also if its entry
+  /// goes and comes back. A new lifetime under the same id is chosen again.
+  /// @return whether this was not known.
+  bool leavingSeen(const EndpointLifetime &Lifetime, Millis Now);
+
   /// Stores a loader's report on the engine at an address.
   void loadReported(const Address &ListenAddress, const EngineLoad &Load,
                     Millis Now);
 
+  /// @return the number of lifetimes known to leave.
+  size_t leavingMarks() const { return this->LeavingMarks.size(); }
+
   /// Chooses an eligible endpoint. ExpectedTimeChoice takes the shortest
   /// smoothed time, scaled by the work at the endpoint, so that short requests
   /// avoid slow endpoints and items spread over the engines.
@@ -116,6 +125,9 @@
   /// @return the expected time of one more piece of work, in milliseconds.
   double expectedTime(const EndpointState &State, double Unmeasured,
                       Millis Now) const;
+  /// Removes the marks of lifetimes that have gone, and the oldest ones beyond
+  /// the limit.
+  void trimLeavingMarks(Millis Now);
   NetworkDistance distanceTo(const std::string &DataCentre) const;
 
   Geography Locations;
@@ -123,6 +135,10 @@
   /// Number of work starts so far; orders them for RoundRobinChoice.
   int64_t ChoiceCount = 0;
   std::map<EndpointId, EndpointState> Endpoints;
+  /// When each leaving lifetime last said so. They outlive their entries in the
+  /// directory, which may lapse while the endpoint still runs.
+  std::map<EndpointLifetime, Millis> LeavingMarks;
+  Millis LeavingTrimmedAt{0};
 };
 
 } // namespace camphornotch
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -18,12 +18,21 @@
 /// Version by model at one engine.
 using ModelVersions = std::map<std::string, int64_t>;
 
+/// One run of an endpoint, from its start to its end.
+struct EndpointLifetime {
+  EndpointId Id;
+  /// As in EndpointRecord.
+  int64_t StartedAtMs = 0;
+
+  auto operator<=>(const EndpointLifetime &) const = default;
+};
+
 /// An endpoint as it registered itself.
 struct EndpointRecord {
   /// Identifies one run of the endpoint.
   EndpointId Id;
   /// When that run started, by the endpoint's own clock; distinguishes two runs
-  /// with the same id.
+  /// with the same id. 0: it does not say.
   int64_t StartedAtMs = 0;
   std::string Service;
   Address ListenAddress;
@@ -36,6 +45,13 @@
   Millis ColdRemaining{0};
   /// Empty for plain services.
   ModelVersions Versions;
+  /// When this process received the registration; 0: not known.
+  Millis ReceivedAt{0};
+
+  /// @return the run that registered.
+  EndpointLifetime lifetime() const {
+    return EndpointLifetime{this->Id, this->StartedAtMs};
+  }
 };
 
 /// A loader's report on the engine beside it.
@@ -68,6 +84,9 @@
 struct EndpointState {
   EndpointRecord Record;
   NetworkDistance Distance = NetworkDistance::SameDataCentre;
+  /// Whether it said in an answer that it leaves. Nothing in the directory
+  /// takes that back.
+  bool Leaving = false;
   /// Work of this process at the endpoint.
   int64_t Outstanding = 0;
   /// The loader's last report; absent: none yet.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -11,6 +11,7 @@
 #include "core/gateway/route_func.h"
 #include "gateway/answer_fault_func.h"
 #include "gateway/event_stream_base.h"
+#include "gateway/leaving_func.h"
 
 #include <utility>
 
@@ -162,6 +163,7 @@
   this->Pool.workStarted(Endpoint);
   Attempt Current;
   Current.Endpoint = Endpoint;
+  Current.StartedAtMs = State->Record.StartedAtMs;
   Current.SentAt = Now;
   Current.Call = this->Http.start(std::move(Call), std::move(Callbacks));
   Active.Attempts.emplace(Number, std::move(Current));
@@ -174,6 +176,9 @@
     return;
   Attempt &Current = Active->Attempts.at(Number);
   Current.Head = platform::decodeEngineAnswer(Response);
+  noteLeaving(Current.Head,
+              EndpointLifetime{Current.Endpoint, Current.StartedAtMs},
+              Active->Request.RequestId, this->Pool, this->Counts);
   const std::string_view Fault =
       faultOf(Current.Head, Active->Request, Response.Framed);
   if (!Fault.empty()) {
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -86,6 +86,8 @@
   /// One attempt to send the request to an endpoint.
   struct Attempt {
     EndpointId Endpoint;
+    /// When the endpoint's lifetime began that it was sent to.
+    int64_t StartedAtMs = 0;
     HttpCallId Call;
     Millis SentAt;
     /// Decoded head of the answer; status 0 before it arrives.
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -10,6 +10,7 @@
 #include "core/gateway/route_func.h"
 #include "gateway/answer_fault_func.h"
 #include "gateway/item_request_func.h"
+#include "gateway/leaving_func.h"
 
 #include <algorithm>
 #include <tuple>
@@ -37,7 +38,7 @@
                    ItemTaskCallbacks Callbacks, ItemTaskOptions Options)
     : Events(Events), Http(Http), Pool(Pool), Forward(Forward), Counts(Counts),
       Callbacks(std::move(Callbacks)), Options(Options),
-      Scheduler(Options.Order), Reruns(Http, Pool),
+      Scheduler(Options.Order), Reruns(Http, Pool, Counts),
       Random(std::random_device{}()) {
   this->checkRuns();
 }
@@ -176,6 +177,7 @@
       Active.Events = Stored->second.Events;
   }
   Active.Endpoint = Start.Endpoint;
+  Active.EngineStartedAtMs = Engine->Record.StartedAtMs;
   Active.LastEventAt = steadyNow();
   Active.EventsAtStart = Active.Events.size();
   Active.Size = TextSize(Item->Tokens);
@@ -216,6 +218,9 @@
     return;
   Active->Head = platform::decodeEngineAnswer(Response);
   Active->Version = Active->Head.Version;
+  noteLeaving(Active->Head,
+              EndpointLifetime{Active->Endpoint, Active->EngineStartedAtMs},
+              Key.Item.Value, this->Pool, this->Counts);
   const ScheduledItem *Scheduled = this->Scheduler.find(Key);
   const bool Success = Response.Status == StatusOk;
   if ((!Success && !Active->Head.NotRun) || Scheduled == nullptr)
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -102,6 +102,8 @@
     /// Number of events already recorded as progress.
     size_t SavedEvents = 0;
     EndpointId Endpoint;
+    /// When the engine's lifetime began that the call was sent to.
+    int64_t EngineStartedAtMs = 0;
     /// The call at the engine; 0: none.
     HttpCallId Call;
     /// When the last event arrived, or the call started.
--- a/packages/gateway/second_run_base.cpp
+++ b/packages/gateway/second_run_base.cpp
@@ -10,6 +10,7 @@
 #include "core/batch/partition_fold_base.h"
 #include "gateway/answer_fault_func.h"
 #include "gateway/item_request_func.h"
+#include "gateway/leaving_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -46,6 +47,7 @@
     return;
   Run &Active = this->Runs[Key];
   Active.Endpoint = Engine->Record.Id;
+  Active.EngineStartedAtMs = Engine->Record.StartedAtMs;
   Active.Size = TextSize(Field->Tokens);
   logLine(LogLevel::Info, "item runs a second time under newer weights",
           {{"request_id", Key.Item.Value},
@@ -78,6 +80,9 @@
 
 void SecondRuns::onHead(const ItemKey &Key, const HttpResponse &Response) {
   const platform::EngineAnswer Head = platform::decodeEngineAnswer(Response);
+  const Run &Active = this->Runs[Key];
+  noteLeaving(Head, EndpointLifetime{Active.Endpoint, Active.EngineStartedAtMs},
+              Key.Item.Value, this->Pool, this->Counts);
   if (Response.Status != StatusOk ||
       !answerFault(Head, Key.Item.Value, Response.Framed).empty()) {
     this->stop(Key, concat("status ", Response.Status));
--- a/packages/gateway/second_run_base.h
+++ b/packages/gateway/second_run_base.h
@@ -7,6 +7,7 @@
 #include "core/batch/item_scheduler_base.h"
 #include "gateway/event_stream_base.h"
 #include "net/http_client_base.h"
+#include "net/metrics_base.h"
 
 #include <map>
 #include <optional>
@@ -20,7 +21,8 @@
 /// else needs. Any failure ends it, and a failed second run is not retried.
 class SecondRuns {
 public:
-  SecondRuns(HttpClient &Http, EndpointPool &Pool) : Http(Http), Pool(Pool) {}
+  SecondRuns(HttpClient &Http, EndpointPool &Pool, Metrics &Counts)
+      : Http(Http), Pool(Pool), Counts(Counts) {}
 
   /// Starts a second run, if the item had none and an engine with the newest
   /// version has enough free slots.
@@ -51,6 +53,8 @@
 private:
   struct Run {
     EndpointId Endpoint;
+    /// When the engine's lifetime began that the call was sent to.
+    int64_t EngineStartedAtMs = 0;
     /// The call at the engine; 0 once it has ended.
     HttpCallId Call;
     /// Size of the text, checked against its limits.
@@ -74,6 +78,7 @@
 
   HttpClient &Http;
   EndpointPool &Pool;
+  Metrics &Counts;
   /// All second runs, also those that have ended: an item gets one at most.
   std::map<ItemKey, Run> Runs;
 };
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -31,6 +31,18 @@
     this->Pool.put(std::move(Record));
   }
 
+  /// Registers the lifetime of an endpoint that began at that time.
+  void addLifetime(const std::string &Name, int64_t StartedAtMs,
+                   const std::string &Ip = "10.0.0.9") {
+    EndpointRecord Record;
+    Record.Id = EndpointId{Name};
+    Record.StartedAtMs = StartedAtMs;
+    Record.Service = "s";
+    Record.DataCentre = "dc-a";
+    Record.ListenAddress = Address{Ip, 80};
+    this->Pool.put(std::move(Record));
+  }
+
   /// @return the chosen endpoint's id; empty: none.
   std::string chosen(const EndpointQuery &Query = {"s", "", 0, {}, 0}) {
     const EndpointState *State = this->Pool.choose(Query, this->Now);
@@ -297,3 +309,55 @@
   cr_assert_eq(Pool.choose({"s", "", 0, {}, 0}, seconds(1))->Record.Id.Value,
                "a");
 }
+
+// Guards against work for an endpoint that has said that it leaves.
+Test(endpointPool, leavingEndpoint_isNotChosenWhateverTheDirectorySays) {
+  PoolFixture Each;
+  Each.addLifetime("e", 7);
+  cr_assert(
+      Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"e"}, 7}, Each.Now));
+  cr_assert_not(
+      Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"e"}, 7}, Each.Now));
+  cr_assert(Each.chosen().empty());
+  Each.addLifetime("e", 7);
+  cr_assert(Each.chosen().empty());
+  Each.Pool.remove(EndpointId{"e"});
+  Each.addLifetime("e", 7);
+  cr_assert(Each.chosen().empty());
+  Each.addLifetime("e", 8);
+  cr_assert(Each.chosen() == "e");
+}
+
+Test(endpointPool, lifetimeThatIsNotThereYet_isMarkedOnceItComes) {
+  PoolFixture Each;
+  Each.addLifetime("e", 8);
+  Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"e"}, 7}, Each.Now);
+  cr_assert(Each.chosen() == "e");
+  Each.addLifetime("e", 7);
+  cr_assert(Each.chosen().empty());
+}
+
+Test(endpointPool, leavingEndpointWithoutAStartTime_anotherAddressIsFree) {
+  PoolFixture Each;
+  Each.addLifetime("e", 0);
+  Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"e"}, 0}, Each.Now);
+  Each.addLifetime("e", 0);
+  cr_assert(Each.chosen().empty());
+  Each.addLifetime("e", 0, "10.0.0.10");
+  cr_assert(Each.chosen() == "e");
+}
+
+Test(endpointPool, marksOfLifetimesThatAreGone_areDropped) {
+  PoolFixture Each;
+  Each.addLifetime("stays", 1);
+  Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"stays"}, 1}, Each.Now);
+  constexpr int64_t Many = 20'000;
+  for (int64_t Started = 1; Started <= Many; ++Started)
+    Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"e"}, Started},
+                          Each.Now + Millis{Started});
+  cr_assert_leq(Each.Pool.leavingMarks(), 10'000U);
+  Each.Pool.leavingSeen(EndpointLifetime{EndpointId{"last"}, 1},
+                        Each.Now + seconds(1'000));
+  cr_assert_leq(Each.Pool.leavingMarks(), 2U);
+  cr_assert(Each.chosen().empty());
+}
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -585,3 +585,38 @@
   Gateway.Batches->routesChanged();
   cr_assert_eq(Net.results(0, "s", 2).size(), 2U);
 }
+
+// Guards against items at an engine that has said that it leaves.
+Test(batch, engineThatLeaves_finishesItsItemsAndGetsNoMore) {
+  GatewayFixture Net(1);
+  FakeGateway &Gateway = *Net.Gateways[0];
+  Net.Engine.Leaving = true;
+  Net.Engine.Hold = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Gateway.Pool.find(EndpointId{"i-llm"})->Leaving;
+  }));
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("t", 1)).Status, 202);
+  FakeEngine Second(Net.Events);
+  for (const std::string Name : {"i-llm", "i-desk"}) {
+    EndpointRecord Other = Gateway.Pool.find(EndpointId{Name})->Record;
+    Other.Id = EndpointId{Name + "-second"};
+    Other.ListenAddress = Second.where();
+    Gateway.Pool.put(Other);
+  }
+  Gateway.Batches->wake();
+  cr_assert_eq(Net.results(0, "t", 1).size(), 1U);
+  cr_assert_not(Net.Engine.Runs.contains("t-0"));
+  Net.Engine.release();
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), 1U);
+}
+
+Test(batch, scoringServiceThatLeaves_getsNoMoreCalls) {
+  GatewayFixture Net(1);
+  FakeGateway &Gateway = *Net.Gateways[0];
+  Net.Engine.Leaving = true;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
+  cr_assert(Gateway.Pool.find(EndpointId{"i-desk"})->Leaving);
+}
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -72,9 +72,11 @@
   }
 
   /// Registers an endpoint for the request's service.
-  void addEndpoint(const std::string &Id, const ScriptedServer &Endpoint) {
+  void addEndpoint(const std::string &Id, const ScriptedServer &Endpoint,
+                   int64_t StartedAtMs = 1) {
     EndpointRecord Record;
     Record.Id = EndpointId{Id};
+    Record.StartedAtMs = StartedAtMs;
     Record.Service = "s";
     Record.DataCentre = "dc";
     Record.Slots = 4;
@@ -495,3 +497,84 @@
     cr_expect_eq(Net.Refused.Status, 502, "cut after %zu bytes", Length);
   }
 }
+
+/// Header line of an endpoint that leaves.
+constexpr const char *LeavingLine = "server-leaving: 1\r\n";
+
+// Guards against requests to an endpoint that has said that it leaves.
+Test(forward, answerOfAnEndpointThatLeaves_marksItWhateverTheStatus) {
+  for (const std::string Status : {"200 OK", "404 Not Found", "500 Oops"}) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, ForwardFixture::answer(Status, LeavingLine));
+    cr_assert(Net.ends());
+    cr_expect(Net.Pool.find(EndpointId{"i-1"})->Leaving, "%s", Status.c_str());
+    cr_expect_str_eq(
+        std::string(findHeader(Net.Answer.Headers, "server-leaving")).c_str(),
+        "1");
+  }
+}
+
+Test(forward, streamOfAnEndpointThatLeaves_marksItWhileItIsOpen) {
+  ForwardFixture Net(RouteKind::Stream);
+  cr_assert(Net.arrives());
+  Net.Server.send(0, concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                            LeavingLine, "content-length: 999\r\n\r\n"));
+  cr_assert(turnUntil(
+      Net.Events, [&] { return Net.Pool.find(EndpointId{"i-1"})->Leaving; }));
+  cr_assert_eq(Net.StreamEnd, 0);
+}
+
+Test(forward, refusalOfAnEndpointThatLeaves_isNotRepeatedThere) {
+  ForwardFixture Net(RouteKind::AtMostOnce, 2);
+  cr_assert(Net.arrives());
+  Net.Server.send(
+      0, ForwardFixture::answer(
+             "503 Busy",
+             concat("x-camphornotch-not-executed: 1\r\n", LeavingLine)));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Refused.Status, 503);
+  cr_assert(Net.Refused.RetryAfter > Millis{0});
+  cr_assert_not(Net.Server.hasRequests(0, 2));
+  cr_assert_not(Net.Server.hasRequests(1, 1));
+}
+
+Test(forward, refusalOfAnEndpointThatLeaves_sendsTheRequestElsewhere) {
+  ForwardFixture Net(RouteKind::AtMostOnce, 2);
+  ScriptedServer Spare;
+  cr_assert(Net.arrives());
+  Net.addEndpoint("i-2", Spare);
+  Net.Server.send(
+      0, ForwardFixture::answer(
+             "503 Busy",
+             concat("x-camphornotch-not-executed: 1\r\n", LeavingLine)));
+  cr_assert(turnUntil(Net.Events, [&] { return Spare.hasRequests(0, 1); }));
+  Spare.send(0, ForwardFixture::answer("200 OK"));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Answer.Status, 200);
+}
+
+Test(forward, leavingHeaderThatSaysNothingOfTheEndpoint_marksNobody) {
+  std::string OfAnother = ForwardFixture::answer("200 OK", LeavingLine);
+  OfAnother.replace(OfAnother.find("r1"), 2, "r0");
+  for (const std::string &Bytes :
+       {ForwardFixture::answer("200 OK", "server-leaving: yes\r\n"),
+        ForwardFixture::answer("421 Misdirected", LeavingLine), OfAnother}) {
+    ForwardFixture Net(RouteKind::AtMostOnce);
+    cr_assert(Net.arrives());
+    Net.Server.send(0, Bytes);
+    cr_assert(Net.ends());
+    cr_expect_not(Net.Pool.find(EndpointId{"i-1"})->Leaving);
+    cr_expect_eq(Net.Pool.leavingMarks(), 0U);
+  }
+}
+
+Test(forward, lifetimeThatBeganMeanwhile_isNotMarked) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  cr_assert(Net.arrives());
+  Net.addEndpoint("i-1", Net.Server, 2);
+  Net.Server.send(0, ForwardFixture::answer("200 OK", LeavingLine));
+  cr_assert(Net.ends());
+  cr_assert_eq(Net.Pool.leavingMarks(), 1U);
+  cr_assert_not(Net.Pool.find(EndpointId{"i-1"})->Leaving);
+}
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -58,6 +58,8 @@
     this->Held.clear();
   }
 
+  /// Whether its answers say that it leaves.
+  bool Leaving = false;
   /// Number of events of each item.
   int64_t EventCount = 4;
   /// The model version that generates the events.
@@ -89,6 +91,8 @@
     HttpResponse Head;
     Head.Headers = {{"X-Camphornotch-Request-Id", Id},
                     {"X-Camphornotch-Response-Signature", "receipt-" + Id}};
+    if (this->Leaving)
+      Head.Headers.push_back({"Server-Leaving", "1"});
     if (Request.Path.starts_with("/score/")) {
       ++this->ScoringCalls;
       if (this->ScoreAborts > 0) {
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -325,3 +325,29 @@
   cr_assert(turnUntil(
       Net.Events, [&] { return Stream.received().ends_with("0\r\n\r\n"); }));
 }
+
+// Guards against requests to an engine that leaves while the directory, which
+// cannot be read, still says "ready".
+Test(gateway, engineThatLeavesWhileTheStoreIsAway_getsNoFurtherRequest) {
+  WholeGateway Net;
+  FakeEngine Engine(Net.Events);
+  Net.configure();
+  Net.addEngine(Engine);
+  Net.Store.Silent = true;
+  Engine.Leaving = true;
+  cr_assert_eq(Net.ask("GET", "/a/x", {}).Status, 200);
+  const size_t Before = Engine.Runs["r1"].size();
+  for (const char *Path : {"/a/x", "/s/x"}) {
+    const HttpResponse Answer = Net.ask("GET", Path, {});
+    cr_assert_eq(Answer.Status, 503);
+    cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
+  }
+  cr_assert_eq(Engine.Runs["r1"].size(), Before);
+  Net.Store.Silent = false;
+  FakeEngine Second(Net.Events);
+  Net.registerEndpoint("i-1", Engine.where().Port);
+  Net.registerEndpoint("i-2", Second.where().Port);
+  cr_assert(turnUntil(
+      Net.Events, [&] { return Net.ask("GET", "/a/x", {}).Status == 200; }));
+  cr_assert_eq(Engine.Runs["r1"].size(), Before);
+}
--- a/tests/gateway_tasks/second_run_test.cpp
+++ b/tests/gateway_tasks/second_run_test.cpp
@@ -17,7 +17,8 @@
   FakeEngine Newer{this->Events};
   HttpClient Http{this->Events};
   EndpointPool Pool{Geography{"dc", {}}};
-  SecondRuns Tested{this->Http, this->Pool};
+  Metrics Counts;
+  SecondRuns Tested{this->Http, this->Pool, this->Counts};
   SubmissionState State;
   /// The scheduler's entry of the item.
   ScheduledItem Item;
@@ -149,3 +150,16 @@
   cr_assert_eq(Run.eventCount(), 0U);
   cr_assert_eq(Run.Pool.find(EndpointId{"i-new"})->Outstanding, 0);
 }
+
+Test(secondRuns, engineThatLeaves_getsNoMore) {
+  SecondRunFixture Run;
+  Run.Newer.Leaving = true;
+  Run.start();
+  cr_assert(turnUntil(Run.Events, [&] { return Run.eventCount() == 4; }));
+  cr_assert(Run.Pool.find(EndpointId{"i-new"})->Leaving);
+  Run.Item.Key.Item = ItemId{"s-1"};
+  Run.State.Record.Items[0].Id = "s-1";
+  Run.start();
+  Run.runForAWhile();
+  cr_assert_not(Run.Newer.Runs.contains("s-1"));
+}
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -395,3 +395,23 @@
     cr_assert(decodeOwners(Text).has_error(), "%s", Text);
   cr_assert(decodeOwners(R"({"owners":[]})").value().empty());
 }
+
+Test(decodeEngineAnswer, leavingHeader_hasOneValueWithAMeaning) {
+  const auto MarkOf = [](const HttpHeaders &Headers) {
+    HttpResponse Response;
+    Response.Headers = Headers;
+    return decodeEngineAnswer(Response).Leaving;
+  };
+  cr_assert(MarkOf({}) == LeavingMark::Absent);
+  cr_assert(MarkOf({{"Server-Leaving", "1"}}) == LeavingMark::Leaves);
+  cr_assert(MarkOf({{"server-leaving", "1"}}) == LeavingMark::Leaves);
+  for (const char *Value : {"", "0", "true", "11", "1 1", "yes"})
+    cr_assert(MarkOf({{"Server-Leaving", Value}}) == LeavingMark::Unknown, "%s",
+              Value);
+}
+
+Test(forwardedAnswerHeaders, leavingHeader_isPassedOn) {
+  HttpResponse Response;
+  Response.Headers = {{"Server-Leaving", "1"}};
+  cr_assert_eq(forwardedAnswerHeaders(Response).size(), 1U);
+}
