--- /dev/null
+++ b/tests/processes/process_fixture.h
@@ -0,0 +1,161 @@
+/// @file
+/// Gateways as real processes, with the store and engines in the test.
+
+#ifndef CAMPHORNOTCH_TESTS_PROCESSES_PROCESS_FIXTURE_H
+#define CAMPHORNOTCH_TESTS_PROCESSES_PROCESS_FIXTURE_H
+
+#include "standins/store/store_server.h"
+#include "tests/gateway_tasks/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <memory>
+#include <netinet/in.h>
+#include <string>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+namespace camphornotch {
+
+/// @return a port of the loopback address that nothing listens on.
+inline uint16_t freePort() {
+  const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address = {};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof(Address);
+  bind(Fd, reinterpret_cast<sockaddr *>(&Address), Length);
+  getsockname(Fd, reinterpret_cast<sockaddr *>(&Address), &Length);
+  close(Fd);
+  return ntohs(Address.sin_port);
+}
+
+/// One camphornotchd with the role gateway; killed at the fixture's end.
+class GatewayProcess {
+public:
+  /// @param Store the stand-in of the store.
+  GatewayProcess(const HttpTarget &Store, const std::string &Name)
+      : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()} {
+    std::string Folder = "/tmp/camphornotch-test-XXXXXX";
+    if (mkdtemp(Folder.data()) == nullptr)
+      return;
+    this->Folder = Folder;
+    std::ofstream(this->settingsPath())
+        << "[process]\nrole = gateway\nhost = " << Name
+        << "\ndata_centre = dc\nregion = r\n[listen]\nlinks = 127.0.0.1:"
+        << freePort() << "\nhttp = 127.0.0.1:" << this->Probes.Port
+        << "\npeers = 127.0.0.1:" << freePort()
+        << "\n[gateway]\nfront = 127.0.0.1:" << this->Front.Port
+        << "\nstore = 127.0.0.1:" << Store.Port
+        << "\nregions = dc=r\ngrace_s = 8\npartitions = 2\n"
+           "record_bytes = 262144\n";
+    const std::string Log = this->Folder + "/log";
+    const std::string Path = this->settingsPath();
+    this->Pid = fork();
+    if (this->Pid != 0)
+      return;
+    // A failed assertion skips destructors; the process ends with the test.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    constexpr mode_t LogMode = 0600;
+    const int Output = open(Log.c_str(), O_WRONLY | O_CREAT, LogMode);
+    dup2(Output, STDOUT_FILENO);
+    dup2(Output, STDERR_FILENO);
+    execl(CAMPHORNOTCH_DAEMON, CAMPHORNOTCH_DAEMON, "--config", Path.c_str(),
+          nullptr);
+    _exit(1);
+  }
+  ~GatewayProcess() {
+    if (this->Pid > 0) {
+      kill(this->Pid, SIGKILL);
+      waitpid(this->Pid, nullptr, 0);
+    }
+    unlink((this->Folder + "/log").c_str());
+    unlink(this->settingsPath().c_str());
+    rmdir(this->Folder.c_str());
+  }
+  GatewayProcess(const GatewayProcess &) = delete;
+  GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+  /// @return the address for callers.
+  const HttpTarget &front() const { return this->Front; }
+  /// @return the address for readiness probes.
+  const HttpTarget &probes() const { return this->Probes; }
+
+private:
+  std::string settingsPath() const { return this->Folder + "/gateway.ini"; }
+
+  HttpTarget Front;
+  HttpTarget Probes;
+  std::string Folder;
+  pid_t Pid = 0;
+};
+
+/// Gateways before one store; engines are added by the test.
+struct ProcessFixture {
+  Loop Events;
+  standin::StandinStoreServer Store{this->Events, 2};
+  std::vector<std::unique_ptr<GatewayProcess>> Gateways;
+  HttpClient Caller{this->Events};
+  /// Number of requests sent so far, for their ids.
+  int Sent = 0;
+
+  /// Starts the gateways and waits until they are ready.
+  /// @param Config the configuration.
+  ProcessFixture(int Count, const std::string &Config) {
+    this->Store.put("keyed.op", "config", Config);
+    for (int Index = 0; Index < Count; ++Index)
+      this->Gateways.push_back(std::make_unique<GatewayProcess>(
+          this->Store.target(), "gateway-" + std::to_string(Index)));
+    for (const auto &Gateway : this->Gateways)
+      cr_assert(turnUntil(this->Events, [&] {
+        HttpCall Call;
+        Call.Target = Gateway->probes();
+        Call.Path = "/-/readiness";
+        Call.Timeout = Millis{200};
+        return answerTo(this->Events, this->Caller, Call).Status == 200;
+      }));
+  }
+
+  /// Registers an engine of service "s".
+  void add(const std::string &Id, const FakeEngine &Engine,
+           const std::string &DataCentre = "dc") {
+    this->Store.put("keyed.servers", Id,
+                    R"({"service":"s","slots":8,"state":"ready","zone":")" +
+                        DataCentre +
+                        R"(",)"
+                        R"("born":1,"models":[{"name":"m","version":3}],)"
+                        R"("address":"127.0.0.1:)" +
+                        std::to_string(Engine.where().Port) + R"("})");
+  }
+
+  /// Sends a request with an id of its own to a gateway.
+  /// @param At index of the gateway.
+  /// @return the answer; status 0: none.
+  HttpResponse ask(size_t At, const std::string &Path) {
+    HttpCall Call;
+    Call.Target = this->Gateways[At]->front();
+    Call.Host = "h";
+    Call.Path = Path;
+    Call.Timeout = seconds(5);
+    Call.Headers = {
+        {"X-Camphornotch-Request-Id", "r" + std::to_string(++this->Sent)}};
+    return answerTo(this->Events, this->Caller, std::move(Call));
+  }
+
+  /// Runs the loop for a time.
+  void runFor(Millis Span) {
+    const Millis End = steadyNow() + Span;
+    turnUntil(this->Events, [&] { return steadyNow() >= End; });
+  }
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_TESTS_PROCESSES_PROCESS_FIXTURE_H
