Fix: [Batch] An item that fails is given up also once its route is removed

Cause: the limit of attempts was looked up in the route at each failure; without a route there was none. A scoring call that had failed waited for the route of its item in the same situation.

Change: the item keeps the attempts that its route allowed, the most of those it has seen; a removed or stricter route takes none away.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -90,6 +90,7 @@
                      : SubmissionRoute.Services.front().Service;
   Item.SingleVersion = SubmissionRoute.SingleVersion;
   Item.Priority = SubmissionRoute.Priority;
+  Item.Attempts = std::max(Item.Attempts, SubmissionRoute.Attempts);
 }
 
 } // namespace
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -24,6 +24,9 @@
   bool SingleVersion = false;
   /// Priority of its route; 0 goes first.
   int64_t Priority = 0;
+  /// Answers with status 500 after which it is given up. It belongs to the
+  /// submission: it stays when the route is removed or allows fewer.
+  int64_t Attempts = 1;
   /// Sequence number of its submission in this process.
   int64_t Arrival = 0;
   /// Position among the items added with its submission, from 1.
--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -9,6 +9,8 @@
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
 
+#include <algorithm>
+
 namespace camphornotch {
 
 namespace {
@@ -38,11 +40,6 @@
     this->retryScoring(Key, "no route for the scoring call");
     return;
   }
-  // Only the item's route tells how many failures are allowed.
-  if (Active->ScoringFailures > 0 && this->routeOf(Key) == nullptr) {
-    this->retryScoring(Key, "no route for the item");
-    return;
-  }
   const Millis Now = steadyNow();
   ForwardJob Job;
   Job.Params.MatchedRoute = *ScoringRoute;
@@ -95,14 +92,13 @@
       State == nullptr ? nullptr : findItem(*State, Key.Item);
   if (Item == nullptr)
     return;
-  const Route *ItemRoute = this->routeOf(Key);
+  const ScheduledItem *Scheduled = this->Scheduler.find(Key);
   const Route *ScoringRoute = findRoute(this->Callbacks.CurrentRoutes(),
                                         Item->Scoring.Host, Item->Scoring.Path);
-  const auto Enough = [Active](const Route &Limits) {
-    return Active->ScoringFailures >= Limits.Attempts;
-  };
-  if (ItemRoute != nullptr && Enough(*ItemRoute) &&
-      (ScoringRoute == nullptr || Enough(*ScoringRoute)))
+  const int64_t Allowed =
+      std::max(Scheduled == nullptr ? 1 : Scheduled->Attempts,
+               ScoringRoute == nullptr ? 1 : ScoringRoute->Attempts);
+  if (Active->ScoringFailures >= Allowed)
     this->reportResult(Key, false, "", "its scoring call failed too often");
   else
     this->retryScoring(Key, concat("status ", Response.Status));
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -48,14 +48,6 @@
   return Found == this->Runs.end() ? nullptr : &Found->second;
 }
 
-const Route *ItemTask::routeOf(const ItemKey &Key) {
-  const SubmissionState *State = this->Callbacks.FindSubmission(Key.Submission);
-  if (State == nullptr)
-    return nullptr;
-  return findRoute(this->Callbacks.CurrentRoutes(), State->Record.Host,
-                   State->Record.Path);
-}
-
 bool ItemTask::addSubmission(const SubmissionState &State,
                              const std::set<ItemId> &Resubmitted) {
   const Route *MatchedRoute = findRoute(this->Callbacks.CurrentRoutes(),
@@ -326,9 +318,7 @@
         Key, Failed ? RequeueReason::Failed : RequeueReason::ConnectionBroken,
         WorkOutcome::Answered, concat("status ", Response.Status));
     const ScheduledItem *Item = this->Scheduler.find(Key);
-    const Route *MatchedRoute = this->routeOf(Key);
-    if (Item != nullptr && MatchedRoute != nullptr &&
-        Item->Failures >= MatchedRoute->Attempts)
+    if (Item != nullptr && Item->Failures >= Item->Attempts)
       this->reportResult(Key, false, "",
                          "engines answered it with status 500 too often");
     return;
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -183,7 +183,6 @@
   /// Removes a run and cancels its calls.
   void removeRun(const ItemKey &Key);
   Run *find(const ItemKey &Key);
-  const Route *routeOf(const ItemKey &Key);
 
   Loop &Events;
   HttpClient &Http;
--- a/tests/gateway_tasks/batch_task_test.cpp
+++ b/tests/gateway_tasks/batch_task_test.cpp
@@ -620,3 +620,38 @@
   cr_assert_eq(Net.results(0, "s", 1).size(), 1U);
   cr_assert(Gateway.Pool.find(EndpointId{"i-desk"})->Leaving);
 }
+
+// Guards against an item that fails and is run for ever: only the route, which
+// may be removed, told how many attempts it has.
+Test(batch, itemThatFailsAfterItsRouteIsRemoved_isGivenUp) {
+  GatewayFixture Net(1);
+  FakeGateway &Gateway = *Net.Gateways[0];
+  constexpr int Many = 1'000;
+  Net.Engine.RunFailures = Many;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return !Net.Engine.Runs.empty(); }));
+  Gateway.Routes.Version = 2;
+  Gateway.Routes.Routes.erase(Gateway.Routes.Routes.begin());
+  Gateway.Batches->routesChanged();
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "dead");
+  cr_assert_eq(Net.Engine.Runs["s-0"].size(), 3U);
+}
+
+// Guards against a scoring call that waits for ever for the route of its item.
+Test(batch, scoringCallThatFailsAfterItsItemsRouteIsRemoved_givesTheItemUp) {
+  GatewayFixture Net(1);
+  FakeGateway &Gateway = *Net.Gateways[0];
+  Net.Engine.Hold = true;
+  Net.Engine.ScoreStatus = 500;
+  cr_assert_eq(Net.ask(0, GatewayFixture::submission("s", 1)).Status, 202);
+  cr_assert(turnUntil(Net.Events, [&] { return Net.Engine.Held.size() == 1; }));
+  Gateway.Routes.Version = 2;
+  Gateway.Routes.Routes.erase(Gateway.Routes.Routes.begin());
+  Gateway.Batches->routesChanged();
+  Net.Engine.release();
+  const platform::Json Read = Net.results(0, "s", 1);
+  cr_assert_eq(Read.size(), 1U);
+  cr_assert(Read[0]["state"] == "dead");
+}
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -70,6 +70,8 @@
   int64_t SkippedEvent = 0;
   /// How many requests get an answer of status 500 that names another request.
   int MisaddressedFailures = 0;
+  /// How many runs of items are answered by status 500.
+  int RunFailures = 0;
   /// How many scoring calls are aborted first.
   int ScoreAborts = 0;
   /// How many scoring calls are answered by status 500 after those.
@@ -115,6 +117,12 @@
       Exchange->answer(Head);
       return;
     }
+    if (this->RunFailures > 0) {
+      --this->RunFailures;
+      Head.Status = 500;
+      Exchange->answer(Head);
+      return;
+    }
     Head.ContentType = "text/event-stream";
     // An engine without events left to generate names no version.
     if (SentBefore < this->EventCount)
