Fix: [Gateway] A request that crashes few endpoints again and again is held back

Change: it counts lifetimes, id and start. A report names the start as the id of the crash, a field that these messages had and left empty.

--- a/packages/core/gateway/suspect_table_base.cpp
+++ b/packages/core/gateway/suspect_table_base.cpp
@@ -29,7 +29,7 @@
   return RequestDigest{static_cast<int64_t>(Hash)};
 }
 
-bool SuspectTable::add(RequestDigest Digest, const EndpointId &Endpoint,
+bool SuspectTable::add(RequestDigest Digest, const EndpointLifetime &Endpoint,
                        Millis Now) {
   Suspect &Known = this->Suspects[Digest];
   const auto Before = Known.BrokenAt.find(Endpoint);
--- a/packages/core/gateway/suspect_table_base.h
+++ b/packages/core/gateway/suspect_table_base.h
@@ -6,6 +6,7 @@
 
 #include "base/id_type.h"
 #include "base/millis_type.h"
+#include "core/gateway/endpoint_pool_type.h"
 
 #include <cstdint>
 #include <map>
@@ -22,7 +23,8 @@
                        std::string_view Body);
 
 /// Counts the endpoints that each request broke, as gateways report them.
-/// Repeated reports on the same endpoint count once.
+/// Repeated reports on the same lifetime of an endpoint count once; an endpoint
+/// that breaks again after a start counts again.
 ///
 /// A request that broke three endpoints is quarantined for a minute. If it
 /// breaks one more after that, it is quarantined again, each time for twice as
@@ -30,8 +32,8 @@
 class SuspectTable {
 public:
   /// Notes that a connection broke while an endpoint had a request.
-  /// @return whether this endpoint was not reported for the request lately.
-  bool add(RequestDigest Digest, const EndpointId &Endpoint, Millis Now);
+  /// @return whether this lifetime was not reported for the request lately.
+  bool add(RequestDigest Digest, const EndpointLifetime &Endpoint, Millis Now);
 
   /// Notes that an endpoint executed a request completely. It forgets the
   /// request, since one that crashes endpoints crashes each that begins it.
@@ -46,8 +48,8 @@
 
 private:
   struct Suspect {
-    /// When each endpoint was last reported broken.
-    std::map<EndpointId, Millis> BrokenAt;
+    /// When each lifetime of an endpoint was last reported broken.
+    std::map<EndpointLifetime, Millis> BrokenAt;
     /// End of the quarantine; 0: there was none.
     Millis QuarantinedUntil{0};
     /// Length of the last quarantine.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -176,9 +176,8 @@
     return;
   Attempt &Current = Active->Attempts.at(Number);
   Current.Head = platform::decodeEngineAnswer(Response);
-  noteLeaving(Current.Head,
-              EndpointLifetime{Current.Endpoint, Current.StartedAtMs},
-              Active->Request.RequestId, this->Pool, this->Counts);
+  noteLeaving(Current.Head, Current.lifetime(), Active->Request.RequestId,
+              this->Pool, this->Counts);
   const std::string_view Fault =
       faultOf(Current.Head, Active->Request, Response.Framed);
   if (!Fault.empty()) {
@@ -313,7 +312,7 @@
     // The request still runs while its stream is open. The head of another
     // answer is sent when it has ended.
     if (Current.Head.Status == 0 || Current.Streams)
-      Active->Callbacks.OnConnectionBroken(Current.Endpoint);
+      Active->Callbacks.OnConnectionBroken(Current.lifetime());
   }
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptOutcome::NotSent
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -41,7 +41,7 @@
   std::function<void(int Status)> OnServerError;
   /// The connection closed while the endpoint had the request: before any
   /// answer, or within a stream. Optional.
-  std::function<void(const EndpointId &)> OnConnectionBroken;
+  std::function<void(const EndpointLifetime &)> OnConnectionBroken;
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
   std::function<bool()> MaySend;
@@ -99,6 +99,10 @@
     int64_t ResumesAfter = 0;
     /// Bytes of an incomplete event, or the body of a failure.
     std::string Buffer;
+
+    EndpointLifetime lifetime() const {
+      return EndpointLifetime{this->Endpoint, this->StartedAtMs};
+    }
   };
 
   struct ActiveRequest {
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -65,29 +65,30 @@
       Pool(
           Geography{Settings.Common.DataCentre, parseRegions(Settings.Regions)},
           parseEndpointChoice(Settings.EndpointChoice)),
-      Peers(
-          Events, this->Settings.Common, Store, Values,
-          PeerTaskCallbacks{
-              [this](const KeyedRecord &Record) { this->onPublished(Record); },
-              [this](const wire::EngineStatePush &State) {
-                this->onEngineState(State);
-              },
-              [](const wire::WeightsAnnounce &) {},
-              [this](const wire::CrashReport &Report) {
-                for (const int64_t Digest : Report.Digests)
-                  this->Suspects.add(RequestDigest{Digest},
-                                     EndpointId{Report.Endpoint}, steadyNow());
-              },
-              [this](const HostId &) {
-                const std::map<std::string, int64_t> Known =
-                    this->RequiredVersions;
-                this->RequiredVersions.clear();
-                for (const auto &[Model, Version] : Known)
-                  this->requireVersion(Model, Version);
-              },
-              {},
-              {},
-              [this] { return this->wantsLoad(); }}),
+      Peers(Events, this->Settings.Common, Store, Values,
+            PeerTaskCallbacks{[this](const KeyedRecord &Record) {
+                                this->onPublished(Record);
+                              },
+                              [this](const wire::EngineStatePush &State) {
+                                this->onEngineState(State);
+                              },
+                              [](const wire::WeightsAnnounce &) {},
+                              [this](const wire::CrashReport &Report) {
+                                for (const int64_t Digest : Report.Digests)
+                                  this->Suspects.add(RequestDigest{Digest},
+                                                     brokenLifetime(Report),
+                                                     steadyNow());
+                              },
+                              [this](const HostId &) {
+                                const std::map<std::string, int64_t> Known =
+                                    this->RequiredVersions;
+                                this->RequiredVersions.clear();
+                                for (const auto &[Model, Version] : Known)
+                                  this->requireVersion(Model, Version);
+                              },
+                              {},
+                              {},
+                              [this] { return this->wantsLoad(); }}),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -353,7 +354,8 @@
                  {"config", concat(Version)}});
       };
   ForwardCallbacks Callbacks;
-  Callbacks.OnConnectionBroken = [this, Digest](const EndpointId &Endpoint) {
+  Callbacks.OnConnectionBroken = [this,
+                                  Digest](const EndpointLifetime &Endpoint) {
     this->reportBroken(Digest, Endpoint);
   };
   Callbacks.OnAnswer = [this, Exchange, Log,
@@ -485,13 +487,15 @@
   this->Peers.broadcast(Message);
 }
 
-void Gateway::reportBroken(RequestDigest Digest, const EndpointId &Endpoint) {
+void Gateway::reportBroken(RequestDigest Digest,
+                           const EndpointLifetime &Endpoint) {
   const Millis Now = steadyNow();
   this->Suspects.forgetOld(Now);
   if (!this->Suspects.add(Digest, Endpoint, Now))
     return;
   wire::CrashReport Report;
-  Report.Endpoint = Endpoint.Value;
+  Report.Endpoint = Endpoint.Id.Value;
+  Report.CrashId = Endpoint.StartedAtMs;
   Report.Digests = {Digest.Value};
   wire::PeerMessage Message;
   Message.__set_CrashReportMsg(Report);
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -66,7 +66,7 @@
   bool wantsLoad() const;
   /// Reports to all gateways that a connection broke while an endpoint
   /// processed the request.
-  void reportBroken(RequestDigest Digest, const EndpointId &Endpoint);
+  void reportBroken(RequestDigest Digest, const EndpointLifetime &Endpoint);
   /// @return why this gateway does not accept callers; empty: it does.
   std::string_view whyNotReady() const;
   /// @return when the process ends after SIGTERM, even if it is not idle.
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -121,8 +121,8 @@
 void Loader::forwardReport(const wire::CrashReport &Report) {
   bool IsNew = false;
   for (const int64_t Digest : Report.Digests)
-    IsNew |= this->Suspects.add(RequestDigest{Digest},
-                                EndpointId{Report.Endpoint}, steadyNow());
+    IsNew |= this->Suspects.add(RequestDigest{Digest}, brokenLifetime(Report),
+                                steadyNow());
   this->Suspects.forgetOld(steadyNow());
   if (!IsNew)
     return;
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -6,6 +6,7 @@
 #define CAMPHORNOTCH_GATEWAY_PEER_TASK_BASE_H
 
 #include "base/settings_type.h"
+#include "core/gateway/endpoint_pool_type.h"
 #include "core/gateway/value_pull_base.h"
 #include "gateway/published_values_base.h"
 #include "net/link_hub_base.h"
@@ -17,6 +18,12 @@
 
 namespace camphornotch {
 
+/// @return the lifetime of the endpoint that a gateway reports as broken. An
+///   endpoint breaks once in a lifetime, so its start identifies the crash.
+inline EndpointLifetime brokenLifetime(const wire::CrashReport &Report) {
+  return EndpointLifetime{EndpointId{Report.Endpoint}, Report.CrashId};
+}
+
 /// Callbacks of a PeerTask.
 struct PeerTaskCallbacks {
   /// A peer sent a published value.
