Fix: [Gateway] Path and query reach the endpoint byte for byte

A path that ends in an empty query (`/x?`) was forwarded without the question mark: the server split the target, and the gateway joined it only if the query was not empty.

Change: a request keeps its target as received, and that is forwarded.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -50,12 +50,6 @@
 const prometheus::Histogram::BucketBoundaries RequestBounds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
 
-/// @return path and query as received.
-std::string pathAndQuery(const HttpRequest &Request) {
-  return Request.Query.empty() ? Request.Path
-                               : concat(Request.Path, "?", Request.Query);
-}
-
 } // namespace
 
 Gateway::Gateway(Loop &Events, const GatewaySettings &Settings)
@@ -309,7 +303,7 @@
   const HttpRequest &Request = Exchange->request();
   const Millis Now = steadyNow();
   const RequestDigest Digest =
-      digestOf(Request.Authority, pathAndQuery(Request), Request.Body);
+      digestOf(Request.Authority, Request.Target, Request.Body);
   if (this->Suspects.isQuarantined(Digest, Now)) {
     this->Counts.countRefusal(RefusalReason::Quarantined);
     this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
@@ -332,7 +326,7 @@
   Job.Params.ArrivedAt = Now;
   Job.Params.Deadline = Now + TimeLeft - AnswerMargin;
   Job.Request.Method = Request.Method;
-  Job.Request.Path = pathAndQuery(Request);
+  Job.Request.Path = Request.Target;
   Job.Request.Host = Request.Authority;
   Job.Request.Headers = Request.Headers;
   Job.Request.Body = Request.Body;
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -33,6 +33,7 @@
   Copy.Authority = toView(Request.input.authority);
   const std::string_view FullPath = toView(Request.input.path);
   const size_t QueryAt = Request.input.query_at;
+  Copy.Target = FullPath;
   Copy.Path = FullPath.substr(0, QueryAt);
   if (QueryAt != SIZE_MAX)
     Copy.Query = FullPath.substr(QueryAt + 1);
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -34,6 +34,8 @@
   std::string Path;
   /// Without the question mark; may be empty.
   std::string Query;
+  /// Path and query as received: "/x?" and "/x" differ.
+  std::string Target;
   HttpHeaders Headers;
   std::string Body;
   /// The client's IP address.
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -80,6 +80,8 @@
   int ScoringCalls = 0;
   /// Status of the answers to further scoring calls.
   int ScoreStatus = 200;
+  /// The last request's path and query.
+  std::string LastTarget;
   /// By item, for each run the last event that the gateway already had.
   std::map<std::string, std::vector<int64_t>> Runs;
   /// Streams that wait for release().
@@ -88,6 +90,7 @@
 private:
   void handle(const std::shared_ptr<HttpExchange> &Exchange) {
     const HttpRequest &Request = Exchange->request();
+    this->LastTarget = Request.Target;
     const std::string Id(
         findHeader(Request.Headers, "x-camphornotch-request-id"));
     HttpResponse Head;
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -351,3 +351,17 @@
       Net.Events, [&] { return Net.ask("GET", "/a/x", {}).Status == 200; }));
   cr_assert_eq(Engine.Runs["r1"].size(), Before);
 }
+
+// Guards against a target that reaches the endpoint changed.
+Test(gateway, anyTarget_reachesTheEndpointByteForByte) {
+  WholeGateway Net;
+  FakeEngine Engine(Net.Events);
+  Net.configure();
+  Net.addEngine(Engine);
+  for (const std::string Target :
+       {"/a/x", "/a/x?", "/a/x??", "/a/x?a=b&c", "/a/x?a=b?", "/a//x/./y/../z",
+        "/a/%2F%41?%20+%", "/a/x;p?=&&", "/a/~!$'()*,:@[]|^`{}"}) {
+    cr_expect_eq(Net.ask("GET", Target, {}).Status, 200, "%s", Target.c_str());
+    cr_expect_str_eq(Engine.LastTarget.c_str(), Target.c_str());
+  }
+}
