Fix: [Batch] Items of a split route follow its shares

All items of a route with a traffic split went to its first service.

Change: an item draws its service by the hash of its id, as requests draw theirs at random, so that each owner of its partition draws the same.

Evidence: itemScheduler/splitRoute_itemsFollowItsShares failed before; batch_test 69 of 69, gateway_tasks_test 130 of 130.

--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -3,6 +3,7 @@
 
 #include "core/batch/item_scheduler_base.h"
 
+#include "base/hash_func.h"
 #include "core/batch/partition_fold_base.h"
 #include "core/gateway/route_func.h"
 
@@ -83,11 +84,10 @@
   return ItemRank{false, 0, Item.Arrival, false, Item.IndexInSubmission, 0};
 }
 
-/// Sets what an item takes from its submission's route.
+/// Sets what an item takes from its submission's route. The items of a split
+/// route follow its shares; each owner draws the same service for an item.
 void applyRoute(const Route &SubmissionRoute, ScheduledItem &Item) {
-  Item.Service = SubmissionRoute.Services.empty()
-                     ? ""
-                     : SubmissionRoute.Services.front().Service;
+  Item.Service = drawService(SubmissionRoute, hashBytes(Item.Key.Item.Value));
   Item.SingleVersion = SubmissionRoute.SingleVersion;
   Item.Priority = SubmissionRoute.Priority;
   Item.Attempts = std::max(Item.Attempts, SubmissionRoute.Attempts);
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -72,12 +72,10 @@
     // Items of a removed route keep what it said last.
     if (Current == nullptr || !this->Scheduler.updateRoute(Id, *Current))
       continue;
-    logLine(
-        LogLevel::Info, "items follow their route to another service",
-        {{"submission", Id.Value},
-         {"service",
-          Current->Services.empty() ? "" : Current->Services.front().Service},
-         {"config", concat(this->Callbacks.CurrentRoutes().Version)}});
+    logLine(LogLevel::Info, "items follow their route to another service",
+            {{"submission", Id.Value},
+             {"route", Current->Name},
+             {"config", concat(this->Callbacks.CurrentRoutes().Version)}});
   }
   this->scheduleStart();
 }
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -7,6 +7,7 @@
 #include "wire/codec_func.h"
 
 #include <criterion/criterion.h>
+#include <map>
 
 using namespace camphornotch;
 
@@ -171,6 +172,35 @@
   cr_assert_eq(Plan.plan().size(), 2U);
 }
 
+// Guards against a split route whose items all go to its first service.
+Test(itemScheduler, splitRoute_itemsFollowItsShares) {
+  constexpr size_t Items = 200;
+  SchedulerFixture Plan(1, Items);
+  EndpointRecord Record;
+  Record.Id = EndpointId{"other"};
+  Record.Service = "s2";
+  Record.DataCentre = "dc";
+  Record.Slots = Items;
+  Record.Versions["m"] = 5;
+  Plan.Pool.put(std::move(Record));
+  Plan.SubmissionRoute.Services = {{"s", 3}, {"s2", 1}};
+  Plan.submit("a", std::vector<int64_t>(Items, 10));
+  std::map<ItemKey, EndpointId> Places;
+  int64_t AtFirst = 0;
+  for (const ItemStart &Start : Plan.Scheduler.plan(Plan.Pool, Plan.Now)) {
+    Places[Start.Key] = Start.Endpoint;
+    AtFirst += Start.Endpoint == EndpointId{"e0"} ? 1 : 0;
+  }
+  cr_assert_eq(Places.size(), Items);
+  cr_assert_gt(AtFirst, 130);
+  cr_assert_lt(AtFirst, 170);
+  SchedulerFixture Other(1, Items);
+  Other.SubmissionRoute.Services = Plan.SubmissionRoute.Services;
+  Other.submit("a", std::vector<int64_t>(Items, 10));
+  for (const ItemStart &Start : Other.Scheduler.plan(Other.Pool, Other.Now))
+    cr_assert(Places[Start.Key] == EndpointId{"e0"});
+}
+
 Test(itemScheduler, brokenConnection_sendsItemToAnotherEngine) {
   SchedulerFixture Each(2, 2);
   Each.submit("s", {1});
