Fix: [Gateway] Requests under way when a stopping gateway ends get a true answer

Change: at that time the gateway ends its requests itself: 502 if an endpoint has the request or may have run it, 503 if none has, streams are cut off; it gives the last answers 50 ms to leave.

--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -109,6 +109,12 @@
   return AwaitAttempt{Wake};
 }
 
+EndRequest ForwardPlan::stop() const {
+  const bool NotRun = this->Running.empty() && !this->MayHaveRun;
+  return EndRequest{NotRun ? StatusUnavailable : StatusBadGateway, "stopping",
+                    Millis{0}};
+}
+
 void ForwardPlan::attemptStarted(const EndpointId &Endpoint, Millis Now) {
   this->Running[Endpoint] = Now;
   ++this->AttemptCount;
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -81,6 +81,10 @@
   /// @return whether the request may have run.
   bool mayHaveRun() const { return this->MayHaveRun; }
 
+  /// @return the end of the request if the process stops now: as not run only
+  ///   if no endpoint has it or may have run it.
+  EndRequest stop() const;
+
   /// @return when the final answer is due.
   Millis deadline() const { return this->Params.Deadline; }
 
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -65,6 +65,8 @@
     return RefusalReason::DeadlineTooShort;
   if (End.Reason == "endpoints_full")
     return RefusalReason::QueueFull;
+  if (End.Reason == "stopping")
+    return RefusalReason::Leaving;
   if (End.Reason == "no_endpoint")
     return RefusalReason::NoEndpoint;
   return RefusalReason::EndpointFailed;
@@ -375,6 +377,18 @@
     Removed->Callbacks.OnRefusal(End);
 }
 
+void ForwardTask::endAll() {
+  while (!this->Requests.empty()) {
+    const auto &[Id, Active] = *this->Requests.begin();
+    const EndRequest End = Active->Plan.stop();
+    logLine(LogLevel::Warn, "request ended by the stop of the gateway",
+            {{"request_id", Active->Request.RequestId},
+             {"attempts_open", concat(Active->Attempts.size())},
+             {"status", concat(End.Status)}});
+    this->refuse(Id, End);
+  }
+}
+
 std::unique_ptr<ForwardTask::ActiveRequest> ForwardTask::remove(ForwardId Id) {
   auto Node = this->Requests.extract(Id);
   std::unique_ptr<ActiveRequest> Removed = std::move(Node.mapped());
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -67,6 +67,10 @@
   /// @param Id the request; ignored if it has ended.
   void cancel(ForwardId Id);
 
+  /// Ends all requests, because the process ends: with a refusal that says
+  /// whether they may have run, or as a stream that is cut off.
+  void endAll();
+
   /// @return whether the request is in progress; it may end before start()
   ///   returns.
   bool isRunning(ForwardId Id) const { return this->Requests.contains(Id); }
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -41,6 +41,8 @@
 /// The process ends this long before the end of the grace period even if it is
 /// not idle.
 constexpr Millis StopMargin{500};
+/// Time to send the last answers.
+constexpr Millis StopFlushTime{50};
 /// Interval of the check whether the process can end.
 constexpr Millis StopCheckInterval{50};
 /// Time after a request to an engine during which loaders send every report.
@@ -521,7 +523,8 @@
   if ((Idle && Since >= StopAcceptTime) || steadyNow() >= this->stopLimit()) {
     logLine(LogLevel::Info, "gateway ended",
             {{"requests", concat(this->CallerServer->inFlight())}});
-    this->Events.stop();
+    this->Forward.endAll();
+    this->Events.callAfter(StopFlushTime, [this] { this->Events.stop(); });
     return;
   }
   this->Events.callAfter(StopCheckInterval, [this] { this->stopWhenIdle(); });
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -578,3 +578,32 @@
   cr_assert_eq(Net.Pool.leavingMarks(), 1U);
   cr_assert_not(Net.Pool.find(EndpointId{"i-1"})->Leaving);
 }
+
+// Guards against a failure of our own that says nothing about whether the
+// request ran, when the process ends beside a silent endpoint.
+Test(forward, processEnds_requestsAreToldWhetherTheyMayHaveRun) {
+  ForwardFixture Sent(RouteKind::AtMostOnce);
+  cr_assert(Sent.arrives());
+  Sent.Forward.endAll();
+  cr_assert_eq(Sent.Refused.Status, 502);
+  cr_assert_eq(Sent.Forward.running(), 0U);
+  cr_assert(turnUntil(Sent.Events, [&] { return Sent.Server.closed(0); }));
+
+  ForwardFixture Open(RouteKind::Stream);
+  cr_assert(Open.arrives());
+  Open.Server.send(0, concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                             "content-length: 999\r\n\r\nid: 1\ndata: a\n\n"));
+  cr_assert(turnUntil(Open.Events, [&] { return !Open.Stream.empty(); }));
+  Open.Forward.endAll();
+  cr_assert_eq(Open.StreamEnd, 'b');
+
+  ForwardFixture Waiting(RouteKind::AtMostOnce, 2);
+  cr_assert(Waiting.arrives());
+  Waiting.Server.send(0, ForwardFixture::answer(
+                             "503 Busy", "x-camphornotch-not-executed: 1\r\n"));
+  cr_assert(turnUntil(Waiting.Events, [&] {
+    return Waiting.Pool.find(EndpointId{"i-1"})->Outstanding == 0;
+  }));
+  Waiting.Forward.endAll();
+  cr_assert_eq(Waiting.Refused.Status, 503);
+}
