Change: [Gateway] The directory's entries are not time-stamped one by one

Change: the time is taken only when an entry changed, where a log line is written anyway. The log line of a leaving endpoint says for how long its entry was unchanged.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -74,6 +74,12 @@
   return Changed;
 }
 
+void EndpointPool::noteChange(const EndpointId &Id, Millis Now) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found != this->Endpoints.end())
+    Found->second.ChangedAt = Now;
+}
+
 void EndpointPool::remove(const EndpointId &Id) { this->Endpoints.erase(Id); }
 
 bool EndpointPool::leavingSeen(const EndpointLifetime &Lifetime, Millis Now) {
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -44,6 +44,9 @@
   ///         state changed.
   bool put(EndpointRecord Record);
 
+  /// Notes when an endpoint's registration changed, for the log.
+  void noteChange(const EndpointId &Id, Millis Now);
+
   void remove(const EndpointId &Id);
 
   /// Notes that an endpoint said in an answer that it leaves. Its lifetime is
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -45,9 +45,6 @@
   Millis ColdRemaining{0};
   /// Empty for plain services.
   ModelVersions Versions;
-  /// When this process received the registration; 0: not known.
-  Millis ReceivedAt{0};
-
   /// @return the run that registered.
   EndpointLifetime lifetime() const {
     return EndpointLifetime{this->Id, this->StartedAtMs};
@@ -84,6 +81,8 @@
 struct EndpointState {
   EndpointRecord Record;
   NetworkDistance Distance = NetworkDistance::SameDataCentre;
+  /// When its registration last changed; 0: not known.
+  Millis ChangedAt{0};
   /// Whether it said in an answer that it leaves. Nothing in the directory
   /// takes that back.
   bool Leaving = false;
--- a/packages/gateway/directory_task_base.cpp
+++ b/packages/gateway/directory_task_base.cpp
@@ -58,10 +58,10 @@
     this->Events.cancel(Removal->second);
     this->RemovalTimers.erase(Removal);
   }
-  Decoded.value().ReceivedAt = steadyNow();
   const std::string State = Decoded.value().Draining ? "draining" : "ready";
   if (!this->Pool.put(std::move(Decoded.value())))
     return;
+  this->Pool.noteChange(EndpointId{Record.Key}, steadyNow());
   logLine(LogLevel::Info, "endpoint changed",
           {{"endpoint", Record.Key},
            {"state", State},
--- a/packages/gateway/leaving_func.cpp
+++ b/packages/gateway/leaving_func.cpp
@@ -56,15 +56,15 @@
                "Lifetimes of endpoints that said in an answer that they leave.")
       .Increment();
   const EndpointState *State = Pool.find(Sender.Id);
-  const bool HasAge = State != nullptr && State->Record.ReceivedAt > Millis{0};
+  const bool HasAge = State != nullptr && State->ChangedAt > Millis{0};
   logLine(LogLevel::Info, "endpoint says that it leaves",
           {{"endpoint", Sender.Id.Value},
            {"started_at_ms", concat(Sender.StartedAtMs)},
            {"request_id", RequestId},
            {"status", concat(Answer.Status)},
            {"directory", directoryState(State, Sender)},
-           {"entry_age_ms",
-            HasAge ? concat((Now - State->Record.ReceivedAt).Count) : ""}});
+           {"unchanged_for_ms",
+            HasAge ? concat((Now - State->ChangedAt).Count) : ""}});
 }
 
 } // namespace camphornotch
