--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -56,8 +56,8 @@
   if (!Same) {
     EndpointState State;
     State.Distance = this->distanceTo(Record.DataCentre);
-    // Without a time of its start, another address is the only sign of a new
-    // lifetime.
+    // Without a time of its start, another address or an entry that was gone
+    // are the only signs of a new lifetime.
     if (Record.StartedAtMs == 0)
       this->LeavingMarks.erase(Record.lifetime());
     State.Leaving = this->LeavingMarks.contains(Record.lifetime());
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -45,6 +45,7 @@
   Millis ColdRemaining{0};
   /// Empty for plain services.
   ModelVersions Versions;
+
   /// @return the run that registered.
   EndpointLifetime lifetime() const {
     return EndpointLifetime{this->Id, this->StartedAtMs};
