Add: [Tests] Items and scoring calls before a leaving engine, with real gateways

Two gateways that own the partitions between them: after the first submissions, whose answers say that the engine leaves, no item and no scoring call reaches it. Passes; fails with the check taken out of the pool's choice, as the other two tests of the file do.

--- a/tests/processes/leaving_test.cpp
+++ b/tests/processes/leaving_test.cpp
@@ -16,6 +16,10 @@
   {"name":"u","host":"h","path_prefix":"/u/","kind":"unsafe","service":"s",
    "timeout_ms":3000,"target_latency_ms":200,"attempts":2},
   {"name":"s","host":"h","path_prefix":"/s/","kind":"streaming","service":"s",
+   "timeout_ms":3000,"target_latency_ms":200,"attempts":2},
+  {"name":"r","host":"h","path_prefix":"/roll/","kind":"rollout","service":"s",
+   "timeout_ms":10000,"target_latency_ms":400,"attempts":3},
+  {"name":"c","host":"h","path_prefix":"/score/","kind":"safe","service":"s",
    "timeout_ms":3000,"target_latency_ms":200,"attempts":2}],
  "services":[{"name":"s"}],"limits":{}})";
 
@@ -48,6 +52,28 @@
           Answered += this->Net.ask(At, Path).Status == 200 ? 1 : 0;
     return Answered;
   }
+
+  /// Submits single items, so that both owners of partitions get some.
+  /// @return whether all of them get a result.
+  bool submitItems(const std::string &Prefix) {
+    constexpr int Submissions = 12;
+    bool Complete = true;
+    for (int Index = 0; Index < Submissions; ++Index) {
+      const std::string Id = Prefix + std::to_string(Index);
+      HttpCall Call = GatewayFixture::submission(Id, 1);
+      Call.Target = this->Net.Gateways[0]->front();
+      Call.Host = "h";
+      Complete &=
+          answerTo(this->Net.Events, this->Net.Caller, Call).Status == 202;
+    }
+    for (int Index = 0; Index < Submissions; ++Index)
+      Complete &= turnUntil(this->Net.Events, [&] {
+        const HttpResponse Answer =
+            this->Net.ask(0, "/-/lots/" + Prefix + std::to_string(Index));
+        return Answer.Body.find("completed") != std::string::npos;
+      });
+    return Complete;
+  }
 };
 
 } // namespace
@@ -82,3 +108,18 @@
     cr_expect(!findHeader(Answer.Headers, "retry-after").empty());
   }
 }
+
+// Guards against items and scoring calls at an engine that leaves: each owner
+// of partitions learns from its own items.
+Test(leavingProcess, itemsOfBothOwners_goElsewhereAfterTheFirst) {
+  LeavingFixture Run;
+  const size_t AtFirst = Run.Leaver.Runs.size();
+  Run.Leaver.Leaving = true;
+  cr_assert(Run.submitItems("first-"));
+  const size_t Runs = Run.Leaver.Runs.size();
+  cr_assert_gt(Runs, AtFirst);
+  const int ScoringCalls = Run.Leaver.ScoringCalls;
+  cr_assert(Run.submitItems("then-"));
+  cr_expect_eq(Run.Leaver.Runs.size(), Runs);
+  cr_expect_eq(Run.Leaver.ScoringCalls, ScoringCalls);
+}
