--- a/packages/core/gateway/route_type.h
+++ b/packages/core/gateway/route_type.h
@@ -5,8 +5,10 @@
 #define CAMPHORNOTCH_CORE_GATEWAY_ROUTE_TYPE_H
 
 #include "base/millis_type.h"
+#include "core/accounts/account_table_base.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,6 +55,8 @@
   Millis ResultDue{0};
   /// Age of a batch submission at which its items may be given up; 0: never.
   Millis Retention{0};
+  /// Whether its requests need no key of a client account.
+  bool Public = false;
 };
 
 /// Properties of the engines of a service.
@@ -88,6 +92,8 @@
   std::vector<Route> Routes;
   std::vector<ServiceInfo> Services;
   CallerLimits Limits;
+  /// Null: the configuration has no client accounts, and requests need no key.
+  std::shared_ptr<const AccountTable> Accounts;
 };
 
 } // namespace camphornotch
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -64,6 +64,7 @@
   5: i64 EchoSequence,     // the last sequence received, for round trips
   6: optional i64 NewestVersion,
   7: optional bool WantsLoad, // gateway to loader: places work by engine loads
+  8: optional i64 WallMs,      // the sender's wall clock, Unix milliseconds
 }
 
 /** Answered by ConfigPush when the sender is behind. */
@@ -289,6 +290,37 @@
   4: i32 Waiting,
   5: bool Loading,         // a change of weights is under way
   6: string LoadingModel,
+  7: optional i32 PaceMs,  // time between two events of one run; 0: not known
+  8: optional i64 KvUsed,  // cache memory that cannot be evicted, in tokens
+  9: optional i64 KvTotal, // cache memory, in tokens
+}
+
+/** Number of requests of one client account. */
+struct AccountCount {
+  1: string Account,
+  2: i64 Count,
+}
+
+/** Requests that began to run in one accounting window. */
+struct UsageWindow {
+  1: i64 Window,
+  2: list<AccountCount> Counts,
+}
+
+/** Gateway to the holder of the usage duty: all it has counted in its recent
+ *  windows. A later push of the same process replaces an earlier one. */
+struct UsageCountsPush {
+  1: string Gateway,
+  2: i64 Boot,             // distinguishes two runs of the gateway's process
+  3: list<UsageWindow> Windows,
+}
+
+/** Holder of a duty to all linked gateways. */
+struct DutyHolderPush {
+  1: string Duty,
+  2: string Holder,        // the holder's host
+  3: i64 FencingNumber,
+  4: i64 SettledWindow,    // the newest window that was settled; -1: none
 }
 
 /** One value that operators or trainers published. */
@@ -348,6 +380,8 @@
   24: optional PublishedPush PublishedMsg,
   25: optional StoreCallRequest StoreCallMsg,
   26: optional StoreCallReply StoreReplyMsg,
+  27: optional UsageCountsPush UsageCountsMsg,
+  28: optional DutyHolderPush DutyHolderMsg,
 }
 
 /* ---- Records of the log -------------------------------------------------- */
@@ -544,6 +578,7 @@
   6: i64 Step,
   7: i64 WantedGroups,
   8: list<BatchItemField> Items,
+  9: optional string Account, // the client account that submitted it
 }
 
 /** One event of an item's text. */
@@ -597,3 +632,45 @@
   1: string Submission,
   2: list<LeftoverText> Texts,
 }
+
+/* ---- Records of duties ---------------------------------------------------- */
+
+/** Claims a duty; its offset plus one is the holder's fencing number. */
+struct DutyClaimRecord {
+  1: string Duty,
+  2: string Holder,        // the claiming host
+  3: i64 Boot,             // distinguishes two runs of the claiming process
+}
+
+/** Extends the lease of a claim. */
+struct DutyRenewalRecord {
+  1: string Duty,
+  2: i64 FencingNumber,
+}
+
+/** Gives a claim up. */
+struct DutyReleaseRecord {
+  1: string Duty,
+  2: i64 FencingNumber,
+}
+
+/** The counts of a window; the first record of a window stands. */
+struct UsageSettledRecord {
+  1: i64 Window,
+  2: i64 FencingNumber,
+  3: list<AccountCount> Counts,
+}
+
+/** The report of a window was acknowledged. */
+struct UsageReportedRecord {
+  1: i64 Window,
+}
+
+/** One record of the duties' partition: exactly one of the fields is set. */
+struct DutyRecord {
+  1: optional DutyClaimRecord Claim,
+  2: optional DutyRenewalRecord Renewal,
+  3: optional DutyReleaseRecord Release,
+  4: optional UsageSettledRecord Settled,
+  5: optional UsageReportedRecord Reported,
+}
