Codechange: [Gateway] Requests of callers move to a file of their own

Cause: gateway_base.cpp has outgrown one job, and account checks are about to be added to the handling of requests. Change: onRequest, onRouted, forward, refuse and refuseStopping move to gateway_requests.cpp, unchanged.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -8,12 +8,10 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
-#include "gateway/event_stream_base.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace camphornotch {
 
@@ -22,16 +20,6 @@
 /// Body limit of the HTTP server, with room above the limit of the sites; a
 /// configuration may set a lower one.
 constexpr size_t MaxBodyBytes = size_t{40} << 20;
-/// Reading a stream pauses while more bytes than this wait to be sent to the
-/// caller. It is the size of the largest event.
-constexpr size_t MaxUnsentBytes = MaxEventBytes;
-/// Part of the caller's timeout reserved for returning the answer.
-constexpr Millis AnswerMargin{15};
-/// Timeout of a request that carries none.
-constexpr Millis DefaultTimeLeft{30'000};
-/// Retry-After while the gateway has no configuration or has not read the
-/// endpoints. Both are read within a second of its start.
-constexpr Millis StartingRetryAfter{500};
 /// Time after SIGTERM during which callers may still connect: the platform
 /// removes a host after two failed probes, one second apart.
 constexpr Millis StopAcceptTime{3'200};
@@ -216,17 +204,6 @@
       static_cast<double>(this->Routes.Version));
 }
 
-void Gateway::refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
-                     std::string_view Reason, Millis RetryAfter) {
-  logLine(LogLevel::Info, "request refused",
-          {{"path", Exchange->request().Path},
-           {"host_header", Exchange->request().Authority},
-           {"status", concat(Status)},
-           {"cause", Reason},
-           {"config", concat(this->Routes.Version)}});
-  Exchange->answer(platform::encodeRefusal(Status, Reason, RetryAfter));
-}
-
 Millis Gateway::stopLimit() const {
   return this->StopRequestedAt + parseGracePeriod(this->Settings.GraceSeconds) -
          StopMargin;
@@ -240,161 +217,6 @@
          (Since < StopAcceptTime && Deadline < this->stopLimit());
 }
 
-void Gateway::refuseStopping(const std::shared_ptr<HttpExchange> &Exchange) {
-  this->Counts.countRefusal(RefusalReason::Leaving);
-  // Another gateway takes the request at once.
-  this->refuse(Exchange, StatusUnavailable, "stopping", Millis{0});
-}
-
-void Gateway::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
-  if (!this->mayStart(steadyNow())) {
-    this->refuseStopping(Exchange);
-    return;
-  }
-  if (this->Routes.Version == 0) {
-    this->Counts.countRefusal(RefusalReason::Starting);
-    this->refuse(Exchange, StatusUnavailable, "starting", StartingRetryAfter);
-    return;
-  }
-  const CallerLimits &Limits = this->Routes.Limits;
-  const HttpRequest &Request = Exchange->request();
-  if (Limits.HeaderBytes > 0 &&
-      platform::headerBytes(Request) > Limits.HeaderBytes) {
-    this->Counts.countRefusal(RefusalReason::TooLarge);
-    this->refuse(Exchange, StatusHeaderTooLarge, "head too large", Millis{0});
-    return;
-  }
-  if (Limits.BodyBytes > 0 &&
-      static_cast<int64_t>(Request.Body.size()) > Limits.BodyBytes) {
-    this->Counts.countRefusal(RefusalReason::TooLarge);
-    this->refuse(Exchange, StatusTooLarge, "body too large", Millis{0});
-    return;
-  }
-  const platform::DecodedRequest Parsed =
-      platform::decodeCallerRequest(Request);
-  if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Parsed))
-    this->onRouted(Exchange, *Routed);
-  else if (const auto *Read = std::get_if<platform::ResultsRead>(&Parsed))
-    this->Batches.readResults(Exchange, *Read);
-  else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Parsed))
-    this->Batches.readBody(Exchange, *Body);
-  else
-    this->Batches.endSubmission(
-        Exchange, std::get<platform::SubmissionEndRequest>(Parsed));
-}
-
-void Gateway::onRouted(const std::shared_ptr<HttpExchange> &Exchange,
-                       const platform::RoutedRequest &Routed) {
-  const HttpRequest &Request = Exchange->request();
-  const Route *MatchedRoute =
-      findRoute(this->Routes, Request.Authority, Request.Path);
-  if (MatchedRoute == nullptr) {
-    this->Counts.countRefusal(RefusalReason::UnknownPath);
-    this->refuse(Exchange, StatusNotFound, "no route", Millis{0});
-    return;
-  }
-  if (MatchedRoute->Kind == RouteKind::Rollout)
-    this->Batches.submit(Exchange, Routed);
-  else
-    this->forward(Exchange, Routed, *MatchedRoute);
-}
-
-void Gateway::forward(const std::shared_ptr<HttpExchange> &Exchange,
-                      const platform::RoutedRequest &Routed,
-                      const Route &MatchedRoute) {
-  const HttpRequest &Request = Exchange->request();
-  const Millis Now = steadyNow();
-  const RequestDigest Digest =
-      digestOf(Request.Authority, Request.Target, Request.Body);
-  if (this->Suspects.isQuarantined(Digest, Now)) {
-    this->Counts.countRefusal(RefusalReason::Quarantined);
-    this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
-    return;
-  }
-  Millis TimeLeft =
-      Routed.TimeLeft == Never ? DefaultTimeLeft : Routed.TimeLeft;
-  if (MatchedRoute.Timeout > Millis{0})
-    TimeLeft = std::min(TimeLeft, MatchedRoute.Timeout);
-  if (!this->mayStart(Now + TimeLeft)) {
-    this->refuseStopping(Exchange);
-    return;
-  }
-  ForwardJob Job;
-  Job.Params.MatchedRoute = MatchedRoute;
-  Job.Params.Service = drawService(MatchedRoute, this->Random());
-  const ServiceInfo *Service = findService(this->Routes, Job.Params.Service);
-  if (Service != nullptr && Service->Engine.has_value())
-    this->EngineUsedAt = Now;
-  Job.Params.ArrivedAt = Now;
-  Job.Params.Deadline = Now + TimeLeft - AnswerMargin;
-  Job.Request.Method = Request.Method;
-  Job.Request.Path = Request.Target;
-  Job.Request.Host = Request.Authority;
-  Job.Request.Headers = Request.Headers;
-  Job.Request.Body = Request.Body;
-  Job.Request.RequestId = Routed.RequestId;
-  Job.Request.ReceivedEvents = Routed.ReceivedEvents;
-  const auto Log =
-      [this, Now, Id = Routed.RequestId, Service = Job.Params.Service,
-       Version = this->Routes.Version](int Status, std::string_view Cause) {
-        const Millis Elapsed = steadyNow() - Now;
-        constexpr double MillisPerSecond = 1000.0;
-        this->RequestSeconds.Observe(static_cast<double>(Elapsed.Count) /
-                                     MillisPerSecond);
-        logLine(LogLevel::Info, "request answered",
-                {{"request_id", Id},
-                 {"service", Service},
-                 {"status", concat(Status)},
-                 {"cause", Cause},
-                 {"took_ms", concat(Elapsed.Count)},
-                 {"config", concat(Version)}});
-      };
-  ForwardCallbacks Callbacks;
-  Callbacks.OnConnectionBroken = [this,
-                                  Digest](const EndpointLifetime &Endpoint) {
-    this->reportBroken(Digest, Endpoint);
-  };
-  Callbacks.OnAnswer = [this, Exchange, Log,
-                        Digest](const HttpResponse &Response) {
-    Log(Response.Status, "endpoint");
-    if (Response.Status < StatusFirstFailure)
-      this->Suspects.succeeded(Digest);
-    Exchange->answer(Response);
-  };
-  Callbacks.OnRefusal = [Exchange, Log](const EndRequest &End) {
-    Log(End.Status, End.Reason);
-    Exchange->answer(
-        platform::encodeRefusal(End.Status, End.Reason, End.RetryAfter));
-  };
-  Callbacks.OnStreamStart = [Exchange](HttpResponse Head) {
-    Exchange->start(std::move(Head));
-  };
-  const auto AssignedId = std::make_shared<ForwardId>();
-  Callbacks.OnStreamEvents = [this, Exchange,
-                              AssignedId](std::string_view Part) {
-    Exchange->write(Part);
-    if (Exchange->unsentBytes() > MaxUnsentBytes)
-      this->Forward.pause(*AssignedId);
-  };
-  Callbacks.OnStreamEnd = [this, Exchange, Log, Digest](bool Complete) {
-    Log(StatusOk, Complete ? "stream ended" : "stream cut off");
-    if (Complete) {
-      this->Suspects.succeeded(Digest);
-      Exchange->finish();
-    } else {
-      Exchange->abort();
-    }
-  };
-  const ForwardId Id =
-      this->Forward.start(std::move(Job), std::move(Callbacks));
-  *AssignedId = Id;
-  Exchange->onDrained([this, Id] { this->Forward.resume(Id); });
-  Exchange->onGone([this, Id, Request = Routed.RequestId] {
-    logLine(LogLevel::Info, "caller left", {{"request_id", Request}});
-    this->Forward.cancel(Id);
-  });
-}
-
 void Gateway::onPublished(const KeyedRecord &Record) {
   if (!this->Values.update(Record))
     return;
