Feature: [Gateway] Client accounts and API keys

Change: a table from key digests to accounts for each configuration; the gateway that a caller reached decides by it, 401 for unknown and missing keys, 503 while the configuration may be old. Endpoints get the account's name and no credentials. A submission belongs to the account that submitted it, by its id within the system and its record. An account's priority replaces the route's. Without accounts in the configuration the path is unchanged.

--- a/packages/base/http_status_type.h
+++ b/packages/base/http_status_type.h
@@ -11,6 +11,7 @@
 /// The lowest status that is not a success.
 inline constexpr int StatusFirstFailure = 300;
 inline constexpr int StatusBadRequest = 400;
+inline constexpr int StatusUnauthorized = 401;
 inline constexpr int StatusNotFound = 404;
 inline constexpr int StatusConflict = 409;
 inline constexpr int StatusGone = 410;
--- a/packages/base/refusal_type.h
+++ b/packages/base/refusal_type.h
@@ -42,6 +42,7 @@
   Cancelled,
   Internal,
   Preempted,
+  Unauthorized,
 };
 
 /// A refusal, as it is passed on to the caller.
--- a/packages/base/table/refusal_reasons.h
+++ b/packages/base/table/refusal_reasons.h
@@ -73,6 +73,8 @@
                 "report the request id to the operators"},
     RefusalSpec{RefusalReason::Preempted, "preempted", 503,
                 "retry; the output kept so far is resumed"},
+    RefusalSpec{RefusalReason::Unauthorized, "unauthorized", 401,
+                "send an API key of a client account"},
 };
 
 } // namespace camphornotch
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/accounts/access_func.h"
 #include "core/gateway/route_func.h"
 #include "core/store/member_func.h"
 
@@ -164,11 +165,12 @@
   std::set<ItemId> Resubmitted;
   for (const wire::BatchItemField &Item : State->Record.Items) {
     const ItemId Name{Item.Id};
-    if (!this->Leftovers.table().contains(Name))
+    const ItemId LeftoverId{accountScopedId(State->Record.Account, Item.Id)};
+    if (!this->Leftovers.table().contains(LeftoverId))
       continue;
     Resubmitted.insert(Name);
     const StoredText *Text = this->Leftovers.table().longestUsable(
-        Name, State->Record.MinVersion, Single);
+        LeftoverId, State->Record.MinVersion, Single);
     if (Text != nullptr && !State->Positions.contains(Name))
       this->Items.restoreText(ItemKey{Id, Name}, *Text);
   }
--- a/packages/gateway/batch_peer.cpp
+++ b/packages/gateway/batch_peer.cpp
@@ -34,6 +34,21 @@
   return std::nullopt;
 }
 
+/// Sets the submission that a peer's call concerns. The path of the call has
+/// the caller's id, which lacks the account.
+/// @param Id the id within this system; empty: that of the path stays.
+void setSubmission(platform::DecodedRequest &Ask, std::string_view Id) {
+  if (Id.empty())
+    return;
+  const SubmissionId Named{std::string(Id)};
+  if (auto *Read = std::get_if<platform::ResultsRead>(&Ask))
+    Read->Id = Named;
+  else if (auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
+    Body->Key.Submission = Named;
+  else if (auto *Ending = std::get_if<platform::SubmissionEndRequest>(&Ask))
+    Ending->Id = Named;
+}
+
 /// Answers a peer's request with an error.
 void refusePeer(const std::shared_ptr<HttpExchange> &Exchange, int Status,
                 std::string_view Reason) {
@@ -74,6 +89,7 @@
   const PartitionId Partition = this->partitionOf(Id);
   OwnerCall Call;
   Call.Partition = Partition;
+  Call.Submission = Id;
   Call.Exchange = Exchange;
   Call.Wait = Wait;
   Call.ServeIfFollowed = [this, Partition, ServeLocally] {
@@ -94,7 +110,8 @@
 
 void BatchTask::onPeerRequest(const std::shared_ptr<HttpExchange> &Exchange) {
   const HttpRequest &Request = Exchange->request();
-  const platform::DecodedRequest Ask = platform::decodeCallerRequest(Request);
+  platform::DecodedRequest Ask = platform::decodeCallerRequest(Request);
+  setSubmission(Ask, requestedSubmissionId(Request));
   const std::optional<SubmissionId> Id = requestedSubmission(Ask);
   if (!Id.has_value() || requestedMember(Request) != this->member()) {
     refusePeer(Exchange, StatusMisdirected, "not a call for this member");
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -57,8 +57,12 @@
 
   /// Appends a submission to its partition and answers once that is
   /// acknowledged.
+  /// @param Request its id is that of the submission, as accountScopedId()
+  ///   makes it.
+  /// @param AccountName the account that submits; empty: accounts are not used.
   void submit(const std::shared_ptr<HttpExchange> &Exchange,
-              const platform::RoutedRequest &Request);
+              const platform::RoutedRequest &Request,
+              const std::string &AccountName);
 
   /// Serves a read of results, here or at the partition's owner.
   void readResults(const std::shared_ptr<HttpExchange> &Exchange,
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -46,9 +46,9 @@
     : Events(Events), Settings(Settings), Http(Events), StoreHttp(Events),
       Store(Events, StoreHttp,
             HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
-      Pool(
-          Geography{Settings.Common.DataCentre, parseRegions(Settings.Regions)},
-          parseEndpointChoice(Settings.EndpointChoice)),
+      Access(Counts), Pool(Geography{Settings.Common.DataCentre,
+                                     parseRegions(Settings.Regions)},
+                           parseEndpointChoice(Settings.EndpointChoice)),
       Peers(Events, this->Settings.Common, Store, Values,
             PeerTaskCallbacks{[this](const KeyedRecord &Record) {
                                 this->onPublished(Record);
@@ -242,6 +242,12 @@
            {"offset", concat(Record.Offset)},
            {"routes", concat(Decoded.value().Routes.size())}});
   this->Routes = std::move(Decoded.value());
+  if (this->Routes.Accounts != nullptr)
+    for (const KeyConflict &Each : this->Routes.Accounts->conflicts())
+      logLine(LogLevel::Warn, "key of two accounts; the first one keeps it",
+              {{"account", Each.Kept},
+               {"ignored_account", Each.Ignored},
+               {"version", concat(this->Routes.Version)}});
   this->CallerServer->setTimeouts(this->Routes.Limits.HeaderTimeout,
                                   this->Routes.Limits.IdleTimeout);
   this->connectLoaders();
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -7,6 +7,7 @@
 #include "base/settings_type.h"
 #include "core/gateway/suspect_table_base.h"
 #include "gateway/batch_task_base.h"
+#include "gateway/caller_access_base.h"
 #include "gateway/directory_task_base.h"
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
@@ -14,6 +15,7 @@
 #include "net/http_server_base.h"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -42,10 +44,20 @@
   void setGauges();
   void onRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void onRouted(const std::shared_ptr<HttpExchange> &Exchange,
-                const platform::RoutedRequest &Routed);
+                platform::RoutedRequest Routed);
+  /// Serves a call about a submission or one of its items.
+  void onSubmissionCall(const std::shared_ptr<HttpExchange> &Exchange,
+                        platform::DecodedRequest Call);
+  /// Checks the request's key and refuses the request without access.
+  /// @param MatchedRoute the request's route; null: a call about a submission.
+  /// @return the name of the request's account, empty if it has none; nothing
+  ///   if it was refused.
+  std::optional<std::string>
+  admit(const std::shared_ptr<HttpExchange> &Exchange,
+        const Route *MatchedRoute);
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
-               const platform::RoutedRequest &Routed,
-               const Route &MatchedRoute);
+               const platform::RoutedRequest &Routed, const Route &MatchedRoute,
+               const std::string &AccountName);
   /// @param RetryAfter the Retry-After of the answer; 0: none.
   void refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
               std::string_view Reason, Millis RetryAfter);
@@ -92,6 +104,7 @@
   platform::StoreClient Store;
   PublishedValues Values;
   RouteTable Routes;
+  CallerAccess Access;
   EndpointPool Pool;
   /// Requests during which connections to endpoints broke.
   SuspectTable Suspects;
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -70,21 +70,50 @@
     this->refuse(Exchange, StatusTooLarge, "body too large", Millis{0});
     return;
   }
-  const platform::DecodedRequest Parsed =
-      platform::decodeCallerRequest(Request);
-  if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Parsed))
-    this->onRouted(Exchange, *Routed);
-  else if (const auto *Read = std::get_if<platform::ResultsRead>(&Parsed))
+  platform::DecodedRequest Parsed = platform::decodeCallerRequest(Request);
+  if (auto *Routed = std::get_if<platform::RoutedRequest>(&Parsed))
+    this->onRouted(Exchange, std::move(*Routed));
+  else
+    this->onSubmissionCall(Exchange, std::move(Parsed));
+}
+
+std::optional<std::string>
+Gateway::admit(const std::shared_ptr<HttpExchange> &Exchange,
+               const Route *MatchedRoute) {
+  const AccessDecision Decision =
+      this->Access.check(Exchange->request(), this->Routes, MatchedRoute,
+                         this->Published.available());
+  if (Decision.isAllowed())
+    return Decision.Caller == nullptr ? std::string() : Decision.Caller->Name;
+  const AccessRefusal Refusal = accessRefusal(Decision.Outcome);
+  this->Counts.countRefusal(Refusal.Reason);
+  this->refuse(Exchange, Refusal.Status, Refusal.Cause, Refusal.RetryAfter);
+  return std::nullopt;
+}
+
+void Gateway::onSubmissionCall(const std::shared_ptr<HttpExchange> &Exchange,
+                               platform::DecodedRequest Call) {
+  const std::optional<std::string> AccountName = this->admit(Exchange, nullptr);
+  if (!AccountName.has_value())
+    return;
+  const auto Scope = [&AccountName](SubmissionId &Id) {
+    Id.Value = accountScopedId(*AccountName, Id.Value);
+  };
+  if (auto *Read = std::get_if<platform::ResultsRead>(&Call)) {
+    Scope(Read->Id);
     this->Batches.readResults(Exchange, *Read);
-  else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Parsed))
+  } else if (auto *Body = std::get_if<platform::ItemBodyRead>(&Call)) {
+    Scope(Body->Key.Submission);
     this->Batches.readBody(Exchange, *Body);
-  else
-    this->Batches.endSubmission(
-        Exchange, std::get<platform::SubmissionEndRequest>(Parsed));
+  } else {
+    auto &Ending = std::get<platform::SubmissionEndRequest>(Call);
+    Scope(Ending.Id);
+    this->Batches.endSubmission(Exchange, Ending);
+  }
 }
 
 void Gateway::onRouted(const std::shared_ptr<HttpExchange> &Exchange,
-                       const platform::RoutedRequest &Routed) {
+                       platform::RoutedRequest Routed) {
   const HttpRequest &Request = Exchange->request();
   const Route *MatchedRoute =
       findRoute(this->Routes, Request.Authority, Request.Path);
@@ -93,15 +122,23 @@
     this->refuse(Exchange, StatusNotFound, "no route", Millis{0});
     return;
   }
-  if (MatchedRoute->Kind == RouteKind::Rollout)
-    this->Batches.submit(Exchange, Routed);
-  else
-    this->forward(Exchange, Routed, *MatchedRoute);
+  const std::optional<std::string> AccountName =
+      this->admit(Exchange, MatchedRoute);
+  if (!AccountName.has_value())
+    return;
+  if (MatchedRoute->Kind != RouteKind::Rollout) {
+    this->forward(Exchange, Routed, *MatchedRoute, *AccountName);
+    return;
+  }
+  if (!Routed.RequestId.empty())
+    Routed.RequestId = accountScopedId(*AccountName, Routed.RequestId);
+  this->Batches.submit(Exchange, Routed, *AccountName);
 }
 
 void Gateway::forward(const std::shared_ptr<HttpExchange> &Exchange,
                       const platform::RoutedRequest &Routed,
-                      const Route &MatchedRoute) {
+                      const Route &MatchedRoute,
+                      const std::string &AccountName) {
   const HttpRequest &Request = Exchange->request();
   const Millis Now = steadyNow();
   const RequestDigest Digest =
@@ -133,22 +170,26 @@
   Job.Request.Headers = Request.Headers;
   Job.Request.Body = Request.Body;
   Job.Request.RequestId = Routed.RequestId;
+  Job.Request.HasAccounts = this->Routes.Accounts != nullptr;
+  Job.Request.Account = AccountName;
   Job.Request.ReceivedEvents = Routed.ReceivedEvents;
-  const auto Log =
-      [this, Now, Id = Routed.RequestId, Service = Job.Params.Service,
-       Version = this->Routes.Version](int Status, std::string_view Cause) {
-        const Millis Elapsed = steadyNow() - Now;
-        constexpr double MillisPerSecond = 1000.0;
-        this->RequestSeconds.Observe(static_cast<double>(Elapsed.Count) /
-                                     MillisPerSecond);
-        logLine(LogLevel::Info, "request answered",
-                {{"request_id", Id},
-                 {"service", Service},
-                 {"status", concat(Status)},
-                 {"cause", Cause},
-                 {"took_ms", concat(Elapsed.Count)},
-                 {"config", concat(Version)}});
-      };
+  const auto Log = [this, Now, AccountName, Id = Routed.RequestId,
+                    Service = Job.Params.Service,
+                    Version = this->Routes.Version](int Status,
+                                                    std::string_view Cause) {
+    const Millis Elapsed = steadyNow() - Now;
+    constexpr double MillisPerSecond = 1000.0;
+    this->RequestSeconds.Observe(static_cast<double>(Elapsed.Count) /
+                                 MillisPerSecond);
+    logLine(LogLevel::Info, "request answered",
+            {{"request_id", Id},
+             {"service", Service},
+             {"account", AccountName},
+             {"status", concat(Status)},
+             {"cause", Cause},
+             {"took_ms", concat(Elapsed.Count)},
+             {"config", concat(Version)}});
+  };
   ForwardCallbacks Callbacks;
   Callbacks.OnConnectionBroken = [this,
                                   Digest](const EndpointLifetime &Endpoint) {
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/accounts/access_func.h"
 #include "core/batch/fresh_run_func.h"
 
 namespace camphornotch {
@@ -55,7 +56,9 @@
     const auto Done = this->Finished.find(Key);
     const auto Running = this->Runs.find(Key);
     wire::LeftoverText Text;
-    Text.Item = Item.Id;
+    const std::string LeftoverId =
+        accountScopedId(State.Record.Account, Item.Id);
+    Text.Item = LeftoverId;
     Text.Whole = Done != this->Finished.end() ||
                  (Running != this->Runs.end() && Running->second.Complete);
     if (Done != this->Finished.end())
@@ -64,8 +67,10 @@
       Text.Events = Running->second.Events;
     Record.Texts.push_back(std::move(Text));
     if (std::optional<wire::LeftoverText> SecondText =
-            this->Reruns.leftover(Key))
+            this->Reruns.leftover(Key)) {
+      SecondText->Item = LeftoverId;
       Record.Texts.push_back(std::move(*SecondText));
+    }
   }
   return Record;
 }
--- a/packages/gateway/item_request_func.cpp
+++ b/packages/gateway/item_request_func.cpp
@@ -25,6 +25,8 @@
   for (const wire::HeaderField &Header : Item.Headers)
     Request.Headers.push_back(HttpHeader{Header.Name, Header.Value});
   Request.Body = Item.Body;
+  Request.HasAccounts = State.Record.__isset.Account;
+  Request.Account = State.Record.Account;
   Request.RequestId = Item.Id;
   Request.ReceivedEvents = static_cast<int64_t>(EventsHad);
   HttpCall Call = platform::encodeEngineRequest(Request);
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -48,6 +48,18 @@
   return Found == this->Runs.end() ? nullptr : &Found->second;
 }
 
+Route ItemTask::routeFor(const SubmissionState &State,
+                         const Route &MatchedRoute) const {
+  Route Effective = MatchedRoute;
+  const AccountTable *Accounts = this->Callbacks.CurrentRoutes().Accounts.get();
+  const Account *Owner = Accounts == nullptr
+                             ? nullptr
+                             : Accounts->findByName(State.Record.Account);
+  if (Owner != nullptr && Owner->Priority.has_value())
+    Effective.Priority = *Owner->Priority;
+  return Effective;
+}
+
 bool ItemTask::addSubmission(const SubmissionState &State,
                              const std::set<ItemId> &Resubmitted) {
   const Route *MatchedRoute = findRoute(this->Callbacks.CurrentRoutes(),
@@ -57,7 +69,7 @@
             {{"submission", State.Record.Id}});
     return false;
   }
-  this->Scheduler.add(State, *MatchedRoute, Resubmitted);
+  this->Scheduler.add(State, this->routeFor(State, *MatchedRoute), Resubmitted);
   this->scheduleStart();
   return true;
 }
@@ -70,7 +82,8 @@
                          : findRoute(this->Callbacks.CurrentRoutes(),
                                      State->Record.Host, State->Record.Path);
     // Items of a removed route keep what it said last.
-    if (Current == nullptr || !this->Scheduler.updateRoute(Id, *Current))
+    if (Current == nullptr ||
+        !this->Scheduler.updateRoute(Id, this->routeFor(*State, *Current)))
       continue;
     logLine(LogLevel::Info, "items follow their route to another service",
             {{"submission", Id.Value},
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -132,6 +132,10 @@
     Millis At{0};
   };
 
+  /// @param MatchedRoute the submission's route.
+  /// @return the route with the priority of the submission's account, if the
+  ///   account has one.
+  Route routeFor(const SubmissionState &State, const Route &MatchedRoute) const;
   /// Sends an item to the engine that the scheduler chose.
   void startRun(const ItemStart &Start);
   void onHead(const ItemKey &Key, const HttpResponse &Response);
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -41,6 +41,10 @@
 
   void begin();
 
+  /// @return whether the store answered the last read, so that a new record
+  ///   would be known.
+  bool available() const { return this->Available; }
+
 private:
   /// Reads a page of newest records.
   /// @param AfterKey the last key of the page before; empty: the first page.
--- a/packages/gateway/owner_call_base.cpp
+++ b/packages/gateway/owner_call_base.cpp
@@ -17,6 +17,9 @@
 
 /// Names the requested member, in calls and answers.
 constexpr const char *MemberHeader = "x-asked-member";
+/// The submission's id within this system, which the path of a caller's call
+/// does not have.
+constexpr const char *SubmissionHeader = "x-asked-submission";
 /// Time for an owner's answer beyond OwnerCall::Wait: the delay between regions
 /// and a read of the store.
 constexpr Millis AnswerMargin{1'000};
@@ -51,6 +54,10 @@
   return findHeader(Request.Headers, MemberHeader);
 }
 
+std::string_view requestedSubmissionId(const HttpRequest &Request) {
+  return findHeader(Request.Headers, SubmissionHeader);
+}
+
 void addMemberHeader(const HttpRequest &Request, HttpResponse &Response) {
   const std::string_view Member = requestedMember(Request);
   if (!Member.empty())
@@ -124,6 +131,8 @@
   HttpCall Forwarded = platform::encodePeerRequest(Call.Exchange->request());
   Forwarded.Target = HttpTarget{Owner.PeerAddress.Ip, Owner.PeerAddress.Port};
   Forwarded.Headers.push_back(HttpHeader{MemberHeader, Owner.Name});
+  Forwarded.Headers.push_back(
+      HttpHeader{SubmissionHeader, Call.Submission.Value});
   Forwarded.Timeout = Call.Wait + AnswerMargin;
   Forwarded.ConnectTimeout = ConnectTimeout;
   Forwarded.Reuse = !NewConnection;
--- a/packages/gateway/owner_call_base.h
+++ b/packages/gateway/owner_call_base.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_GATEWAY_OWNER_CALL_BASE_H
 #define CAMPHORNOTCH_GATEWAY_OWNER_CALL_BASE_H
 
+#include "core/batch/batch_type.h"
 #include "core/batch/owner_table_base.h"
 #include "net/http_client_base.h"
 #include "net/http_server_base.h"
@@ -20,6 +21,8 @@
 /// A call about a partition that another process owns.
 struct OwnerCall {
   PartitionId Partition;
+  /// The submission that the call concerns.
+  SubmissionId Submission;
   std::shared_ptr<HttpExchange> Exchange;
   /// Time that the owner may need, without the network delay.
   Millis Wait{0};
@@ -114,6 +117,10 @@
 /// named.
 std::string_view requestedMember(const HttpRequest &Request);
 
+/// @return the id of the submission that a peer's request concerns; empty: the
+/// request names it in its path alone.
+std::string_view requestedSubmissionId(const HttpRequest &Request);
+
 /// Names the requested member in an answer to a peer, so that the peer notices
 /// when another process now listens at the address.
 void addMemberHeader(const HttpRequest &Request, HttpResponse &Response);
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -82,6 +82,8 @@
   int ScoreStatus = 200;
   /// The last request's path and query.
   std::string LastTarget;
+  /// The headers of the requests so far, scoring calls included, by request id.
+  std::map<std::string, HttpHeaders> HeadersById;
   /// By item, for each run the last event that the gateway already had.
   std::map<std::string, std::vector<int64_t>> Runs;
   /// Streams that wait for release().
@@ -93,6 +95,7 @@
     this->LastTarget = Request.Target;
     const std::string Id(
         findHeader(Request.Headers, "x-camphornotch-request-id"));
+    this->HeadersById[Id] = Request.Headers;
     HttpResponse Head;
     Head.Headers = {{"X-Camphornotch-Request-Id", Id},
                     {"X-Camphornotch-Response-Signature", "receipt-" + Id}};
@@ -288,7 +291,7 @@
     const platform::DecodedRequest Ask =
         platform::decodeCallerRequest(Exchange->request());
     if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Ask))
-      this->Batches->submit(Exchange, *Routed);
+      this->Batches->submit(Exchange, *Routed, "");
     else if (const auto *Read = std::get_if<platform::ResultsRead>(&Ask))
       this->Batches->readResults(Exchange, *Read);
     else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -2,9 +2,8 @@
 /// A whole gateway process: its answers to invalid requests, and before and
 /// after it has a configuration.
 
-#include "gateway/gateway_base.h"
-#include "gateway_fixture.h"
 #include "tests/net/scripted_server.h"
+#include "whole_gateway_fixture.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -25,75 +24,6 @@
  "limits":{"header_bytes":1000,"body_bytes":2000,"header_timeout_ms":200,
    "idle_timeout_ms":600000}})";
 
-/// A gateway with a stand-in of the store.
-struct WholeGateway {
-  Loop Events;
-  standin::StandinStoreServer Store{this->Events, 2};
-  std::unique_ptr<Gateway> Tested;
-  HttpClient Caller{this->Events};
-
-  /// Starts the gateway without a configuration.
-  WholeGateway() {
-    GatewaySettings Settings;
-    Settings.Common.Host = "gateway-1";
-    Settings.Common.DataCentre = "dc";
-    Settings.Common.ListenHttp = Address{"127.0.0.1", 0};
-    Settings.Common.ListenLinks = Address{"127.0.0.1", 0};
-    Settings.Common.Heartbeat = Millis{500};
-    Settings.Common.LinkSilence = seconds(2);
-    Settings.ListenPeers = Address{"127.0.0.1", 0};
-    Settings.Front = Address{"127.0.0.1", 0};
-    Settings.Store = Address{"127.0.0.1", this->Store.target().Port};
-    Settings.GraceSeconds = "8";
-    Settings.Partitions = 2;
-    Settings.RecordBytes = 4096;
-    Settings.SubmissionLifetime = seconds(60);
-    Settings.EndpointChoice = "expected_time";
-    Settings.ItemOrder = "wanted_groups";
-    this->Tested = std::make_unique<Gateway>(this->Events, Settings);
-    cr_assert(this->Tested->begin().has_value());
-  }
-
-  /// Publishes the configuration and waits until the gateway uses it.
-  void configure() {
-    this->Store.put("keyed.op", "config", ConfigText);
-    cr_assert(turnUntil(this->Events, [this] {
-      return this->ask("GET", "/nowhere/", {}).Status == 404;
-    }));
-  }
-
-  /// Registers an endpoint.
-  void registerEndpoint(const std::string &Id, uint16_t Port) {
-    this->Store.put("keyed.servers", Id,
-                    R"({"service":"s","zone":"dc","slots":8,"state":"ready",)"
-                    R"("born":1,"address":"127.0.0.1:)" +
-                        std::to_string(Port) + R"("})");
-  }
-
-  /// Registers an engine as an endpoint and waits until it receives requests.
-  void addEngine(const FakeEngine &Engine) {
-    this->registerEndpoint("i-1", Engine.where().Port);
-    cr_assert(turnUntil(this->Events, [this] {
-      return this->ask("GET", "/a/x", {}).Status == 200;
-    }));
-  }
-
-  /// @return the answer; status 0 if there was none.
-  HttpResponse ask(std::string Method, std::string Path, std::string Body,
-                   HttpHeaders Headers = {}) {
-    HttpCall Call;
-    Call.Target = this->Tested->callerTarget();
-    Call.Host = "h";
-    Call.Method = std::move(Method);
-    Call.Path = std::move(Path);
-    Call.Body = std::move(Body);
-    Call.Headers = std::move(Headers);
-    Call.Headers.push_back({"X-Camphornotch-Request-Id", "r1"});
-    Call.Reuse = false;
-    return answerTo(this->Events, this->Caller, std::move(Call));
-  }
-};
-
 /// An endpoint that resets the connection on each request.
 struct BreakingEndpoint {
   Loop &Events;
@@ -124,13 +54,13 @@
 
 Test(gateway, pathWithoutRoute_answers404) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   cr_assert_eq(Net.ask("GET", "/c/x", {}).Status, 404);
 }
 
 Test(gateway, bodyOverTheLimit_answers413AndStoresNothing) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   for (const char *Path : {"/a/x", "/b/x"}) {
     cr_assert_eq(Net.ask("POST", Path, std::string(2001, 'x')).Status, 413);
     cr_assert_neq(Net.ask("POST", Path, std::string(2000, 'x')).Status, 413);
@@ -141,7 +71,7 @@
 
 Test(gateway, headOverTheLimit_answers431) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   cr_assert_eq(
       Net.ask("GET", "/a/x", {}, {{"x-long", std::string(1001, 'x')}}).Status,
       431);
@@ -150,7 +80,7 @@
 
 Test(gateway, slowHead_isClosedAtTheLimitOfTheConfiguration) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   PlainSocket Client(Net.Tested->callerTarget().Port);
   Client.send("GET /a/x HTTP/1.1\r\nhost: h\r\n");
   cr_assert(turnUntil(Net.Events, [&] { return Client.ended(); }));
@@ -158,7 +88,7 @@
 
 Test(gateway, submissionThatCannotBeRead_answers400WithTheReason) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   const HttpResponse Answer = Net.ask("POST", "/b/x", "{\"items\":5}");
   cr_assert_eq(Answer.Status, 400);
   cr_assert(!Answer.Body.empty());
@@ -166,7 +96,7 @@
 
 Test(gateway, noEndpoint_isRefusedAtOnceAsNotRun) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   const HttpResponse Answer = Net.ask("GET", "/a/x", {});
   cr_assert_eq(Answer.Status, 503);
   cr_assert(!findHeader(Answer.Headers, "retry-after").empty());
@@ -175,7 +105,7 @@
 Test(gateway, callerThatLeaves_endsTheCallAtTheEndpoint) {
   WholeGateway Net;
   FakeEngine Engine(Net.Events);
-  Net.configure();
+  Net.configure(ConfigText);
   Net.addEngine(Engine);
   Engine.Hold = true;
   PlainSocket Client(Net.Tested->callerTarget().Port);
@@ -188,7 +118,7 @@
 
 Test(gateway, streamOfASlowCaller_isThrottledAndArrivesComplete) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   ScriptedServer Engine;
   Net.registerEndpoint("i-1", Engine.target().Port);
   std::unique_ptr<PlainSocket> Caller;
@@ -235,7 +165,7 @@
 
 Test(gateway, requestThatBrokeThreeEndpoints_reachesNoOther) {
   WholeGateway Net;
-  Net.configure();
+  Net.configure(ConfigText);
   std::vector<std::unique_ptr<BreakingEndpoint>> Endpoints;
   for (const char *Id : {"i-1", "i-2", "i-3"}) {
     Endpoints.push_back(std::make_unique<BreakingEndpoint>(Net.Events));
@@ -280,7 +210,7 @@
   };
   // Some are in the list of the newest records, others follow one by one.
   PutOdd("a");
-  Net.configure();
+  Net.configure(ConfigText);
   FakeEngine Engine(Net.Events);
   PutOdd("b");
   Net.addEngine(Engine);
@@ -299,7 +229,7 @@
 Test(gateway, stoppingBesideAnOpenStream_takesNoRequestThatItMightCutOff) {
   WholeGateway Net;
   FakeEngine Engine(Net.Events);
-  Net.configure();
+  Net.configure(ConfigText);
   Net.addEngine(Engine);
   Engine.Hold = true;
   const uint16_t Port = Net.Tested->callerTarget().Port;
@@ -331,7 +261,7 @@
 Test(gateway, engineThatLeavesWhileTheStoreIsAway_getsNoFurtherRequest) {
   WholeGateway Net;
   FakeEngine Engine(Net.Events);
-  Net.configure();
+  Net.configure(ConfigText);
   Net.addEngine(Engine);
   Net.Store.Silent = true;
   Engine.Leaving = true;
@@ -356,7 +286,7 @@
 Test(gateway, anyTarget_reachesTheEndpointByteForByte) {
   WholeGateway Net;
   FakeEngine Engine(Net.Events);
-  Net.configure();
+  Net.configure(ConfigText);
   Net.addEngine(Engine);
   for (const std::string Target :
        {"/a/x", "/a/x?", "/a/x??", "/a/x?a=b&c", "/a/x?a=b?", "/a//x/./y/../z",
