Feature: [Loader] Usage reports by one process, settled before they are sent

Change: the loaders of three engines compete for the duty by records with conditions in the store; the holder adds up the gateways' counts, settles a window in the store 3 s after its end and reports what is settled until it is acknowledged. Windows follow the median of the hosts' clocks. Without an interface in the settings nothing of this runs. The test of a silent store found that one lost record of a report stopped all later ones.

--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -287,6 +287,12 @@
       (!absl::SimpleAtod(toAbsl(Draft.Gateway.GraceSeconds), &Grace) ||
        Grace <= 0))
     Add("[gateway] grace_s is no number of seconds", "write one above 0");
+  double Window = 0;
+  if (!Common.UsageWindowSeconds.empty() &&
+      (!absl::SimpleAtod(toAbsl(Common.UsageWindowSeconds), &Window) ||
+       Window < 1))
+    Add("[duties] usage_window_s is no number of seconds",
+        "write one of at least 1");
   if (Draft.Agent.ShortReserve > Draft.Agent.Slots)
     Add("[endpoint] short_reserve is above slots",
         "keep short_reserve below slots");
--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -33,6 +33,10 @@
   Address LogService;
   /// The address of the host list; required for entries.
   Address HostList;
+  /// The operator's interface for duties; port 0: there are no duties.
+  Address DutyService;
+  /// Length of a window of usage reports, in seconds; empty: 5.
+  std::string UsageWindowSeconds;
   /// The address of the weight store; empty: versions come from the log.
   Address WeightStore;
   /// Time between heartbeats of a link.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -76,6 +76,13 @@
                 "", "The log service; entries need it."},
     SettingSpec{"platform", "host_list", &CommonSettings::HostList, "", 0, 0,
                 "", "The host list; entries need it."},
+    SettingSpec{"duties", "service", &CommonSettings::DutyService, "", 0, 0,
+                "",
+                "The operator's interface for duties (gateways and loaders); empty: there are no duties."},
+    SettingSpec{"duties", "usage_window_s",
+                &CommonSettings::UsageWindowSeconds, "", 0, 0, "",
+                "Seconds of one window of usage reports; empty: 5."},
+
     SettingSpec{"platform", "weight_store", &CommonSettings::WeightStore, "",
                 0, 0, "", "The weight store; empty: versions come from the log."},
     SettingSpec{"platform", "log_retention_ms", &CommonSettings::LogRetention,
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -169,6 +169,8 @@
   Current.SentAt = Now;
   Current.Call = this->Http.start(std::move(Call), std::move(Callbacks));
   Active.Attempts.emplace(Number, std::move(Current));
+  if (Active.Callbacks.OnAttemptSent)
+    Active.Callbacks.OnAttemptSent(Number, State->Distance);
 }
 
 void ForwardTask::onHead(ForwardId Id, uint64_t Number,
@@ -336,6 +338,10 @@
     return;
   const Attempt Current = std::move(Active->Attempts.at(Number));
   Active->Attempts.erase(Number);
+  const bool DidNotRun =
+      End == AttemptOutcome::NotSent || End == AttemptOutcome::Refused;
+  if (DidNotRun && Active->Callbacks.OnAttemptNotRun)
+    Active->Callbacks.OnAttemptNotRun(Number);
   const Millis Now = steadyNow();
   this->Pool.workEnded(Current.Endpoint, Work, Millis{0}, Now);
   Active->Plan.attemptEnded(Current.Endpoint, End);
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -45,6 +45,10 @@
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
   std::function<bool()> MaySend;
+  /// An attempt was sent to an endpoint. Optional.
+  std::function<void(uint64_t Number, NetworkDistance)> OnAttemptSent;
+  /// An attempt did not reach its endpoint, or was not run there. Optional.
+  std::function<void(uint64_t Number)> OnAttemptNotRun;
   /// The head of a stream arrived.
   std::function<void(HttpResponse)> OnStreamStart;
   /// Complete events of a stream arrived.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -49,30 +49,41 @@
       Access(Counts), Pool(Geography{Settings.Common.DataCentre,
                                      parseRegions(Settings.Regions)},
                            parseEndpointChoice(Settings.EndpointChoice)),
-      Peers(Events, this->Settings.Common, Store, Values,
-            PeerTaskCallbacks{[this](const KeyedRecord &Record) {
-                                this->onPublished(Record);
-                              },
-                              [this](const wire::EngineStatePush &State) {
-                                this->onEngineState(State);
-                              },
-                              [](const wire::WeightsAnnounce &) {},
-                              [this](const wire::CrashReport &Report) {
-                                for (const int64_t Digest : Report.Digests)
-                                  this->Suspects.add(RequestDigest{Digest},
-                                                     brokenLifetime(Report),
-                                                     steadyNow());
-                              },
-                              [this](const HostId &) {
-                                const std::map<std::string, int64_t> Known =
-                                    this->RequiredVersions;
-                                this->RequiredVersions.clear();
-                                for (const auto &[Model, Version] : Known)
-                                  this->requireVersion(Model, Version);
-                              },
-                              {},
-                              {},
-                              [this] { return this->wantsLoad(); }}),
+      Usage(Events, this->Settings.Common,
+            [this](const HostId &Peer, const wire::PeerMessage &Message) {
+              this->Peers.send(Peer, Message);
+            }),
+      Peers(
+          Events, this->Settings.Common, Store, Values,
+          PeerTaskCallbacks{
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [this](const wire::EngineStatePush &State) {
+                this->onEngineState(State);
+              },
+              [](const wire::WeightsAnnounce &) {},
+              [this](const wire::CrashReport &Report) {
+                for (const int64_t Digest : Report.Digests)
+                  this->Suspects.add(RequestDigest{Digest},
+                                     brokenLifetime(Report), steadyNow());
+              },
+              [this](const HostId &) {
+                const std::map<std::string, int64_t> Known =
+                    this->RequiredVersions;
+                this->RequiredVersions.clear();
+                for (const auto &[Model, Version] : Known)
+                  this->requireVersion(Model, Version);
+              },
+              [this](const HostId &Peer) { this->Usage.onLinkDown(Peer); },
+              {},
+              [this] { return this->wantsLoad(); },
+              Usage.enabled(),
+              [this](const HostId &Peer, int64_t WallMs) {
+                this->Usage.onWallClock(Peer, WallMs);
+              },
+              {},
+              [this](const HostId &Peer, const wire::DutyHolderPush &Holder) {
+                this->Usage.onHolder(Peer, Holder);
+              }}),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -12,6 +12,7 @@
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "gateway/usage_task_base.h"
 #include "net/http_server_base.h"
 
 #include <memory>
@@ -108,6 +109,8 @@
   EndpointPool Pool;
   /// Requests during which connections to endpoints broke.
   SuspectTable Suspects;
+  /// Counts the requests of client accounts.
+  UsageTask Usage;
   PeerTask Peers;
   /// Link addresses of the connected loaders.
   std::set<HttpTarget> Loaders;
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -226,6 +226,7 @@
       Exchange->abort();
     }
   };
+  this->Usage.count(AccountName, Callbacks);
   const ForwardId Id =
       this->Forward.start(std::move(Job), std::move(Callbacks));
   *AssignedId = Id;
--- a/packages/gateway/gateway_settings_func.cpp
+++ b/packages/gateway/gateway_settings_func.cpp
@@ -13,6 +13,12 @@
 
 namespace camphornotch {
 
+namespace {
+
+constexpr Millis DefaultUsageWindow{5'000};
+
+} // namespace
+
 std::map<std::string, std::string> parseRegions(std::string_view Text) {
   std::map<std::string, std::string> Regions;
   for (const absl::string_view Part : absl::StrSplit(toAbsl(Text), ',')) {
@@ -40,4 +46,8 @@
   return Millis{static_cast<int64_t>(Value * MillisPerSecond)};
 }
 
+Millis parseUsageWindow(std::string_view Seconds) {
+  return Seconds.empty() ? DefaultUsageWindow : parseGracePeriod(Seconds);
+}
+
 } // namespace camphornotch
--- a/packages/gateway/gateway_settings_func.h
+++ b/packages/gateway/gateway_settings_func.h
@@ -23,6 +23,9 @@
 /// @param Seconds a number of seconds, already validated.
 Millis parseGracePeriod(std::string_view Seconds);
 
+/// @param Seconds a number of seconds, already validated; empty: the default.
+Millis parseUsageWindow(std::string_view Seconds);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_GATEWAY_GATEWAY_SETTINGS_FUNC_H
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -7,6 +7,7 @@
 #include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "core/duties/duty_candidate_func.h"
 #include "core/loads/engine_place_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/engine_func.h"
@@ -32,6 +33,8 @@
       Store(Events, Http,
             HttpTarget{Settings.LoaderStore.Ip, Settings.LoaderStore.Port}),
       Pool(Geography{Settings.Common.DataCentre, {}}),
+      Duties(Events, Http, Store, this->Settings.Common, Counts,
+             this->dutyCallbacks()),
       Peers(
           Events, this->Settings.Common, Store, Values,
           PeerTaskCallbacks{
@@ -47,10 +50,21 @@
                 if (this->LastReport.Sequence >= 0)
                   this->Peers.send(Peer, this->stateMessage());
               },
-              [this](const HostId &Peer) { this->Pushes.remove(Peer); },
+              [this](const HostId &Peer) {
+                this->Pushes.remove(Peer);
+                this->Duties.onLinkDown(Peer);
+              },
               [this](const HostId &Peer, bool Wanted) {
                 this->Pushes.setWanted(Peer, Wanted);
               },
+              {},
+              Duties.enabled(),
+              [this](const HostId &Peer, int64_t WallMs) {
+                this->Duties.onWallClock(Peer, WallMs);
+              },
+              [this](const wire::UsageCountsPush &Counts) {
+                this->Duties.onCounts(Counts);
+              },
               {}}),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
@@ -65,6 +79,20 @@
   });
 }
 
+DutyTaskCallbacks Loader::dutyCallbacks() {
+  return DutyTaskCallbacks{[this] {
+                             // While entries are missing, every loader would
+                             // rank among the first.
+                             return this->Directory.complete() &&
+                                    isDutyCandidate(UsageDuty, this->Pool.all(),
+                                                    this->EngineId);
+                           },
+                           [this] { return this->Peers.peers(); },
+                           [this](const wire::PeerMessage &Message) {
+                             this->Peers.broadcast(Message);
+                           }};
+}
+
 Result<void> Loader::begin() {
   const Result<uint16_t> Linked = this->Peers.listen();
   if (!Linked.has_value())
@@ -85,14 +113,17 @@
   this->MetricsServer = std::move(Listener.value());
   this->Events.handleSignals(
       [this](int) {
-        logLine(LogLevel::Info, "loader ended");
-        this->Events.stop();
+        this->Duties.stop([this] {
+          logLine(LogLevel::Info, "loader ended");
+          this->Events.stop();
+        });
       },
       logSettingsChanged);
   this->Published.begin();
   this->Directory.begin();
   this->requestFencingNumber();
   this->requestReport();
+  this->Duties.begin();
   logLine(LogLevel::Info, "loader started",
           {{"service", this->Settings.EngineService}});
   return boost::outcome_v2::success();
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -9,6 +9,7 @@
 #include "core/loads/load_controller_base.h"
 #include "core/loads/state_push_base.h"
 #include "gateway/directory_task_base.h"
+#include "gateway/duty_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
 #include "net/http_server_base.h"
@@ -32,6 +33,7 @@
 private:
   /// @param Record a value that an operator or trainer published.
   void onPublished(const KeyedRecord &Record);
+  DutyTaskCallbacks dutyCallbacks();
   /// Forwards a gateway's report to the other gateways, once.
   /// @param Report a connection that broke while an endpoint processed a
   ///   request.
@@ -63,6 +65,8 @@
   StatePush Pushes;
   /// Reports that were forwarded.
   SuspectTable Suspects;
+  /// Holds duties for the operator.
+  DutyTask Duties;
   PeerTask Peers;
   /// Follows the topic of published values.
   KeyedFollower Published;
--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -49,6 +49,8 @@
     Beat.ConfigOffset = this->Values.newestOffset();
     if (this->Callbacks.WantsLoad)
       Beat.__set_WantsLoad(this->Callbacks.WantsLoad());
+    if (this->Callbacks.SendsWallClock)
+      Beat.__set_WallMs(wallNow().Count);
   });
 }
 
@@ -84,6 +86,8 @@
 void PeerTask::onHeartbeat(const HostId &Peer, const wire::Heartbeat &Beat) {
   if (Beat.__isset.WantsLoad && this->Callbacks.OnLoadWanted)
     this->Callbacks.OnLoadWanted(Peer, Beat.WantsLoad);
+  if (Beat.__isset.WallMs && this->Callbacks.OnWallClock)
+    this->Callbacks.OnWallClock(Peer, Beat.WallMs);
   const int64_t HaveOffset = this->Values.newestOffset();
   const ValueOffer Offer{Peer, this->NearPeers.contains(Peer),
                          Beat.ConfigOffset};
@@ -130,6 +134,10 @@
     this->Callbacks.OnVersionNeeded(Message.WeightsAnnounceMsg);
   if (Message.__isset.CrashReportMsg)
     this->Callbacks.OnEndpointBroken(Message.CrashReportMsg);
+  if (Message.__isset.UsageCountsMsg && this->Callbacks.OnUsageCounts)
+    this->Callbacks.OnUsageCounts(Message.UsageCountsMsg);
+  if (Message.__isset.DutyHolderMsg && this->Callbacks.OnDutyHolder)
+    this->Callbacks.OnDutyHolder(Peer, Message.DutyHolderMsg);
   if (Message.__isset.StoreCallMsg)
     this->onStoreCall(Peer, Message.StoreCallMsg);
   if (Message.__isset.StoreReplyMsg) {
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -43,6 +43,15 @@
   /// @return whether this gateway places work by engine loads. Optional: peers
   ///   are told nothing.
   std::function<bool()> WantsLoad;
+  /// Whether heartbeats carry this host's wall clock.
+  bool SendsWallClock = false;
+  /// A peer's heartbeat carried its wall clock, in Unix milliseconds. Optional.
+  std::function<void(const HostId &, int64_t WallMs)> OnWallClock;
+  /// A gateway sent its usage counts. Optional.
+  std::function<void(const wire::UsageCountsPush &)> OnUsageCounts;
+  /// The holder of a duty announced itself. Optional.
+  std::function<void(const HostId &, const wire::DutyHolderPush &)>
+      OnDutyHolder;
 };
 
 /// Owns the links of a gateway or loader.
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -115,6 +115,14 @@
   return decode<wire::LeftoverRecord>(Bytes);
 }
 
+std::string encodeDuty(const wire::DutyRecord &Record) {
+  return encode(Record);
+}
+
+Result<wire::DutyRecord> decodeDuty(std::string_view Bytes) {
+  return decode<wire::DutyRecord>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -63,6 +63,12 @@
 /// @return the record, or what is wrong with it.
 Result<wire::LeftoverRecord> decodeLeftovers(std::string_view Bytes);
 
+/// Encodes a record of the duties' partition.
+std::string encodeDuty(const wire::DutyRecord &Record);
+
+/// @return the record, or what is wrong with it.
+Result<wire::DutyRecord> decodeDuty(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
--- a/tests/base/deploy_template_test.cpp
+++ b/tests/base/deploy_template_test.cpp
@@ -39,6 +39,9 @@
                     {"platform.record_bytes", "262144"},
                     {"bounds.grace_period_s", "8"},
                     {"app", "10.1.0.47:9000"},
+                    // Empty on a deployment without duties.
+                    {"cloud.address", ""},
+                    {"bounds.report_window_s", ""},
                     {"service", "model"},
                     // Fields that the templates do not name.
                     {"bounds.a_new_bound_ms", "17"},
