--- a/packages/core/gateway/route_type.h
+++ b/packages/core/gateway/route_type.h
@@ -7,6 +7,7 @@
 #include "base/millis_type.h"
 #include "core/accounts/account_table_base.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -94,6 +95,8 @@
   CallerLimits Limits;
   /// Null: the configuration has no client accounts, and requests need no key.
   std::shared_ptr<const AccountTable> Accounts;
+  /// Accounts that were left out because they could not be read.
+  size_t SkippedAccounts = 0;
 };
 
 } // namespace camphornotch
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -253,6 +253,10 @@
            {"offset", concat(Record.Offset)},
            {"routes", concat(Decoded.value().Routes.size())}});
   this->Routes = std::move(Decoded.value());
+  if (this->Routes.SkippedAccounts > 0)
+    logLine(LogLevel::Warn, "unreadable accounts of a configuration skipped",
+            {{"count", concat(this->Routes.SkippedAccounts)},
+             {"version", concat(this->Routes.Version)}});
   if (this->Routes.Accounts != nullptr)
     for (const KeyConflict &Each : this->Routes.Accounts->conflicts())
       logLine(LogLevel::Warn, "key of two accounts; the first one keeps it",
