Fix: [Loader] The holder of the usage duty goes on while it renews its lease

Change: no read is sent while a record is appended, and windows are settled before the lease is renewed, which settling does, too.

--- a/packages/gateway/duty_task_base.cpp
+++ b/packages/gateway/duty_task_base.cpp
@@ -96,7 +96,9 @@
 }
 
 void DutyTask::read() {
-  if (this->Reading)
+  // A read that arrives while a record is being appended may wait for the next
+  // record although that one is there.
+  if (this->Reading || this->Appending)
     return;
   this->Reading = true;
   const Millis SentAt = bootNow();
@@ -172,32 +174,36 @@
   if (this->Stopping || !this->AtEnd)
     return;
   const Millis Now = bootNow();
-  if (!this->Appending) {
-    const LeaseStep Step = this->Lease.next(
-        this->Fold, this->Callbacks.IsCandidate(), this->ReadAt, Now);
-    wire::DutyRecord Record;
-    if (Step == LeaseStep::Claim) {
-      wire::DutyClaimRecord Claim;
-      Claim.Duty = std::string(UsageDuty);
-      Claim.Holder = this->Host;
-      Claim.Boot = this->Boot;
-      Record.__set_Claim(Claim);
-      this->append(Record, "claim");
-    } else if (Step == LeaseStep::Renew) {
-      wire::DutyRenewalRecord Renewal;
-      Renewal.Duty = std::string(UsageDuty);
-      Renewal.FencingNumber = this->fence();
-      Record.__set_Renewal(Renewal);
-      this->append(Record, "renewal");
-    }
-  }
-  if (!this->Lease.holds(this->Fold))
-    return;
-  if (Now - this->AnnouncedAt >= AnnounceInterval)
+  const bool Holds = this->Lease.holds(this->Fold);
+  if (Holds && Now - this->AnnouncedAt >= AnnounceInterval)
     this->announce();
   const Millis Permission = this->Lease.permissionLeft(this->Fold, Now);
-  if (Permission < MinPermission)
+  if (Permission >= MinPermission)
+    this->report(Permission);
+  // A settled window renews the lease, too.
+  if (this->Appending)
     return;
+  const LeaseStep Step = this->Lease.next(
+      this->Fold, this->Callbacks.IsCandidate(), this->ReadAt, Now);
+  wire::DutyRecord Record;
+  if (Step == LeaseStep::Claim) {
+    wire::DutyClaimRecord Claim;
+    Claim.Duty = std::string(UsageDuty);
+    Claim.Holder = this->Host;
+    Claim.Boot = this->Boot;
+    Record.__set_Claim(Claim);
+    this->append(Record, "claim");
+  } else if (Step == LeaseStep::Renew) {
+    wire::DutyRenewalRecord Renewal;
+    Renewal.Duty = std::string(UsageDuty);
+    Renewal.FencingNumber = this->fence();
+    Record.__set_Renewal(Renewal);
+    this->append(Record, "renewal");
+  }
+}
+
+void DutyTask::report(Millis Permission) {
+  const Millis Now = bootNow();
   const Millis TrueNow = this->trueNow();
   this->Reporter.forgetOld(TrueNow, Now);
   const std::vector<HostId> Linked = this->Callbacks.Linked();
@@ -206,7 +212,7 @@
   if (const auto *Settle = std::get_if<SettleWindow>(&Step))
     this->settle(*Settle);
   else if (const auto *Report = std::get_if<ReportWindow>(&Step))
-    this->report(*Report, Permission);
+    this->send(*Report, Permission);
 }
 
 void DutyTask::append(const wire::DutyRecord &Record, std::string_view What) {
@@ -246,7 +252,7 @@
   this->append(Record, "settled window");
 }
 
-void DutyTask::report(const ReportWindow &Step, Millis Permission) {
+void DutyTask::send(const ReportWindow &Step, Millis Permission) {
   if (this->Reporting)
     return;
   this->Reporting = true;
--- a/packages/gateway/duty_task_base.h
+++ b/packages/gateway/duty_task_base.h
@@ -60,14 +60,17 @@
   void onRead(const StoreResult<ReadPage> &Page, Millis SentAt);
   /// Notes and logs that the duty was taken or lost.
   void noteHolder();
-  /// Claims or renews the duty, settles a window or reports one, if due.
+  /// Settles or reports a window, claims or renews the duty, if due.
   void act();
   /// Appends a record on the condition that nothing was appended since the last
   /// read.
   /// @param What for the log.
   void append(const wire::DutyRecord &Record, std::string_view What);
   void settle(const SettleWindow &Step);
-  void report(const ReportWindow &Step, Millis Permission);
+  /// Settles or reports a window, if one is due.
+  /// @param Permission how long this process may act.
+  void report(Millis Permission);
+  void send(const ReportWindow &Step, Millis Permission);
   void onReported(int64_t Window, int Status, std::string_view Cause);
   /// Tells gateways who holds the duty.
   void announce();
--- a/tests/duties/duty_test.cpp
+++ b/tests/duties/duty_test.cpp
@@ -188,12 +188,12 @@
   UsageReporter Reporter(Window, 1);
   DutyFold Fold;
   const std::set<HostId> Linked{HostId{"g1"}, HostId{"g2"}};
-  Reporter.becameHolder(Millis{2 * 5'000});
+  Reporter.becameHolder(Millis{10'000});
   Reporter.countsReceived(push("g1", 1, 2, {{"one", 1}}), Millis{1});
   Reporter.countsReceived(push("g1", 1, 2, {{"one", 4}}), Millis{2});
   Reporter.countsReceived(push("g1", 9, 2, {{"one", 1}}), Millis{2});
   Reporter.countsReceived(push("g2", 1, 2, {{"two", 3}}), Millis{2});
-  const Millis Ended{3 * 5'000};
+  const Millis Ended{15'000};
   cr_assert(std::holds_alternative<std::monostate>(
       Reporter.next(Fold, Linked, Ended + Millis{2'999}, Millis{3})));
   const UsageStep Step =
