Add: [Tests] Crowds of connections against a gateway with memory limits

Cause: outside clients can make a gateway hold more memory and more descriptors than its host has. Change: settings [limits] memory_mb and file_descriptors, without effect so far, and tests/crowds: a real gateway before 16 connections of one kind each (128 idle ones). Bounds are what the settings allow: 48 MB (120 MB for large bodies), 256 descriptors (64 for idle ones).

--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -64,6 +64,12 @@
   int64_t MaxOpenRequests = 0;
   /// Maximum size of the answers kept for peers until they acknowledge them.
   int64_t MaxAnswerBytesHeld = 0;
+  /// Memory of the host for this process, in megabytes (10^6 bytes); 0: the
+  /// memory held for clients has no limit.
+  int64_t MemoryMb = 0;
+  /// File descriptors that the host allows the process; 0: the number of
+  /// connections has no limit.
+  int64_t FileDescriptors = 0;
   /// Time that open requests have to finish after SIGTERM.
   Millis StopGrace;
   /// The lowest level that is written.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -123,6 +123,12 @@
                 &CommonSettings::MaxAnswerBytesHeld, "33554432", 65536,
                 1073741824, "",
                 "Answers held for peers that have not acknowledged them."},
+    SettingSpec{"limits", "memory_mb", &CommonSettings::MemoryMb, "0", 0,
+                1048576, "",
+                "Memory of the host for this process in megabytes; 0: what clients make it hold has no limit."},
+    SettingSpec{"limits", "file_descriptors",
+                &CommonSettings::FileDescriptors, "0", 0, 1048576, "",
+                "File descriptors that the host allows this process; 0: the number of connections has no limit."},
 
     SettingSpec{"logging", "level", &CommonSettings::LogLevel, "info", 0, 0,
                 "debug|info|warn|error", "The least level that is written."},
--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -42,8 +42,11 @@
 class GatewayProcess {
 public:
   /// @param Store the stand-in of the store.
-  GatewayProcess(const HttpTarget &Store, const std::string &Name)
-      : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()} {
+  /// @param Extra further lines of the settings.
+  GatewayProcess(const HttpTarget &Store, const std::string &Name,
+                 const std::string &Extra = "")
+      : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()},
+        Peers{"127.0.0.1", freePort()} {
     std::string Folder = "/tmp/camphornotch-test-XXXXXX";
     if (mkdtemp(Folder.data()) == nullptr)
       return;
@@ -52,11 +55,12 @@
         << "[process]\nrole = gateway\nhost = " << Name
         << "\ndata_centre = dc\nregion = r\n[listen]\nlinks = 127.0.0.1:"
         << freePort() << "\nhttp = 127.0.0.1:" << this->Probes.Port
-        << "\npeers = 127.0.0.1:" << freePort()
+        << "\npeers = 127.0.0.1:" << this->Peers.Port
         << "\n[gateway]\nfront = 127.0.0.1:" << this->Front.Port
         << "\nstore = 127.0.0.1:" << Store.Port
         << "\nregions = dc=r\ngrace_s = 8\npartitions = 2\n"
-           "record_bytes = 262144\n";
+           "record_bytes = 262144\n"
+        << Extra;
     const std::string Log = this->Folder + "/log";
     const std::string Path = this->settingsPath();
     this->Pid = fork();
@@ -88,12 +92,16 @@
   const HttpTarget &front() const { return this->Front; }
   /// @return the address for readiness probes.
   const HttpTarget &probes() const { return this->Probes; }
+  /// @return the address for other gateways.
+  const HttpTarget &peers() const { return this->Peers; }
+  pid_t pid() const { return this->Pid; }
 
 private:
   std::string settingsPath() const { return this->Folder + "/gateway.ini"; }
 
   HttpTarget Front;
   HttpTarget Probes;
+  HttpTarget Peers;
   std::string Folder;
   pid_t Pid = 0;
 };
@@ -109,11 +117,13 @@
 
   /// Starts the gateways and waits until they are ready.
   /// @param Config the configuration.
-  ProcessFixture(int Count, const std::string &Config) {
+  /// @param Extra further lines of the settings of each gateway.
+  ProcessFixture(int Count, const std::string &Config,
+                 const std::string &Extra = "") {
     this->Store.put("keyed.op", "config", Config);
     for (int Index = 0; Index < Count; ++Index)
       this->Gateways.push_back(std::make_unique<GatewayProcess>(
-          this->Store.target(), "gateway-" + std::to_string(Index)));
+          this->Store.target(), "gateway-" + std::to_string(Index), Extra));
     for (const auto &Gateway : this->Gateways)
       cr_assert(turnUntil(this->Events, [&] {
         HttpCall Call;
