Change: [Gateway] One copy of a request's body for all attempts

Cause: the body was copied into the forward job, each attempt and each call. Change: HttpExchange::takeBody() moves it out of the request; the attempts share it. The HTTP library's input buffer still has its own copy.

--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -168,7 +168,9 @@
   Job.Request.Path = Request.Target;
   Job.Request.Host = Request.Authority;
   Job.Request.Headers = Request.Headers;
-  Job.Request.Body = Request.Body;
+  // All attempts send the one copy of the body.
+  Job.Request.SharedBody =
+      std::make_shared<const std::string>(Exchange->takeBody());
   Job.Request.RequestId = Routed.RequestId;
   Job.Request.HasAccounts = this->Routes.Accounts != nullptr;
   Job.Request.Account = AccountName;
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -196,9 +196,9 @@
     Call.Connected = true;
     this->Events.cancel(Call.ConnectTimer);
     std::array<h2o_iovec_t, 2> Parts{toVector(Call.Head),
-                                     toVector(Call.Call.Body)};
+                                     toVector(Call.Call.body())};
     h2o_socket_write(Call.Socket, Parts.data(),
-                     Call.Call.Body.empty() ? 1 : Parts.size(),
+                     Call.Call.body().empty() ? 1 : Parts.size(),
                      State::onWritten);
     h2o_socket_read_start(Call.Socket, State::onRead);
   }
--- a/packages/net/http_head_func.cpp
+++ b/packages/net/http_head_func.cpp
@@ -27,10 +27,10 @@
     absl::StrAppend(&Head, "host: ", Call.Host, "\r\n");
   for (const HttpHeader &Header : Call.Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
-  const bool HasBody = !Call.Body.empty() || Call.Method == "POST" ||
+  const bool HasBody = !Call.body().empty() || Call.Method == "POST" ||
                        Call.Method == "PUT" || Call.Method == "PATCH";
   if (HasBody)
-    absl::StrAppend(&Head, "content-length: ", Call.Body.size(), "\r\n");
+    absl::StrAppend(&Head, "content-length: ", Call.body().size(), "\r\n");
   absl::StrAppend(&Head, "connection: ", Call.Reuse ? "keep-alive" : "close",
                   "\r\n\r\n");
   return Head;
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -13,6 +13,7 @@
 #include <cassert>
 #include <netinet/in.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace camphornotch {
@@ -260,6 +261,10 @@
   return this->Inner->Request;
 }
 
+std::string HttpExchange::takeBody() {
+  return std::exchange(this->Inner->Request.Body, std::string());
+}
+
 void HttpExchange::answer(const HttpResponse &Response) {
   assert(!this->Inner->Started);
   this->Inner->Started = true;
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -28,6 +28,9 @@
 
   const HttpRequest &request() const;
 
+  /// Moves the request's body out; request() has none afterwards.
+  std::string takeBody();
+
   /// Sends the whole response. Does nothing if the client has disconnected.
   /// @pre neither answer() nor start() was called.
   void answer(const HttpResponse &Response);
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -91,6 +92,8 @@
   HttpHeaders Headers;
   /// If empty, no content-length is sent, except for POST, PUT and PATCH.
   std::string Body;
+  /// The body if several calls share it, in place of Body; may be null.
+  std::shared_ptr<const std::string> SharedBody;
   /// For the whole call; 0: no timeout.
   Millis Timeout{0};
   /// For the connection to be made; 0: only Timeout applies.
@@ -106,6 +109,12 @@
   /// Size limit of a collected response body; the call fails if it is exceeded.
   /// A body that is delivered in chunks has no limit.
   size_t MaxBodyBytes = DefaultMaxBodyBytes;
+
+  /// @return the body to send.
+  std::string_view body() const {
+    return this->SharedBody == nullptr ? std::string_view(this->Body)
+                                       : std::string_view(*this->SharedBody);
+  }
 };
 
 } // namespace camphornotch
