--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -70,6 +70,18 @@
   /// File descriptors that the host allows the process; 0: the number of
   /// connections has no limit.
   int64_t FileDescriptors = 0;
+  /// Connections of callers; 0: half of FileDescriptors.
+  int64_t MaxClientConnections = 0;
+  /// Connections of callers from one address; 0: three quarters of those in
+  /// all.
+  int64_t MaxConnectionsPerAddress = 0;
+  /// Bytes a second at which a request has to arrive; 0: any.
+  int64_t MinRequestRate = 0;
+  /// Time from the first byte of a request before MinRequestRate applies.
+  Millis RequestRateGrace;
+  /// Time without progress after which an unread response may be dropped to
+  /// make room.
+  Millis UnreadGrace;
   /// Time that open requests have to finish after SIGTERM.
   Millis StopGrace;
   /// The lowest level that is written.
