Feature: [Net] [Gateway] Memory and connections of clients stay within limits

Cause: clients that send bodies without ending them, or do not read, take a gateway to any size. Change: with [limits] memory_mb, a server reads at most 256 KiB of a connection a turn and counts the bytes before the HTTP library sees them; it ends incomplete requests (503, never run) when memory is short, refuses complete ones (503), and limits the kernel's buffers. A large body moves out of the library's buffer instead of being copied, bodies over the configuration's limit get 413 at once, large answers are sent in parts, and the client reads a large answer only when it fits. With file_descriptors, connections of callers, peers and probes are limited. Requests that arrive below 1 KiB/s after 30 s get 408.

--- a/packages/base/refusal_type.h
+++ b/packages/base/refusal_type.h
@@ -43,6 +43,7 @@
   Internal,
   Preempted,
   Unauthorized,
+  NoMemory,
 };
 
 /// A refusal, as it is passed on to the caller.
--- a/packages/base/table/refusal_reasons.h
+++ b/packages/base/table/refusal_reasons.h
@@ -75,6 +75,8 @@
                 "retry; the output kept so far is resumed"},
     RefusalSpec{RefusalReason::Unauthorized, "unauthorized", 401,
                 "send an API key of a client account"},
+    RefusalSpec{RefusalReason::NoMemory, "no_memory", 503,
+                "retry after the time given"},
 };
 
 } // namespace camphornotch
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/client_limits_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
@@ -43,7 +44,9 @@
 } // namespace
 
 Gateway::Gateway(Loop &Events, const GatewaySettings &Settings)
-    : Events(Events), Settings(Settings), Http(Events), StoreHttp(Events),
+    : Events(Events), Settings(Settings),
+      Limits(makeClientLimits(Events, Settings.Common, MaxBodyBytes)),
+      Http(Events), StoreHttp(Events),
       Store(Events, StoreHttp,
             HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
       Access(Counts), Pool(Geography{Settings.Common.DataCentre,
@@ -95,6 +98,7 @@
       RequestSeconds(Counts.histogram("request_seconds",
                                       "Time of callers' requests, in seconds.",
                                       RequestBounds)) {
+  this->Http.setLimits(this->Limits);
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
                               platform::RawStoreCallback Reply) {
     return this->Peers.relay(Call, std::move(Reply));
@@ -106,6 +110,7 @@
   if (!Linked.has_value())
     return Linked.error();
   HttpServerConfig ProbeConfig;
+  limitServer(ProbeConfig, this->Limits, ClientPort::Probes);
   ProbeConfig.Address = this->Settings.Common.ListenHttp.Ip;
   ProbeConfig.Port = this->Settings.Common.ListenHttp.Port;
   auto ProbeListener =
@@ -117,6 +122,7 @@
     return ProbeListener.error();
   this->ProbeServer = std::move(ProbeListener.value());
   HttpServerConfig PeerConfig;
+  limitServer(PeerConfig, this->Limits, ClientPort::Peers);
   PeerConfig.Address = this->Settings.ListenPeers.Ip;
   PeerConfig.Port = this->Settings.ListenPeers.Port;
   auto PeerListener =
@@ -128,6 +134,7 @@
     return PeerListener.error();
   this->PeerServer = std::move(PeerListener.value());
   HttpServerConfig CallerConfig;
+  limitServer(CallerConfig, this->Limits, ClientPort::Callers);
   CallerConfig.Address = this->Settings.Front.Ip;
   CallerConfig.Port = this->Settings.Front.Port;
   CallerConfig.MaxBodyBytes = MaxBodyBytes;
@@ -192,6 +199,8 @@
   const auto Set = [this](const char *Name, const char *Help, double Value) {
     this->Counts.gauge(Name, Help).Set(Value);
   };
+  if (this->Limits != nullptr)
+    setLimitGauges(this->Counts, this->Limits->controller());
   Set("items_waiting", "Items that wait for an engine.",
       static_cast<double>(Items.waiting()));
   Set("items_running", "Items at engines or being scored.",
@@ -250,6 +259,9 @@
                {"version", concat(this->Routes.Version)}});
   this->CallerServer->setTimeouts(this->Routes.Limits.HeaderTimeout,
                                   this->Routes.Limits.IdleTimeout);
+  if (this->Limits != nullptr)
+    applyBodyLimit(*this->Limits, *this->CallerServer, this->Settings.Common,
+                   this->Routes.Limits.BodyBytes);
   this->connectLoaders();
   this->Batches.routesChanged();
 }
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -12,6 +12,7 @@
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "net/client_limits_base.h"
 #include "net/http_server_base.h"
 
 #include <memory>
@@ -97,6 +98,8 @@
 
   Loop &Events;
   GatewaySettings Settings;
+  /// The limits on what clients make this process hold; null: none.
+  std::shared_ptr<ClientLimits> Limits;
   HttpClient Http;
   /// Sends calls to the store, separately from callers' requests.
   HttpClient StoreHttp;
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/client_limits_func.h"
 #include "gateway/event_stream_base.h"
 
 #include <algorithm>
@@ -56,6 +57,12 @@
     this->refuse(Exchange, StatusUnavailable, "starting", StartingRetryAfter);
     return;
   }
+  if (this->Limits != nullptr && !this->Limits->mayHandle()) {
+    this->Counts.countRefusal(RefusalReason::NoMemory);
+    this->refuse(Exchange, StatusUnavailable, "memory is short",
+                 ShortMemoryRetryAfter);
+    return;
+  }
   const CallerLimits &Limits = this->Routes.Limits;
   const HttpRequest &Request = Exchange->request();
   if (Limits.HeaderBytes > 0 &&
--- a/packages/net/head_watch_base.cpp
+++ b/packages/net/head_watch_base.cpp
@@ -31,15 +31,27 @@
 
 } // namespace
 
-void HeadWatch::add(h2o_socket_t *Socket) {
+void HeadWatch::add(h2o_socket_t *Socket,
+                    std::unique_ptr<LimitedConnection> Limited) {
   auto Made = std::make_unique<Connection>();
   Made->Owner = this;
   Made->Socket = Socket;
+  Made->Limited = std::move(Limited);
   Socket->on_close.cb = HeadWatch::onClosed;
   Socket->on_close.data = Made.get();
   this->Connections[Socket] = std::move(Made);
 }
 
+LimitedConnection *HeadWatch::limited(h2o_socket_t *Socket) const {
+  const auto Found = this->Connections.find(Socket);
+  return Found == this->Connections.end() ? nullptr
+                                          : Found->second->Limited.get();
+}
+
+LimitedConnection *HeadWatch::limitedOf(h2o_socket_t *Socket) {
+  return static_cast<Connection *>(Socket->on_close.data)->Limited.get();
+}
+
 int HeadWatch::closeLate(Millis Now) {
   if (this->Limit == Millis{0})
     return 0;
--- a/packages/net/head_watch_internal.h
+++ b/packages/net/head_watch_internal.h
@@ -6,6 +6,7 @@
 
 #include "base/millis_type.h"
 #include "net/h2o_internal.h"
+#include "net/limited_connection_internal.h"
 
 #include <map>
 #include <memory>
@@ -22,7 +23,14 @@
   void setLimit(Millis Limit) { this->Limit = Limit; }
 
   /// Watches an accepted connection until it is closed.
-  void add(h2o_socket_t *Socket);
+  /// @param Limited its part under the limits of the process; may be null.
+  void add(h2o_socket_t *Socket, std::unique_ptr<LimitedConnection> Limited);
+
+  /// @return the part of a connection under the limits of the process; null if
+  ///   it has none or is closed.
+  LimitedConnection *limited(h2o_socket_t *Socket) const;
+  /// @param Socket a connection that some HeadWatch watches.
+  static LimitedConnection *limitedOf(h2o_socket_t *Socket);
 
   /// Shuts down the connections whose heads are over the limit; h2o then closes
   /// them. The limit is exact only to the interval between two calls.
@@ -43,6 +51,7 @@
     Millis PartialSince = Never;
     /// Whether it was shut down; h2o closes it when it reads the end.
     bool ShutDown = false;
+    std::unique_ptr<LimitedConnection> Limited;
   };
 
   /// h2o's callback when a connection is closed.
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -4,9 +4,11 @@
 #include "net/http_client_base.h"
 
 #include "base/clock_func.h"
+#include "net/client_limits_base.h"
 #include "net/h2o_internal.h"
 #include "net/http_head_internal.h"
 #include "net/http_parser_internal.h"
+#include "net/limited_connection_internal.h"
 #include "net/listen_internal.h"
 
 #include <absl/strings/numbers.h>
@@ -32,6 +34,8 @@
 constexpr Millis IdleTimeMargin{700};
 /// Further connections are closed after their call.
 constexpr size_t MaxIdlePerTarget = 16;
+/// Smaller bodies are read at once under the limits of the process.
+constexpr size_t MinAwaitedBytes = size_t{64} << 10;
 
 /// @return the error that a failed call reports.
 Error callError(const HttpCall &Call, std::string_view Cause, ErrorKind Kind) {
@@ -95,6 +99,10 @@
     size_t Received = 0;
     /// Body bytes counted in State::CollectedBytes.
     size_t CollectedBytes = 0;
+    /// Bytes of the body under the limits of the process.
+    HeldBytes Held;
+    /// Its wait for these bytes; 0: none.
+    uint64_t Wait = 0;
 
     /// @return whether the body, as received or as announced by its
     ///         content-length, is longer than this many bytes.
@@ -129,6 +137,8 @@
   uint64_t LastCall = 0;
   /// Bytes of all bodies being collected, see MaxCollectedBytes.
   size_t CollectedBytes = 0;
+  /// Null: none.
+  std::shared_ptr<ClientLimits> Limits;
 
   /// @return the call; null if it is over.
   ActiveCall *find(uint64_t Id) {
@@ -187,6 +197,8 @@
       return;
     }
     disableNagle(h2o_socket_get_fd(Socket));
+    if (Call.Owner->Limits != nullptr)
+      limitKernelBuffers(h2o_socket_get_fd(Socket));
     Call.Owner->sendRequest(Call);
   }
 
@@ -251,6 +263,34 @@
         ErrorKind::TooLarge);
   }
 
+  /// Counts a body that is collected under the limits of the process. Stops to
+  /// read a large one that does not fit.
+  void collectWithinLimits(ActiveCall &Call, ReadState Read) {
+    if (this->Limits == nullptr || Call.Wait != 0)
+      return;
+    const auto Length = static_cast<int64_t>(Call.Reader.contentLength());
+    const auto Collected =
+        static_cast<int64_t>(Call.Reader.response().Body.size());
+    if (Read == ReadState::Complete || Call.Held.bytes() > 0 ||
+        Length < static_cast<int64_t>(MinAwaitedBytes)) {
+      Call.Held.set(std::max(Call.Held.bytes(), Collected));
+      return;
+    }
+    // Growing step by step would hold the body twice.
+    Call.Reader.response().Body.reserve(static_cast<size_t>(Length));
+    if (this->Limits->reserve(Length)) {
+      Call.Held.adopt(Length);
+      return;
+    }
+    h2o_socket_read_stop(Call.Socket);
+    Call.Wait = this->Limits->wait(Length, [this, Id = Call.Id, Length] {
+      ActiveCall *Waiting = this->find(Id);
+      Waiting->Wait = 0;
+      Waiting->Held.adopt(Length);
+      h2o_socket_read_start(Waiting->Socket, State::onRead);
+    });
+  }
+
   /// Runs the callbacks after a read. Any of them may cancel the call.
   void progress(uint64_t Id, ReadState State) {
     if (State == ReadState::Invalid) {
@@ -282,6 +322,7 @@
       Call = this->find(Id);
       if (Call == nullptr)
         return;
+      this->collectWithinLimits(*Call, State);
     }
     std::string &Body = Call->Reader.response().Body;
     if (Call->Callbacks.Chunk && !Body.empty()) {
@@ -368,6 +409,8 @@
     this->Events.cancel(Last->Timer);
     this->Events.cancel(Last->ConnectTimer);
     this->CollectedBytes -= Last->CollectedBytes;
+    if (this->Limits != nullptr && Last->Wait != 0)
+      this->Limits->stopWaiting(Last->Wait);
     if (Last->Socket != nullptr)
       h2o_socket_close(std::exchange(Last->Socket, nullptr));
     return Last;
@@ -414,6 +457,7 @@
   auto Made = std::make_unique<State::ActiveCall>(&Self, std::move(Call),
                                                   std::move(Callbacks));
   State::ActiveCall &New = *Made;
+  New.Held.attach(Self.Limits);
   New.Id = ++Self.LastCall;
   const uint64_t Id = New.Id;
   Self.Calls.emplace(Id, std::move(Made));
@@ -434,6 +478,10 @@
   return HttpCallId{Id};
 }
 
+void HttpClient::setLimits(std::shared_ptr<ClientLimits> Limits) {
+  this->Inner->Limits = std::move(Limits);
+}
+
 void HttpClient::cancel(HttpCallId Call) {
   if (this->Inner->find(Call.Value) == nullptr)
     return;
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -40,6 +40,8 @@
   std::function<void(const HttpFailure &)> Failed;
 };
 
+class ClientLimits;
+
 /// Sends calls over HTTP/1.1.
 class HttpClient {
 public:
@@ -54,6 +56,10 @@
   /// @return the call's id, for cancel().
   HttpCallId start(HttpCall Call, HttpCallbacks Callbacks);
 
+  /// Sets the limits under which bodies are collected: reading a large one
+  /// waits until it fits.
+  void setLimits(std::shared_ptr<ClientLimits> Limits);
+
   /// Closes the call's connection; no further callback runs.
   /// @param Call ignored if it has finished.
   void cancel(HttpCallId Call);
--- a/packages/net/http_responder_base.cpp
+++ b/packages/net/http_responder_base.cpp
@@ -3,9 +3,11 @@
 
 #include "net/http_responder_internal.h"
 
+#include <algorithm>
 #include <cassert>
 #include <new>
 #include <sys/socket.h>
+#include <utility>
 
 namespace camphornotch {
 
@@ -16,6 +18,9 @@
 /// Status for h2o when the client has closed the connection; nobody receives
 /// it.
 constexpr int StatusClientGone = 499;
+/// A response above this size is sent in parts of it under the limits of the
+/// process.
+constexpr size_t PartBytes = size_t{64} << 10;
 
 } // namespace
 
@@ -38,6 +43,11 @@
   HttpOpenRequests *Requests = Self->Requests;
   const std::function<void()> Handler = std::move(Self->OnDisposed);
   Requests->Open.erase(Self);
+  if (Self->Limits != nullptr &&
+      Self->Limits->controller().isKnown(Self->Connection)) {
+    Self->Limits->unread(Self->Connection, -Self->Counted, true);
+    Self->Limited->requestEnded();
+  }
   Self->~HttpResponder();
   if (Handler)
     Handler();
@@ -69,12 +79,53 @@
   }
 }
 
+void HttpResponder::attach(std::shared_ptr<ClientLimits> Limits,
+                           LimitedConnection &Connection, size_t BodyBytes) {
+  this->Limits = std::move(Limits);
+  this->Connection = Connection.id();
+  this->Limited = &Connection;
+  Connection.requestBegan(static_cast<int64_t>(BodyBytes));
+}
+
+void HttpResponder::countUnread(bool IsProgress) {
+  if (this->Limits == nullptr)
+    return;
+  const auto Now = static_cast<int64_t>(this->unsentBytes() +
+                                        this->Whole.size() - this->Sent);
+  const int64_t Added = Now - std::exchange(this->Counted, Now);
+  this->Limits->unread(this->Connection, Added, IsProgress);
+}
+
+void HttpResponder::answerInParts(const HttpResponse &Response) {
+  this->Streaming = true;
+  this->Whole = Response.Body;
+  h2o_start_response(this->Request, &this->Source.Super);
+  this->sendNextPart();
+}
+
+void HttpResponder::sendNextPart() {
+  this->countUnread(true);
+  const size_t Bytes = std::min(PartBytes, this->Whole.size() - this->Sent);
+  h2o_iovec_t Part =
+      toVector(std::string_view(this->Whole).substr(this->Sent, Bytes));
+  this->Sent += Bytes;
+  const bool IsLast = this->Sent == this->Whole.size();
+  // After the last part the responder may have been destroyed.
+  h2o_send(this->Request, &Part, 1,
+           IsLast ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
 void HttpResponder::answer(const HttpResponse &Response) {
   assert(!this->Streaming && !this->Ended);
   this->Ended = true;
   this->LastSent = true;
   this->setHead(Response);
   this->Request->res.content_length = Response.Body.size();
+  const bool IsHead = toView(this->Request->input.method) == "HEAD";
+  if (this->Limits != nullptr && Response.Body.size() > PartBytes && !IsHead) {
+    this->answerInParts(Response);
+    return;
+  }
   h2o_send_inline(this->Request, Response.Body.data(), Response.Body.size());
 }
 
@@ -93,6 +144,7 @@
 void HttpResponder::write(std::string_view Chunk) {
   assert(this->Streaming && !this->Ended);
   this->Queued += Chunk;
+  this->countUnread(false);
   this->sendNext();
 }
 
@@ -121,8 +173,13 @@
 
 void HttpResponder::onProceed(h2o_generator_t *Base, h2o_req_t *) {
   HttpResponder *Self = reinterpret_cast<Generator *>(Base)->Self;
+  if (!Self->Whole.empty()) {
+    Self->sendNextPart();
+    return;
+  }
   Self->Sending = false;
   Self->Writing.clear();
+  Self->countUnread(true);
   const bool Drained = Self->Queued.empty() && !Self->Ended;
   if (Drained && Self->OnDrained)
     // Copied, because the callback may destroy the exchange.
--- a/packages/net/http_responder_internal.h
+++ b/packages/net/http_responder_internal.h
@@ -6,6 +6,7 @@
 
 #include "net/h2o_internal.h"
 #include "net/http_server_base.h"
+#include "net/limited_connection_internal.h"
 
 #include <string>
 #include <unordered_set>
@@ -43,6 +44,12 @@
   /// @param Last whether it is complete or aborted.
   void end(h2o_send_state_t Last);
 
+  /// Counts the request and its response under the limits of the process.
+  /// @param Connection the request's connection.
+  /// @param BodyBytes bytes of its body that the connection no longer holds.
+  void attach(std::shared_ptr<ClientLimits> Limits,
+              LimitedConnection &Connection, size_t BodyBytes);
+
   /// @return bytes that h2o has not yet written.
   size_t unsentBytes() const {
     return this->Queued.size() + this->Writing.size();
@@ -83,6 +90,11 @@
   void setHead(const HttpResponse &Response);
   /// Passes the queued bytes to h2o if it is ready for them.
   void sendNext();
+  /// Sends a whole response in parts, so that its progress is known.
+  void answerInParts(const HttpResponse &Response);
+  void sendNextPart();
+  /// Reports the unsent bytes to the limits.
+  void countUnread(bool IsProgress);
 
   h2o_req_t *Request = nullptr;
   HttpOpenRequests *Requests = nullptr;
@@ -91,6 +103,15 @@
   std::string Queued;
   /// Bytes that h2o is writing.
   std::string Writing;
+  /// A whole response that is sent in parts; Sent of its bytes were passed on.
+  std::string Whole;
+  size_t Sent = 0;
+  std::shared_ptr<ClientLimits> Limits;
+  ConnectionId Connection;
+  /// Valid while the limits know the connection.
+  LimitedConnection *Limited = nullptr;
+  /// Bytes that were reported to the limits.
+  int64_t Counted = 0;
   /// Whether h2o is writing and will call onProceed().
   bool Sending = false;
   /// Whether start() was called.
--- a/packages/net/http_server_base.cpp
+++ b/packages/net/http_server_base.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
+#include "net/client_limits_base.h"
 #include "net/head_watch_internal.h"
 #include "net/http_responder_internal.h"
 #include "net/listen_internal.h"
@@ -28,7 +29,8 @@
 constexpr size_t MaxStreamsPerConnection = 256;
 
 /// @return a copy of the parts of h2o's request that handlers use.
-HttpRequest copyRequest(const h2o_req_t &Request) {
+/// The body stays with h2o.
+HttpRequest copyHead(const h2o_req_t &Request) {
   HttpRequest Copy;
   Copy.Method = toView(Request.input.method);
   Copy.Authority = toView(Request.input.authority);
@@ -44,8 +46,6 @@
     Copy.Headers.push_back(HttpHeader{std::string(toView(*Header.name)),
                                       std::string(toView(Header.value))});
   }
-  if (Request.entity.base != nullptr)
-    Copy.Body = toView(Request.entity);
   sockaddr_storage Peer = {};
   auto *Base = reinterpret_cast<sockaddr *>(&Peer);
   const socklen_t Length =
@@ -57,10 +57,23 @@
   return Copy;
 }
 
+/// @return the bytes of a refusal, after which the connection is closed.
+std::string refusalText(const HttpResponse &Refusal) {
+  std::string Text =
+      concat("HTTP/1.1 ", Refusal.Status, " \r\nconnection: close\r\n",
+             "content-type: ", Refusal.ContentType,
+             "\r\ncontent-length: ", Refusal.Body.size(), "\r\n");
+  for (const HttpHeader &Header : Refusal.Headers)
+    Text += concat(Header.Name, ": ", Header.Value, "\r\n");
+  return Text + "\r\n" + Refusal.Body;
+}
+
 } // namespace
 
 struct HttpExchange::State {
   HttpRequest Request;
+  /// The body's bytes under the limits of the process.
+  HeldBytes Held;
   /// Sends the response; null once h2o has disposed of the request.
   HttpResponder *Responder = nullptr;
   /// Whether start() or answer() was called.
@@ -110,10 +123,18 @@
   TimerId CheckTimer;
   /// Whether idle connections are closed.
   bool Stopping = false;
+  /// Null: none.
+  std::shared_ptr<ClientLimits> Limits;
+  ClientPort ClientKind = ClientPort::Callers;
+  LimitRefusals Refusals;
 
   /// Sets up h2o's configuration and context.
   void configure(const HttpServerConfig &Limits) {
     h2o_config_init(&this->Config);
+    this->Limits = Limits.Limits;
+    this->ClientKind = Limits.ClientKind;
+    this->Refusals = LimitRefusals{refusalText(Limits.IncompleteRefusal),
+                                   refusalText(Limits.SlowRefusal)};
     this->Config.server_name = toVector("camphornotch");
     this->Config.max_request_entity_size = Limits.MaxBodyBytes;
     this->Config.http1.req_timeout =
@@ -138,7 +159,8 @@
     State *Self = reinterpret_cast<Handler *>(Base)->Self;
     HttpResponder *Responder = HttpResponder::make(Request, &Self->Requests);
     auto Inner = std::make_unique<HttpExchange::State>();
-    Inner->Request = copyRequest(*Request);
+    Inner->Request = copyHead(*Request);
+    Self->takeBody(*Request, *Responder, *Inner);
     Inner->Responder = Responder;
     HttpExchange::State *Exchange = Inner.get();
     const std::shared_ptr<HttpExchange> Shared(
@@ -158,6 +180,24 @@
     return 0;
   }
 
+  /// Copies a request's body, or moves it under the limits of the process.
+  void takeBody(const h2o_req_t &Request, HttpResponder &Responder,
+                HttpExchange::State &Exchange) {
+    const size_t Bytes =
+        Request.entity.base == nullptr ? 0 : Request.entity.len;
+    if (this->Limits == nullptr) {
+      if (Bytes > 0)
+        Exchange.Request.Body = toView(Request.entity);
+      return;
+    }
+    if (Bytes > 0)
+      Exchange.Request.Body = moveBody(Request.entity);
+    LimitedConnection *Limited = HeadWatch::limitedOf(Responder.socket());
+    Responder.attach(this->Limits, *Limited, Bytes);
+    Exchange.Held.attach(this->Limits);
+    Exchange.Held.set(static_cast<int64_t>(Bytes));
+  }
+
   /// Accepts pending connections.
   static void onAccept(h2o_socket_t *Listener, const char *Failure) {
     auto *Self = static_cast<State *>(Listener->data);
@@ -172,8 +212,21 @@
   }
 
   void accept(h2o_socket_t *Socket) {
-    this->Heads.add(Socket);
+    if (this->Limits == nullptr) {
+      this->Heads.add(Socket, nullptr);
+      h2o_accept(&this->Accept, Socket);
+      return;
+    }
+    std::unique_ptr<LimitedConnection> Limited = LimitedConnection::admit(
+        Socket, this->ClientKind, this->Limits, this->Refusals);
+    if (Limited == nullptr) {
+      h2o_socket_close(Socket);
+      return;
+    }
+    LimitedConnection *Raw = Limited.get();
+    this->Heads.add(Socket, std::move(Limited));
     h2o_accept(&this->Accept, Socket);
+    Raw->takeReads();
   }
 
   /// Closes connections on which a request head is late.
@@ -201,6 +254,8 @@
   /// Finds clients that disconnected while their request is being handled.
   void checkClients() {
     this->checkHeads();
+    if (this->Limits != nullptr)
+      this->Limits->endSlow();
     this->closeIdleConnections();
     std::vector<HttpResponder *> Closed;
     for (const auto &[Responder, Exchange] : this->OpenExchanges)
@@ -356,6 +411,10 @@
         static_cast<uint64_t>(Idle.Count);
 }
 
+void HttpServer::setMaxBody(size_t Bytes) {
+  this->Inner->Config.max_request_entity_size = Bytes;
+}
+
 size_t HttpServer::inFlight() const {
   return this->Inner->Requests.Open.size();
 }
--- a/packages/net/http_server_base.h
+++ b/packages/net/http_server_base.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_NET_HTTP_SERVER_BASE_H
 
 #include "base/error_type.h"
+#include "core/limits/limit_type.h"
 #include "net/http_type.h"
 #include "net/loop_base.h"
 
@@ -75,6 +76,8 @@
 /// Handles each request; may respond after it returns.
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+class ClientLimits;
+
 struct HttpServerConfig {
   /// The IPv4 address to listen on.
   std::string Address = "127.0.0.1";
@@ -85,6 +88,14 @@
   /// Limit both for a client to send its request and for a connection to stay
   /// idle, until setTimeouts() is called.
   Millis RequestTimeout = seconds(30);
+  /// The limits of the process on what clients make it hold; null: none.
+  std::shared_ptr<ClientLimits> Limits;
+  /// Who connects to this port.
+  ClientPort ClientKind = ClientPort::Callers;
+  /// Sent under these limits before a connection is closed whose request is not
+  /// complete: if memory is short, and if the request arrives too slowly.
+  HttpResponse IncompleteRefusal;
+  HttpResponse SlowRefusal;
 };
 
 class HttpServer {
@@ -109,6 +120,9 @@
   /// @param Idle time for a connection to stay idle; 0: unchanged.
   void setTimeouts(Millis Head, Millis Idle);
 
+  /// Changes the limit on a request body.
+  void setMaxBody(size_t Bytes);
+
   /// Asks clients to close (GOAWAY, Connection: close); still accepts requests.
   void beginDrain();
 
--- a/tests/base/deploy_template_test.cpp
+++ b/tests/base/deploy_template_test.cpp
@@ -40,6 +40,8 @@
                     {"bounds.grace_period_s", "8"},
                     {"app", "10.1.0.47:9000"},
                     {"service", "model"},
+                    {"limits.memory_mb", "120"},
+                    {"limits.file_descriptors", "3075"},
                     // Fields that the templates do not name.
                     {"bounds.a_new_bound_ms", "17"},
                     {"platform.a_new_limit", "many"},
