--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -8,10 +8,10 @@
 #include "net/h2o_internal.h"
 #include "net/http_head_internal.h"
 #include "net/http_parser_internal.h"
+#include "net/idle_time_internal.h"
 #include "net/limited_connection_internal.h"
 #include "net/listen_internal.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <array>
@@ -25,13 +25,6 @@
 
 namespace {
 
-/// Idle time of a pooled connection if the server sends no keep-alive timeout.
-constexpr Millis DefaultIdleTime{4'000};
-/// Limit on the idle time, whatever the server allows.
-constexpr Millis MaxIdleTime{30'000};
-/// Idle connections are closed this long before the server's timeout, so that
-/// no request is sent while the server closes.
-constexpr Millis IdleTimeMargin{700};
 /// Further connections are closed after their call.
 constexpr size_t MaxIdlePerTarget = 16;
 /// Smaller bodies are read at once under the limits of the process.
@@ -48,24 +41,6 @@
                    : "check what the process at this address sends"};
 }
 
-/// @return how long a connection may stay idle after this response; 0 or less:
-///         it is not pooled.
-Millis idleTime(const HttpResponse &Response) {
-  constexpr std::string_view Parameter = "timeout=";
-  const std::string_view KeepAlive = findHeader(Response.Headers, "keep-alive");
-  const size_t ParameterAt = KeepAlive.find(Parameter);
-  if (ParameterAt == std::string_view::npos)
-    return DefaultIdleTime;
-  const std::string_view Rest =
-      KeepAlive.substr(ParameterAt + Parameter.size());
-  int64_t Seconds = 0;
-  if (!absl::SimpleAtoi(
-          absl::string_view(Rest.data(), std::min(Rest.find(','), Rest.size())),
-          &Seconds))
-    return DefaultIdleTime;
-  return std::min(MaxIdleTime, seconds(Seconds) - IdleTimeMargin);
-}
-
 } // namespace
 
 struct HttpClient::State {
