Change: [Limits] No allocation for a request, and HTTP/2 connections

Cause: the sets of connections allocated a node at each change of state. The end of an HTTP/2 connection could free it within its own request, and one with a long stream counted as a slow request. Change: a connection moves between lists that keep its node. An HTTP/2 connection is shut down instead of freed at once; the rate applies only without open requests; an estimate of the framing is taken off its bytes.

--- a/packages/core/limits/limit_controller_base.cpp
+++ b/packages/core/limits/limit_controller_base.cpp
@@ -33,22 +33,18 @@
   return Found == this->Known.end() ? nullptr : &Found->second;
 }
 
-void LimitController::classify(ConnectionId Id, Connection &Of) {
+void LimitController::classify(Connection &Of) {
   const bool IsReceiving =
       Of.Input > 0 && (Of.OpenRequests == 0 || Of.IsMultiplexed);
+  IdList *Next = &this->Serving;
   if (IsReceiving)
-    this->Receiving.insert(Id);
-  else
-    this->Receiving.erase(Id);
-  const bool BecomesIdle = Of.OpenRequests == 0 && Of.Input == 0;
-  if (BecomesIdle == Of.IsIdle)
+    Next = &this->Receiving;
+  else if (Of.OpenRequests == 0)
+    Next = &this->Clients[Of.From].Idle;
+  if (Next == Of.State)
     return;
-  std::list<ConnectionId> &Idle = this->Clients[Of.From].Idle;
-  if (BecomesIdle)
-    Of.Place = Idle.insert(Idle.end(), Id);
-  else
-    Idle.erase(Of.Place);
-  Of.IsIdle = BecomesIdle;
+  Next->splice(Next->end(), *Of.State, Of.Place);
+  Of.State = Next;
 }
 
 void LimitController::setInput(Connection &Of, int64_t Bytes) {
@@ -97,9 +93,11 @@
   Made.From = Key;
   Made.InputAt = Now;
   ++this->Open[indexOf(Port)];
-  ++this->Clients[Key].Open;
+  Client &From = this->Clients[Key];
+  ++From.Open;
   this->Held += ConnectionBytes;
-  this->classify(Id, Made);
+  Made.State = &From.Idle;
+  Made.Place = From.Idle.insert(From.Idle.end(), Id);
   return Decision;
 }
 
@@ -110,12 +108,9 @@
   this->Held -= Closed->Input + Closed->Unread + ConnectionBytes;
   --this->Open[indexOf(Closed->From.first)];
   Client &From = this->Clients[Closed->From];
-  if (Closed->IsIdle)
-    From.Idle.erase(Closed->Place);
+  Closed->State->erase(Closed->Place);
   if (--From.Open == 0)
     this->Clients.erase(Closed->From);
-  this->Receiving.erase(Id);
-  this->Sending.erase(Id);
   this->Known.erase(Id);
 }
 
@@ -129,7 +124,7 @@
   if (IsProgress)
     Of->InputAt = Now;
   this->setInput(*Of, Bytes);
-  this->classify(Id, *Of);
+  this->classify(*Of);
 }
 
 void LimitController::requestBegan(ConnectionId Id) {
@@ -137,7 +132,7 @@
   if (Of == nullptr)
     return;
   ++Of->OpenRequests;
-  this->classify(Id, *Of);
+  this->classify(*Of);
 }
 
 void LimitController::requestEnded(ConnectionId Id, int64_t InputBytes,
@@ -152,7 +147,7 @@
   Of->Since = Now;
   Of->InputAt = Now;
   this->setInput(*Of, InputBytes);
-  this->classify(Id, *Of);
+  this->classify(*Of);
 }
 
 void LimitController::multiplexes(ConnectionId Id) {
@@ -160,7 +155,7 @@
   if (Of == nullptr)
     return;
   Of->IsMultiplexed = true;
-  this->classify(Id, *Of);
+  this->classify(*Of);
 }
 
 void LimitController::unread(ConnectionId Id, int64_t Added, bool IsProgress,
@@ -173,18 +168,13 @@
   this->Held += Added;
   Of->Unread += Added;
   assert(Of->Unread >= 0);
-  if (Of->Unread > 0)
-    this->Sending.insert(Id);
-  else
-    this->Sending.erase(Id);
 }
 
 std::optional<EndConnection> LimitController::nextToEnd(int64_t Needed,
                                                         Millis Now) const {
   if (this->fits(Needed))
     return std::nullopt;
-  const auto Worst = [this](const std::set<ConnectionId> &Among,
-                            const auto &RankOf) {
+  const auto Worst = [this](const IdList &Among, const auto &RankOf) {
     std::optional<ConnectionId> Chosen;
     std::tuple<int64_t, int64_t> Highest;
     for (const ConnectionId Id : Among) {
@@ -201,11 +191,14 @@
   });
   if (Incomplete.has_value())
     return EndConnection{*Incomplete, LimitReason::Incomplete};
-  const auto Unread = Worst(this->Sending, [Now](const Connection &Of) {
-    return std::tuple(stepsSince(Of.ReadAt, Now), Of.Unread);
+  const auto Unread = Worst(this->Serving, [Now](const Connection &Of) {
+    const int64_t Steps = Of.Unread > 0 ? stepsSince(Of.ReadAt, Now) : -1;
+    return std::tuple(Steps, Of.Unread);
   });
-  if (!Unread.has_value() ||
-      Now - this->Known.at(*Unread).ReadAt < this->Rules.UnreadGrace)
+  if (!Unread.has_value())
+    return std::nullopt;
+  const Connection &Of = this->Known.at(*Unread);
+  if (Of.Unread == 0 || Now - Of.ReadAt < this->Rules.UnreadGrace)
     return std::nullopt;
   return EndConnection{*Unread, LimitReason::Unread};
 }
@@ -218,7 +211,7 @@
   for (const ConnectionId Id : this->Receiving) {
     const Connection &Of = this->Known.at(Id);
     const Millis Counted = Now - Of.Since - this->Rules.RateGrace;
-    if (Counted > Millis{0} &&
+    if (Of.OpenRequests == 0 && Counted > Millis{0} &&
         Of.Input < Counted.Count * this->Rules.MinRequestRate / MillisPerSecond)
       Slow.push_back(Id);
   }
--- a/packages/core/limits/limit_controller_base.h
+++ b/packages/core/limits/limit_controller_base.h
@@ -10,7 +10,6 @@
 #include <list>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -18,9 +17,9 @@
 
 /// Keeps the account of all bytes held for clients. A connection is idle, has
 /// an incomplete request (bytes received, none of its requests open), or has
-/// open requests. Events take constant time, or logarithmic in the number of
-/// connections that are not idle; only the choice of a connection to end looks
-/// at all of these.
+/// open requests. Events take constant time and allocate nothing, except for
+/// new connections; only the choice of a connection to end looks at all that
+/// are not idle.
 class LimitController {
 public:
   explicit LimitController(LimitRules Rules) : Rules(Rules) {}
@@ -101,11 +100,13 @@
   }
 
 private:
+  using IdList = std::list<ConnectionId>;
+
   /// The connections from one address to one kind of port.
   struct Client {
     int64_t Open = 0;
     /// Longest idle first.
-    std::list<ConnectionId> Idle;
+    IdList Idle;
   };
   using ClientKey = std::pair<ClientPort, uint32_t>;
 
@@ -120,14 +121,14 @@
     Millis InputAt{0};
     Millis ReadAt{0};
     bool IsMultiplexed = false;
-    bool IsIdle = false;
-    /// Its place in Client::Idle while it is idle.
-    std::list<ConnectionId>::iterator Place;
+    /// The list that it is in: Client::Idle, Receiving or Serving.
+    IdList *State = nullptr;
+    IdList::iterator Place;
   };
 
   Connection *find(ConnectionId Id);
-  /// Keeps the sets in step with the connection's state.
-  void classify(ConnectionId Id, Connection &Of);
+  /// Moves the connection to the list of its state.
+  void classify(Connection &Of);
   void setInput(Connection &Of, int64_t Bytes);
   /// @return the idle connection to end for a new one.
   std::optional<ConnectionId> idleVictim(ClientPort Port) const;
@@ -136,9 +137,9 @@
   std::unordered_map<ConnectionId, Connection> Known;
   std::map<ClientKey, Client> Clients;
   /// Connections with an incomplete request.
-  std::set<ConnectionId> Receiving;
-  /// Connections with unread responses.
-  std::set<ConnectionId> Sending;
+  IdList Receiving;
+  /// Other connections with open requests.
+  IdList Serving;
   std::array<int64_t, ClientPortCount> Open{};
   std::array<int64_t, LimitReasonCount> Counts{};
   int64_t Held = 0;
--- a/packages/net/limited_connection_base.cpp
+++ b/packages/net/limited_connection_base.cpp
@@ -40,6 +40,13 @@
   return reinterpret_cast<sockaddr_in *>(&Peer)->sin_addr.s_addr;
 }
 
+/// @return what a request takes on a multiplexed connection besides its body,
+///   about: its head, and nine bytes for each frame of 16 KiB.
+int64_t framingBytes(int64_t BodyBytes) {
+  constexpr int64_t HeadBytes = 256;
+  return HeadBytes + BodyBytes / 1024;
+}
+
 /// Gives the whole pages of a range back to the system; they read as zeros.
 void dropPages(char *Begin, const char *End) {
   const auto Page = static_cast<uintptr_t>(sysconf(_SC_PAGESIZE));
@@ -130,8 +137,8 @@
   this->Limits->requestBegan(this->Id);
   // The head's bytes stay with the connection until the request ends.
   if (this->isMultiplexed())
-    this->MultiplexedBytes =
-        std::max<int64_t>(0, this->MultiplexedBytes - BodyBytes);
+    this->MultiplexedBytes = std::max<int64_t>(
+        0, this->MultiplexedBytes - BodyBytes - framingBytes(BodyBytes));
   const int64_t Left = this->isMultiplexed() ? this->inputBytes()
                        : static_cast<size_t>(BodyBytes) < MinMovedBytes
                            ? this->inputBytes()
@@ -193,15 +200,19 @@
 void LimitedConnection::end(LimitReason Reason) {
   this->IsEnded = true;
   const int Fd = h2o_socket_get_fd(this->Socket);
-  if (this->Socket->_cb.read != LimitedConnection::onReadable) {
-    // h2o closes it when it reads or writes the next time.
-    h2o_socket_dont_read(this->Socket, 0);
+  const bool ReadsHere =
+      this->Socket->_cb.read == LimitedConnection::onReadable;
+  if (!ReadsHere || this->isMultiplexed()) {
+    // h2o closes it when it reads or writes the next time. One with several
+    // requests may be at work on another one.
+    if (!ReadsHere)
+      h2o_socket_dont_read(this->Socket, 0);
     shutdown(Fd, SHUT_RDWR);
     return;
   }
   const bool IsRefused =
       Reason == LimitReason::Incomplete || Reason == LimitReason::SlowRequest;
-  if (IsRefused && !this->isMultiplexed()) {
+  if (IsRefused) {
     const std::string &Text = Reason == LimitReason::SlowRequest
                                   ? this->Refusals.Slow
                                   : this->Refusals.Incomplete;
