--- a/packages/net/link_connection.cpp
+++ b/packages/net/link_connection.cpp
@@ -3,6 +3,7 @@
 
 #include "net/link_connection_internal.h"
 
+#include "net/limited_connection_internal.h"
 #include "wire/codec_func.h"
 
 #include <cassert>
@@ -10,12 +11,21 @@
 
 namespace camphornotch {
 
+namespace {
+
+/// Far more than a Hello has: names and numbers.
+constexpr size_t MaxHelloBytes = size_t{64} << 10;
+
+} // namespace
+
 LinkConnection::~LinkConnection() { this->close(); }
 
 void LinkConnection::attach(h2o_socket_t *Socket) {
   assert(this->Socket == nullptr);
   this->Socket = Socket;
   Socket->data = this;
+  if (this->HasLimit)
+    limitKernelBuffers(h2o_socket_get_fd(Socket));
   h2o_socket_read_start(Socket, LinkConnection::onRead);
   this->flush();
 }
@@ -92,7 +102,11 @@
   }
   const size_t Before = Socket->input->size;
   std::vector<wire::PeerMessage> Messages;
-  const std::string InputError = Self->takeMessages(Messages);
+  std::string InputError = Self->takeMessages(Messages);
+  if (!Messages.empty())
+    Self->HasLimit = false;
+  if (Self->HasLimit && Socket->input->size > MaxHelloBytes)
+    InputError = "the first message is too long for a Hello";
   Self->Counters->BytesIn += Before - Socket->input->size;
   Self->Counters->MessagesIn += Messages.size();
   if (!Messages.empty() && Self->OnMessages)
--- a/packages/net/link_connection_internal.h
+++ b/packages/net/link_connection_internal.h
@@ -31,6 +31,10 @@
   /// @param Socket owned from now on.
   void attach(h2o_socket_t *Socket);
 
+  /// Limits what the connection holds before its first message.
+  /// @pre attach() was not called.
+  void limitBeforeHello() { this->HasLimit = true; }
+
   /// Queues a message; it is written at the end of the loop's turn.
   /// @return false if more than MaxQueuedBytes are queued already.
   bool send(const wire::PeerMessage &Message, size_t MaxQueuedBytes);
@@ -71,6 +75,8 @@
   std::string Queued;
   /// Bytes being written.
   std::string Writing;
+  /// Whether the input is limited until the first message.
+  bool HasLimit = false;
   /// Whether a flush is scheduled for the end of this turn.
   bool FlushPlanned = false;
 };
--- a/packages/net/link_hub_base.cpp
+++ b/packages/net/link_hub_base.cpp
@@ -210,14 +210,31 @@
         });
   }
 
+  /// @return whether there is room for a connection without a Hello.
+  bool mayAccept() const {
+    if (this->Settings.MaxWithoutHello == 0)
+      return true;
+    const auto WithoutHello = static_cast<size_t>(
+        std::ranges::count_if(this->Connections, [](const auto &Each) {
+          return Each.second.accepted() && Each.second.Peer.Value.empty();
+        }));
+    return WithoutHello < this->Settings.MaxWithoutHello;
+  }
+
   /// Accepts pending connections.
   static void onAccept(h2o_socket_t *Listener, const char *Failure) {
     auto *Self = static_cast<State *>(Listener->data);
     if (Failure != nullptr)
       return;
     while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
+      if (!Self->mayAccept()) {
+        h2o_socket_close(Socket);
+        continue;
+      }
       const uint64_t Id = Self->addConnection(HttpTarget{});
       HubConnection &Connection = Self->Connections.at(Id);
+      if (Self->Settings.LimitsAccepted)
+        Connection.Transport->limitBeforeHello();
       Connection.Transport->attach(Socket);
       Self->sendHello(Connection);
     }
--- a/packages/net/link_settings_func.cpp
+++ b/packages/net/link_settings_func.cpp
@@ -12,6 +12,9 @@
 /// The longest reconnect delay, as a multiple of the shortest.
 constexpr int64_t BackoffFactor = 16;
 
+/// All gateways may connect to a loader at the same time after its restart.
+constexpr int64_t WithoutHelloShare = 4;
+
 } // namespace
 
 HttpTarget targetOf(const Address &Value) {
@@ -26,6 +29,9 @@
   Links.BackoffMin = Settings.ReconnectDelay;
   Links.BackoffMax = Settings.ReconnectDelay * BackoffFactor;
   Links.MaxQueuedBytes = static_cast<size_t>(Settings.MaxAnswerBytesHeld);
+  Links.LimitsAccepted = Settings.MemoryMb > 0;
+  Links.MaxWithoutHello =
+      static_cast<size_t>(Settings.FileDescriptors / WithoutHelloShare);
   return Links;
 }
 
--- a/packages/net/link_type.h
+++ b/packages/net/link_type.h
@@ -28,6 +28,11 @@
   Millis BackoffMax{3000};
   /// Limit on the bytes waiting to be sent to one peer.
   size_t MaxQueuedBytes = size_t{64} << 20;
+  /// Whether an accepted connection may make the process hold only a little
+  /// before its Hello; the number of these connections is bounded, too.
+  bool LimitsAccepted = false;
+  /// Limit on accepted connections without a Hello; 0: none.
+  size_t MaxWithoutHello = 0;
 };
 
 /// A peer is reachable: its Hello arrived on a new connection.
--- a/tests/crowds/crowd_test.cpp
+++ b/tests/crowds/crowd_test.cpp
@@ -87,6 +87,18 @@
   Fix.checkLimits();
 }
 
+// Guards against connections to the port for links that announce a long message
+// and send most of it, without having said who they are.
+Test(crowd, messagesStopShortOnLinksPort_staysWithinBudget) {
+  CrowdFixture Fix;
+  Fix.Port = Fix.Net.Gateways[0]->links().Port;
+  const std::string LengthOf15MiB("\x00\xf0\x00\x00", 4);
+  Fix.run(CrowdSize, CrowdScript{.Head = LengthOf15MiB,
+                                 .Pattern = std::string(256 * KiB, 'x'),
+                                 .PatternBytes = 8 * MiB});
+  Fix.checkLimits();
+}
+
 // Guards against request heads that arrive in small parts and never end.
 Test(crowd, headsTrickle_staysWithinBudget) {
   CrowdScript Script;
--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -46,7 +46,7 @@
   GatewayProcess(const HttpTarget &Store, const std::string &Name,
                  const std::string &Extra = "")
       : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()},
-        Peers{"127.0.0.1", freePort()} {
+        Peers{"127.0.0.1", freePort()}, Links{"127.0.0.1", freePort()} {
     std::string Folder = "/tmp/camphornotch-test-XXXXXX";
     if (mkdtemp(Folder.data()) == nullptr)
       return;
@@ -54,7 +54,7 @@
     std::ofstream(this->settingsPath())
         << "[process]\nrole = gateway\nhost = " << Name
         << "\ndata_centre = dc\nregion = r\n[listen]\nlinks = 127.0.0.1:"
-        << freePort() << "\nhttp = 127.0.0.1:" << this->Probes.Port
+        << this->Links.Port << "\nhttp = 127.0.0.1:" << this->Probes.Port
         << "\npeers = 127.0.0.1:" << this->Peers.Port
         << "\n[gateway]\nfront = 127.0.0.1:" << this->Front.Port
         << "\nstore = 127.0.0.1:" << Store.Port
@@ -72,8 +72,10 @@
     const int Output = open(Log.c_str(), O_WRONLY | O_CREAT, LogMode);
     dup2(Output, STDOUT_FILENO);
     dup2(Output, STDERR_FILENO);
-    execl(CAMPHORNOTCH_DAEMON, CAMPHORNOTCH_DAEMON, "--config", Path.c_str(),
-          nullptr);
+    // Another build can be measured with the same tests.
+    const char *Other = getenv("CAMPHORNOTCH_OTHER_DAEMON");
+    const char *Daemon = Other == nullptr ? CAMPHORNOTCH_DAEMON : Other;
+    execl(Daemon, Daemon, "--config", Path.c_str(), nullptr);
     _exit(1);
   }
   ~GatewayProcess() {
@@ -94,6 +96,8 @@
   const HttpTarget &probes() const { return this->Probes; }
   /// @return the address for other gateways.
   const HttpTarget &peers() const { return this->Peers; }
+  /// @return the address for links of other processes.
+  const HttpTarget &links() const { return this->Links; }
   pid_t pid() const { return this->Pid; }
 
 private:
@@ -102,6 +106,7 @@
   HttpTarget Front;
   HttpTarget Probes;
   HttpTarget Peers;
+  HttpTarget Links;
   std::string Folder;
   pid_t Pid = 0;
 };
