--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/client_limits_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
@@ -43,7 +44,9 @@
 } // namespace
 
 Gateway::Gateway(Loop &Events, const GatewaySettings &Settings)
-    : Events(Events), Settings(Settings), Http(Events), StoreHttp(Events),
+    : Events(Events), Settings(Settings),
+      Limits(makeClientLimits(Events, Settings.Common, MaxBodyBytes)),
+      Http(Events), StoreHttp(Events),
       Store(Events, StoreHttp,
             HttpTarget{Settings.Store.Ip, Settings.Store.Port}),
       Access(Counts), Pool(Geography{Settings.Common.DataCentre,
@@ -106,6 +109,7 @@
       RequestSeconds(Counts.histogram("request_seconds",
                                       "Time of callers' requests, in seconds.",
                                       RequestBounds)) {
+  this->Http.setLimits(this->Limits);
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
                               platform::RawStoreCallback Reply) {
     return this->Peers.relay(Call, std::move(Reply));
@@ -117,6 +121,7 @@
   if (!Linked.has_value())
     return Linked.error();
   HttpServerConfig ProbeConfig;
+  limitServer(ProbeConfig, this->Limits, ClientPort::Probes);
   ProbeConfig.Address = this->Settings.Common.ListenHttp.Ip;
   ProbeConfig.Port = this->Settings.Common.ListenHttp.Port;
   auto ProbeListener =
@@ -128,6 +133,7 @@
     return ProbeListener.error();
   this->ProbeServer = std::move(ProbeListener.value());
   HttpServerConfig PeerConfig;
+  limitServer(PeerConfig, this->Limits, ClientPort::Peers);
   PeerConfig.Address = this->Settings.ListenPeers.Ip;
   PeerConfig.Port = this->Settings.ListenPeers.Port;
   auto PeerListener =
@@ -139,6 +145,7 @@
     return PeerListener.error();
   this->PeerServer = std::move(PeerListener.value());
   HttpServerConfig CallerConfig;
+  limitServer(CallerConfig, this->Limits, ClientPort::Callers);
   CallerConfig.Address = this->Settings.Front.Ip;
   CallerConfig.Port = this->Settings.Front.Port;
   CallerConfig.MaxBodyBytes = MaxBodyBytes;
@@ -172,49 +179,6 @@
   return HttpTarget{this->Settings.Front.Ip, this->CallerServer->port()};
 }
 
-std::string_view Gateway::whyNotReady() const {
-  if (this->StopRequestedAt > Millis{0})
-    return "stopping";
-  if (this->Routes.Version == 0)
-    return "no configuration yet";
-  if (!this->Directory.complete())
-    return "endpoints not read yet";
-  return "";
-}
-
-void Gateway::onProbe(const std::shared_ptr<HttpExchange> &Exchange) {
-  HttpResponse Response;
-  Response.ContentType = "text/plain";
-  if (platform::isReadinessProbe(Exchange->request())) {
-    const std::string_view Why = this->whyNotReady();
-    Response.Status = Why.empty() ? StatusOk : StatusUnavailable;
-    Response.Body = Why.empty() ? "ready" : Why;
-  } else if (Exchange->request().Path == "/metrics") {
-    this->setGauges();
-    Response.Body = this->Counts.text();
-  } else {
-    Response.Status = StatusNotFound;
-  }
-  Exchange->answer(Response);
-}
-
-void Gateway::setGauges() {
-  const ItemScheduler &Items = this->Batches.scheduler();
-  const auto Set = [this](const char *Name, const char *Help, double Value) {
-    this->Counts.gauge(Name, Help).Set(Value);
-  };
-  Set("items_waiting", "Items that wait for an engine.",
-      static_cast<double>(Items.waiting()));
-  Set("items_running", "Items at engines or being scored.",
-      static_cast<double>(Items.running()));
-  Set("partitions_owned", "Partitions that this gateway owns.",
-      static_cast<double>(this->Batches.owned()));
-  Set("requests_open", "Requests that are being forwarded.",
-      static_cast<double>(this->Forward.running()));
-  Set("config_version", "Version of the configuration in force.",
-      static_cast<double>(this->Routes.Version));
-}
-
 Millis Gateway::stopLimit() const {
   return this->StopRequestedAt + parseGracePeriod(this->Settings.GraceSeconds) -
          StopMargin;
@@ -265,6 +229,9 @@
                {"version", concat(this->Routes.Version)}});
   this->CallerServer->setTimeouts(this->Routes.Limits.HeaderTimeout,
                                   this->Routes.Limits.IdleTimeout);
+  if (this->Limits != nullptr)
+    applyBodyLimit(*this->Limits, *this->CallerServer, this->Settings.Common,
+                   this->Routes.Limits.BodyBytes);
   this->connectLoaders();
   this->Batches.routesChanged();
 }
--- a/tests/base/deploy_template_test.cpp
+++ b/tests/base/deploy_template_test.cpp
@@ -43,6 +43,8 @@
                     {"cloud.address", ""},
                     {"bounds.report_window_s", ""},
                     {"service", "model"},
+                    {"limits.memory_mb", "120"},
+                    {"limits.file_descriptors", "3075"},
                     // Fields that the templates do not name.
                     {"bounds.a_new_bound_ms", "17"},
                     {"platform.a_new_limit", "many"},
--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -42,8 +42,11 @@
 class GatewayProcess {
 public:
   /// @param Store the stand-in of the store.
-  GatewayProcess(const HttpTarget &Store, const std::string &Name)
-      : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()} {
+  /// @param Extra further lines of the settings.
+  GatewayProcess(const HttpTarget &Store, const std::string &Name,
+                 const std::string &Extra = "")
+      : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()},
+        Peers{"127.0.0.1", freePort()}, Links{"127.0.0.1", freePort()} {
     std::string Folder = "/tmp/camphornotch-test-XXXXXX";
     if (mkdtemp(Folder.data()) == nullptr)
       return;
@@ -51,12 +54,13 @@
     std::ofstream(this->settingsPath())
         << "[process]\nrole = gateway\nhost = " << Name
         << "\ndata_centre = dc\nregion = r\n[listen]\nlinks = 127.0.0.1:"
-        << freePort() << "\nhttp = 127.0.0.1:" << this->Probes.Port
-        << "\npeers = 127.0.0.1:" << freePort()
+        << this->Links.Port << "\nhttp = 127.0.0.1:" << this->Probes.Port
+        << "\npeers = 127.0.0.1:" << this->Peers.Port
         << "\n[gateway]\nfront = 127.0.0.1:" << this->Front.Port
         << "\nstore = 127.0.0.1:" << Store.Port
         << "\nregions = dc=r\ngrace_s = 8\npartitions = 2\n"
-           "record_bytes = 262144\n";
+           "record_bytes = 262144\n"
+        << Extra;
     const std::string Log = this->Folder + "/log";
     const std::string Path = this->settingsPath();
     this->Pid = fork();
@@ -68,8 +72,10 @@
     const int Output = open(Log.c_str(), O_WRONLY | O_CREAT, LogMode);
     dup2(Output, STDOUT_FILENO);
     dup2(Output, STDERR_FILENO);
-    execl(CAMPHORNOTCH_DAEMON, CAMPHORNOTCH_DAEMON, "--config", Path.c_str(),
-          nullptr);
+    // Another build can be measured with the same tests.
+    const char *Other = getenv("CAMPHORNOTCH_OTHER_DAEMON");
+    const char *Daemon = Other == nullptr ? CAMPHORNOTCH_DAEMON : Other;
+    execl(Daemon, Daemon, "--config", Path.c_str(), nullptr);
     _exit(1);
   }
   ~GatewayProcess() {
@@ -88,12 +94,19 @@
   const HttpTarget &front() const { return this->Front; }
   /// @return the address for readiness probes.
   const HttpTarget &probes() const { return this->Probes; }
+  /// @return the address for other gateways.
+  const HttpTarget &peers() const { return this->Peers; }
+  /// @return the address for links of other processes.
+  const HttpTarget &links() const { return this->Links; }
+  pid_t pid() const { return this->Pid; }
 
 private:
   std::string settingsPath() const { return this->Folder + "/gateway.ini"; }
 
   HttpTarget Front;
   HttpTarget Probes;
+  HttpTarget Peers;
+  HttpTarget Links;
   std::string Folder;
   pid_t Pid = 0;
 };
@@ -109,11 +122,13 @@
 
   /// Starts the gateways and waits until they are ready.
   /// @param Config the configuration.
-  ProcessFixture(int Count, const std::string &Config) {
+  /// @param Extra further lines of the settings of each gateway.
+  ProcessFixture(int Count, const std::string &Config,
+                 const std::string &Extra = "") {
     this->Store.put("keyed.op", "config", Config);
     for (int Index = 0; Index < Count; ++Index)
       this->Gateways.push_back(std::make_unique<GatewayProcess>(
-          this->Store.target(), "gateway-" + std::to_string(Index)));
+          this->Store.target(), "gateway-" + std::to_string(Index), Extra));
     for (const auto &Gateway : this->Gateways)
       cr_assert(turnUntil(this->Events, [&] {
         HttpCall Call;
