Add: [Loader] The engine's pace and cache use go to gateways

Cause: a gateway knew that an engine is slow only from work of its own there, and other load slows up to 20 of 37 engines within a second. Change: the loader measures the time between two events of one run from the runs that consecutive reports share, and adds it and the cache use to the state that it pushes anyway. Entries of a report in another form are left out, and numbers that cannot be are not known. Encoding and decoding of the message move to engine_state_func.

--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -59,6 +59,12 @@
   /// Model whose weights are being loaded; empty: none.
   std::string LoadingModel;
   ModelVersions Versions;
+  /// Time between two events of one run at this load; 0: not known.
+  int64_t PaceMs = 0;
+  /// Cache memory that cannot be evicted, in tokens.
+  int64_t KvUsed = 0;
+  /// Cache memory, in tokens; 0: not known.
+  int64_t KvTotal = 0;
 };
 
 /// How a piece of work ended, as it affects the choice of its endpoint.
--- a/packages/core/loads/load_type.h
+++ b/packages/core/loads/load_type.h
@@ -9,9 +9,17 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace camphornotch {
 
+/// One run in an engine's report.
+struct EngineRun {
+  std::string Id;
+  /// Events that it has made.
+  int64_t Events = 0;
+};
+
 /// An engine's answer to a report poll.
 struct EngineReport {
   /// Orders that it has accepted since its start.
@@ -21,6 +29,12 @@
   int64_t Running = 0;
   int64_t Waiting = 0;
   ModelVersions Versions;
+  /// What the engine runs; empty if the report does not say.
+  std::vector<EngineRun> Runs;
+  /// Cache memory that cannot be evicted, in tokens.
+  int64_t KvUsed = 0;
+  /// Cache memory, in tokens; 0: not reported.
+  int64_t KvTotal = 0;
 };
 
 /// An order to load newer weights. An engine that has accepted another order
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/gateway/route_func.h"
+#include "gateway/engine_state_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/operator_func.h"
 
@@ -273,21 +274,14 @@
 }
 
 void Gateway::onEngineState(const wire::EngineStatePush &State) {
-  const auto Colon = State.Address.rfind(':');
-  const Result<HttpTarget> Target = parseTarget(State.Address);
-  if (Colon == std::string::npos || !Target.has_value()) {
+  const Result<ReportedEngine> Engine = decodeEngineState(State);
+  if (!Engine.has_value()) {
     logLine(LogLevel::Warn, "ignored an engine state with an invalid address",
             {{"address", State.Address}});
     return;
   }
-  EngineLoad Load;
-  Load.Running = State.Running;
-  Load.Waiting = State.Waiting;
-  Load.LoadingModel = State.LoadingModel;
-  for (const wire::ModelVersion &Each : State.Versions)
-    Load.Versions[Each.Model] = Each.Version;
-  this->Pool.loadReported(Address{Target.value().Address, Target.value().Port},
-                          Load, steadyNow());
+  this->Pool.loadReported(Engine.value().ListenAddress, Engine.value().Load,
+                          steadyNow());
   if (this->Batches.scheduler().waiting() > 0)
     this->Batches.wake();
 }
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/loads/engine_place_func.h"
+#include "gateway/engine_state_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/engine_func.h"
 #include "platform/operator_func.h"
@@ -175,6 +176,7 @@
       logLine(LogLevel::Warn, "engine lost",
               {{"cause", Failure.Cause.Message}});
     this->LastReport.Sequence = -1;
+    this->Pace.reset();
     this->Controller.engineLost();
     this->Events.callAfter(this->Settings.ReportPoll,
                            [this] { this->requestReport(); });
@@ -188,6 +190,7 @@
     logLine(LogLevel::Info, "engine answers",
             {{"sequence", concat(Report.Sequence)}});
   this->LastReport = Report;
+  this->Pace.reported(Report.Runs, steadyNow());
   if (!Report.Busy)
     this->LoadingModel.clear();
   if (this->FencingNumber > 0 && !this->EngineId.Value.empty())
@@ -250,22 +253,8 @@
 }
 
 wire::PeerMessage Loader::stateMessage() const {
-  wire::EngineStatePush State;
-  State.Address =
-      concat(this->Settings.Engine.Ip, ":", this->Settings.Engine.Port);
-  for (const auto &[Model, Version] : this->LastReport.Versions) {
-    wire::ModelVersion Each;
-    Each.Model = Model;
-    Each.Version = Version;
-    State.Versions.push_back(std::move(Each));
-  }
-  State.Running = static_cast<int32_t>(this->LastReport.Running);
-  State.Waiting = static_cast<int32_t>(this->LastReport.Waiting);
-  State.Loading = this->LastReport.Busy;
-  State.LoadingModel = this->LoadingModel;
-  wire::PeerMessage Message;
-  Message.__set_EngineStateMsg(State);
-  return Message;
+  return encodeEngineState(this->Settings.Engine, this->LastReport,
+                           this->LoadingModel, this->Pace.paceMs(steadyNow()));
 }
 
 } // namespace camphornotch
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -6,6 +6,7 @@
 
 #include "base/settings_type.h"
 #include "core/gateway/suspect_table_base.h"
+#include "core/loads/engine_pace_base.h"
 #include "core/loads/load_controller_base.h"
 #include "core/loads/state_push_base.h"
 #include "gateway/directory_task_base.h"
@@ -77,6 +78,8 @@
   std::set<EndpointId> RejectedIds;
   /// The last report; Sequence is below 0 if there is none.
   EngineReport LastReport;
+  /// The engine's pace by its reports.
+  EnginePace Pace;
   /// Model of the load in progress; empty: none.
   std::string LoadingModel;
   /// 0 until the store has given one.
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -168,6 +168,26 @@
   cr_assert(decodeEngineReport("").has_error());
 }
 
+// Guards against a report that is lost because of one entry or field that a
+// newer engine writes differently.
+Test(decodeEngineReport, malformedRuns_areLeftOut) {
+  const auto Good = decodeEngineReport(R"({"sequence":2,"runs":[
+      ["i-1",340,12,0],["i-2",5],"i-3",["i-4",1,"7",0],[8,20,3],["i-5",1,-4],
+      ["i-6",null,5,{}],[null,1,2,0],["i-7",1,99999999999999999999]],
+      "kv_cache_used":300,"kv_cache_total":"much"})");
+  cr_assert(Good.has_value());
+  cr_assert_eq(Good.value().Runs.size(), 3);
+  cr_assert(Good.value().Runs[0].Id == "i-1");
+  cr_assert_eq(Good.value().Runs[0].Events, 12);
+  cr_assert(Good.value().Runs[1].Id == "8");
+  cr_assert_eq(Good.value().Runs[2].Events, 5);
+  cr_assert_eq(Good.value().KvUsed, 300);
+  cr_assert_eq(Good.value().KvTotal, 0);
+  const auto NoList = decodeEngineReport(R"({"sequence":2,"runs":{"a":1}})");
+  cr_assert(NoList.has_value());
+  cr_assert(NoList.value().Runs.empty());
+}
+
 Test(orderCall, loadOrder_hasIssuerVersionAndSequence) {
   const HttpCall Call =
       orderCall(Address{"10.0.0.9", 80}, EndpointId{"i-1"},
