Add: [Gateway] Endpoint choice by the remaining work

Cause: the choice by expected time counts work and measures an engine only by own runs there. Gateways with the same old reports choose the same engines, and items go to engines that other load slows. Change: the policy remaining_work (endpoint_choice) forecasts when an endpoint would end the work: pace by the loader, else by own runs, else the median of the service, else a prior; work there of all gateways and sent since the report; prompt and distance. It takes the best of five candidates drawn by a number of the caller, four of them in the region, so that the time of a choice does not grow with the endpoints. Runs move by the same forecast, to engines that this process has not used, too. A report that own runs contradict is not believed.

--- a/packages/core/gateway/endpoint_choice_func.cpp
+++ b/packages/core/gateway/endpoint_choice_func.cpp
@@ -8,6 +8,8 @@
 namespace camphornotch {
 
 EndpointChoice parseEndpointChoice(std::string_view Name) {
+  if (Name == "remaining_work")
+    return RemainingWorkChoice{};
   if (Name == "least_outstanding")
     return LeastOutstandingChoice{};
   if (Name == "round_robin")
--- a/packages/core/gateway/endpoint_choice_type.h
+++ b/packages/core/gateway/endpoint_choice_type.h
@@ -11,14 +11,17 @@
 
 /// Chooses the endpoint with the shortest expected time.
 struct ExpectedTimeChoice {};
+/// Chooses the better of a few drawn candidates by when the work is expected to
+/// end there.
+struct RemainingWorkChoice {};
 /// Baseline: chooses the endpoint with the least outstanding work of this
 /// process.
 struct LeastOutstandingChoice {};
 /// Baseline: chooses the endpoint that this process chose least recently.
 struct RoundRobinChoice {};
 
-using EndpointChoice =
-    std::variant<ExpectedTimeChoice, LeastOutstandingChoice, RoundRobinChoice>;
+using EndpointChoice = std::variant<ExpectedTimeChoice, RemainingWorkChoice,
+                                    LeastOutstandingChoice, RoundRobinChoice>;
 
 /// @param Name a value of the setting endpoint_choice.
 /// @pre the value has been validated.
--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -3,15 +3,14 @@
 
 #include "core/gateway/endpoint_pool_base.h"
 
+#include "core/gateway/endpoint_pool_internal.h"
+
 #include <algorithm>
-#include <array>
 
 namespace camphornotch {
 
 namespace {
 
-/// Round-trip time by NetworkDistance, from the sites' link delays.
-constexpr std::array<double, 3> RoundTripMs{1.0, 4.0, 26.0};
 /// Time assumed for an endpoint not measured yet: the mean of the sites'
 /// shortest kind of request.
 constexpr double UnmeasuredMs = 20.0;
@@ -29,9 +28,6 @@
 constexpr Millis MaxAvoidTime{2'000};
 /// Time that an endpoint is avoided after it refused work.
 constexpr Millis FullAvoidTime{60};
-/// Maximum age of a usable measurement: other load at the sites slows an
-/// endpoint for a few seconds at a time.
-constexpr Millis MeasurementMaxAge{3'000};
 /// Time for which a lifetime without an entry in the directory stays marked as
 /// leaving: the longest time for which the store keeps history.
 constexpr Millis LeavingMemory{300'000};
@@ -40,8 +36,6 @@
 constexpr size_t MaxLeavingMarks = 8'192;
 /// Interval of the search for marks that are no longer needed.
 constexpr Millis LeavingTrimInterval{10'000};
-/// Factor on the expected time of an avoided endpoint.
-constexpr double AvoidPenalty = 50.0;
 
 } // namespace
 
@@ -139,6 +133,7 @@
     State->Load = Load;
     State->LoadReceivedAt = Now;
     State->StartedSinceLoad = 0;
+    this->updateMedian(State->Record.Service, Now);
   }
 }
 
@@ -235,6 +230,10 @@
     double operator()(const ExpectedTimeChoice & /*Choice*/) const {
       return this->Pool.expectedTime(this->State, this->Unmeasured, this->Now);
     }
+    double operator()(const RemainingWorkChoice & /*Choice*/) const {
+      return this->Pool.forecast(this->State, ExpectedWork{}, this->Now)
+          .endMs();
+    }
     double operator()(const LeastOutstandingChoice & /*Choice*/) const {
       return static_cast<double>(this->State.Outstanding);
     }
@@ -256,6 +255,8 @@
 
 const EndpointState *EndpointPool::choose(const EndpointQuery &Query,
                                           Millis Now) const {
+  if (this->usesForecasts())
+    return this->chooseDrawn(Query, Now);
   const ServiceEndpoints *Service = this->Index.find(Query.Service);
   if (Service == nullptr)
     return nullptr;
@@ -290,8 +291,10 @@
     return;
   EndpointState &State = Found->second;
   State.Outstanding = std::max<int64_t>(State.Outstanding - 1, 0);
-  if (Elapsed > Millis{0})
+  if (Elapsed > Millis{0}) {
     EndpointPool::addMeasurement(State, Elapsed, Now);
+    this->updateMedian(State.Record.Service, Now);
+  }
   switch (Outcome) {
   case WorkOutcome::Answered:
     State.ConsecutiveFailures = 0;
@@ -329,14 +332,24 @@
 
 void EndpointPool::paceMeasured(const EndpointId &Id, Millis Gap, Millis Now) {
   const auto Found = this->Endpoints.find(Id);
-  if (Found != this->Endpoints.end())
-    EndpointPool::addMeasurement(Found->second, Gap, Now);
+  if (Found == this->Endpoints.end())
+    return;
+  EndpointState &State = Found->second;
+  EndpointPool::addMeasurement(State, Gap, Now);
+  const auto New = static_cast<double>(Gap.Count);
+  State.EventMs = State.EventMs > 0 ? State.EventMs * (1 - SmoothingFactor) +
+                                          New * SmoothingFactor
+                                    : New;
+  State.EventMeasuredAt = Now;
+  this->updateMedian(State.Record.Service, Now);
 }
 
 const EndpointState *EndpointPool::findFaster(const EndpointId &Id,
                                               EndpointQuery Query,
                                               Millis Now) const {
   const EndpointState *Current = this->find(Id);
+  if (Current != nullptr && this->usesForecasts())
+    return this->findSooner(*Current, std::move(Query), Now);
   if (Current == nullptr || !EndpointPool::isMeasured(*Current, Now))
     return nullptr;
   Query.ExcludedEndpoints.insert(Id);
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -7,8 +7,10 @@
 #include "core/gateway/endpoint_choice_type.h"
 #include "core/gateway/endpoint_index_base.h"
 #include "core/gateway/endpoint_pool_type.h"
+#include "core/gateway/work_forecast_type.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -31,6 +33,8 @@
   std::set<EndpointId> ExcludedEndpoints;
   /// Slots that must be free; 0: the endpoint may be full.
   int64_t MinFreeSlots = 0;
+  /// The work of the request, for RemainingWorkChoice.
+  ExpectedWork Work{};
 };
 
 /// State of the endpoints and choice among them; deterministic, without I/O.
@@ -70,6 +74,8 @@
   /// Chooses an eligible endpoint. ExpectedTimeChoice takes the shortest
   /// smoothed time, scaled by the work at the endpoint, so that short requests
   /// avoid slow endpoints and items spread over the engines.
+  /// RemainingWorkChoice draws a few candidates of each distance by
+  /// ExpectedWork::Draw and takes the one that is expected to end first.
   /// @return the endpoint, or null if none is eligible.
   const EndpointState *choose(const EndpointQuery &Query, Millis Now) const;
 
@@ -101,6 +107,18 @@
   void versionSeen(const EndpointId &Id, const std::string &Model,
                    int64_t Version);
 
+  /// @return whether choices follow the expected work of requests
+  ///   (RemainingWorkChoice).
+  bool usesForecasts() const;
+
+  /// @return when an endpoint would finish a request that is sent now.
+  WorkForecast forecast(const EndpointState &State, const ExpectedWork &Work,
+                        Millis Now) const;
+
+  /// @return false if every eligible endpoint is measured, and none could end
+  ///   the least work of the request in time.
+  bool canEndBy(const EndpointQuery &Query, Millis Deadline, Millis Now) const;
+
   const EndpointState *find(const EndpointId &Id) const;
 
   const std::map<EndpointId, EndpointState> &all() const {
@@ -108,6 +126,25 @@
   }
 
 private:
+  /// The time of an event or request at an endpoint without other work.
+  struct Pace {
+    double Ms = 0;
+    PaceSource Source = PaceSource::Prior;
+  };
+
+  /// @return the endpoint's pace, if it was reported or measured lately.
+  std::optional<Pace> ownPace(const EndpointState &State, Millis Now) const;
+  /// Updates the service's median time if it is due.
+  void updateMedian(std::string_view ServiceName, Millis Now);
+  WorkForecast forecastAt(const EndpointState &State,
+                          const ServiceEndpoints &Service,
+                          const ExpectedWork &Work, Millis Now) const;
+  /// choose() under RemainingWorkChoice.
+  const EndpointState *chooseDrawn(const EndpointQuery &Query,
+                                   Millis Now) const;
+  /// findFaster() under RemainingWorkChoice.
+  const EndpointState *findSooner(const EndpointState &Current,
+                                  EndpointQuery Query, Millis Now) const;
   /// @param Unmeasured the time assumed for an endpoint without a recent
   ///        measurement, in milliseconds.
   /// @return the endpoint's cost under the policy; the lowest is chosen.
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -110,6 +110,11 @@
   Millis AvoidUntil{0};
   /// When SmoothedMs was last updated.
   Millis MeasuredAt{0};
+  /// Exponentially smoothed time between two events alone, in milliseconds; 0:
+  /// not measured yet. The times of plain requests are in SmoothedMs, too.
+  double EventMs = 0;
+  /// When EventMs was last updated.
+  Millis EventMeasuredAt{0};
 };
 
 } // namespace camphornotch
