Add: [Gateway] Requests that cannot end in time are refused at once

Cause: a request that waits at a full endpoint until its deadline costs the endpoint its work and its caller the time to try again. Retry-After is the time by which the nearest would be late, stretched by up to twice by the caller's draw.

--- a/packages/core/gateway/endpoint_pool_forecast.cpp
+++ b/packages/core/gateway/endpoint_pool_forecast.cpp
@@ -261,8 +261,8 @@
 bool EndpointPool::canEndBy(const EndpointQuery &Query, Millis Deadline,
                             Millis Now) const {
   const ServiceEndpoints *Service = this->Index.find(Query.Service);
-  if (Service == nullptr)
-    return false;
+  if (Service == nullptr || Query.Work.Least <= 0)
+    return true;
   ExpectedWork Least = Query.Work;
   Least.Amount = Query.Work.Least;
   Least.Typical =
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -30,6 +30,10 @@
 constexpr Millis NoEndpointRetryAfter{300};
 /// Retry-After when all endpoints are full: the time of several requests.
 constexpr Millis FullRetryAfter{120};
+/// Bounds of Retry-After when no endpoint can end the request in time: the time
+/// of several requests, and the time for which a forecast says something.
+constexpr Millis MinLateRetryAfter{120};
+constexpr Millis MaxLateRetryAfter{5'000};
 
 } // namespace
 
@@ -58,6 +62,27 @@
   return Now >= Latest + Hedge;
 }
 
+bool ForwardPlan::isUnsent() const {
+  return this->AttemptCount == 0 && this->Refusals == 0 &&
+         this->Tried.empty() && this->Running.empty() && !this->MayHaveRun;
+}
+
+EndRequest ForwardPlan::refuseLate(const WorkForecast &Nearest,
+                                   Millis Now) const {
+  const auto TimeLeft =
+      static_cast<double>((this->Params.Deadline - Now).Count);
+  const double Excess = std::clamp(
+      Nearest.endMs() - TimeLeft, static_cast<double>(MinLateRetryAfter.Count),
+      static_cast<double>(MaxLateRetryAfter.Count));
+  // The low bits chose the candidates.
+  constexpr int DrawShift = 32;
+  constexpr double DrawRange = 4294967296.0;
+  const double Spread =
+      static_cast<double>(this->Params.Work.Draw >> DrawShift) / DrawRange;
+  return EndRequest{StatusUnavailable, std::string(ForecastReason),
+                    Millis{static_cast<int64_t>(Excess * (1 + Spread))}};
+}
+
 ForwardStep ForwardPlan::giveUp(Millis Now) const {
   if (this->HasEndpointFailure)
     return PassFailure{};
@@ -80,8 +105,11 @@
       (this->MayHaveRun && !mayRepeat(this->Params.MatchedRoute));
   if (this->Running.empty() && Exhausted)
     return this->giveUp(Now);
-  EndpointQuery Query{this->Params.Service, this->Params.Model, 0, this->Tried,
-                      0};
+  EndpointQuery Query{
+      this->Params.Service, this->Params.Model, 0, this->Tried, 0,
+      this->Params.Work};
+  // Another attempt draws other candidates.
+  Query.Work.Draw += static_cast<uint64_t>(this->AttemptCount + this->Refusals);
   const Millis Objective = this->Params.MatchedRoute.Objective;
   const Millis RefuseAt =
       this->Params.ArrivedAt + (Objective > Millis{0}
@@ -90,8 +118,14 @@
   if (this->mayStart(Now)) {
     for (const auto &[Endpoint, SentAt] : this->Running)
       Query.ExcludedEndpoints.insert(Endpoint);
-    if (const EndpointState *Chosen = Pool.choose(Query, Now))
-      return SendAttempt{Chosen->Record.Id};
+    if (const EndpointState *Chosen = Pool.choose(Query, Now)) {
+      if (!Pool.usesForecasts())
+        return SendAttempt{Chosen->Record.Id, std::nullopt};
+      const WorkForecast Forecast = Pool.forecast(*Chosen, Query.Work, Now);
+      if (this->isUnsent() && !Pool.canEndBy(Query, this->Params.Deadline, Now))
+        return this->refuseLate(Forecast, Now);
+      return SendAttempt{Chosen->Record.Id, Forecast};
+    }
     if (this->Running.empty()) {
       if (this->Tried.empty() || Now >= RefuseAt)
         return this->giveUp(Now);
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -7,8 +7,10 @@
 #include "core/gateway/endpoint_pool_base.h"
 #include "core/gateway/route_type.h"
 
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace camphornotch {
@@ -24,6 +26,8 @@
 /// Send the request to an endpoint.
 struct SendAttempt {
   EndpointId Endpoint;
+  /// When it is expected to end; absent unless the policy forecasts that.
+  std::optional<WorkForecast> Forecast;
 };
 
 /// Send nothing until an attempt ends or the given time.
@@ -35,6 +39,9 @@
 /// Relay the endpoint's error to the caller.
 struct PassFailure {};
 
+/// EndRequest::Reason if no endpoint can end the request in time.
+inline constexpr std::string_view ForecastReason = "forecast";
+
 /// Refuse the request or give it up.
 struct EndRequest {
   /// HTTP status; 503 only if the request has not run and never will.
@@ -58,12 +65,15 @@
   Millis ArrivedAt;
   /// When the caller must have the final answer.
   Millis Deadline;
+  /// The work that it is expected to cause.
+  ExpectedWork Work{};
 };
 
 /// Attempts of one request; deterministic, without I/O. A request that may be
 /// repeated is hedged to a second endpoint when the first is slow or silent. A
 /// request that no endpoint accepts is refused early enough for the caller to
-/// retry within the objective.
+/// retry within the objective. Under RemainingWorkChoice, one that no endpoint
+/// can end in time is refused before it is sent.
 class ForwardPlan {
 public:
   explicit ForwardPlan(ForwardParams Params);
@@ -94,6 +104,11 @@
 private:
   /// @return whether one more endpoint may get the request.
   bool mayStart(Millis Now) const;
+  /// @return whether nothing was sent to any endpoint.
+  bool isUnsent() const;
+  /// @param Nearest where the request would go.
+  /// @return the refusal of a request that no endpoint can end in time.
+  EndRequest refuseLate(const WorkForecast &Nearest, Millis Now) const;
   /// @return the end of a request that cannot go on.
   ForwardStep giveUp(Millis Now) const;
 
