--- a/packages/gateway/answer_fault_func.h
+++ b/packages/gateway/answer_fault_func.h
@@ -23,6 +23,15 @@
 std::string_view answerFault(const platform::EngineAnswer &Answer,
                              std::string_view RequestId, bool Framed);
 
+/// @param Answer the head of an answer.
+/// @param Request the request sent.
+/// @param Framed whether the head tells where the body ends.
+/// @return why the answer cannot be used; empty: it can be passed on, or states
+///   that this request was not executed.
+std::string_view executionFault(const platform::EngineAnswer &Answer,
+                                const platform::EngineRequest &Request,
+                                bool Framed);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_GATEWAY_ANSWER_FAULT_FUNC_H
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -28,37 +28,6 @@
 /// Pause before MaySend is asked again.
 constexpr Millis MaySendInterval{50};
 
-/// @param Status an HTTP status.
-/// @return whether the status tells callers that the request was not executed.
-///   It is passed on only from an endpoint that confirms this.
-bool promisesNotRun(int Status) {
-  constexpr int RequestTimeout = 408;
-  constexpr int Misdirected = 421;
-  constexpr int TooMany = 429;
-  constexpr int Unavailable = 503;
-  return Status == RequestTimeout || Status == Misdirected ||
-         Status == TooMany || Status == Unavailable;
-}
-
-/// @param Answer the head of an answer.
-/// @param Request the request sent.
-/// @param Framed whether the head tells where the body ends.
-/// @return why the answer cannot be used; empty: it can be passed on, or states
-///   that this request was not executed.
-std::string_view faultOf(const platform::EngineAnswer &Answer,
-                         const platform::EngineRequest &Request, bool Framed) {
-  if (Answer.NotRun)
-    return refusalFault(Answer, Request.RequestId);
-  const std::string_view Fault = answerFault(Answer, Request.RequestId, Framed);
-  if (!Fault.empty())
-    return Fault;
-  if (Answer.Status < StatusFirstFailure && Answer.Receipt.empty())
-    return "the answer has no receipt";
-  return promisesNotRun(Answer.Status)
-             ? "a refusal without the not-executed header"
-             : "";
-}
-
 /// @return the reason that the metrics count the refusal under.
 RefusalReason reasonOf(const EndRequest &End) {
   if (End.Reason == "deadline")
@@ -181,7 +150,7 @@
   noteLeaving(Current.Head, Current.lifetime(), Active->Request.RequestId,
               this->Pool, this->Counts);
   const std::string_view Fault =
-      faultOf(Current.Head, Active->Request, Response.Framed);
+      executionFault(Current.Head, Active->Request, Response.Framed);
   if (!Fault.empty()) {
     this->abortAttempt(Id, Number, Fault);
     return;
