Feature: [Gateway] Items and requests are placed by their remaining work

Cause: the policy remaining_work had no estimates: the scheduler, the requests of callers and the moves of items asked the pool without them. Change: each gateway learns the events of items and the time of plain requests of a route from completed ones, and asks the pool with the estimate and a draw. Items and requests log estimate, forecast, age of the view and source of the pace; metrics count the estimates' error, moves and refusals by forecast. An item that finds no engine looks at 1,024 of them at most. Nothing is learned, estimated or logged under the other policies.

--- a/packages/base/log_func.cpp
+++ b/packages/base/log_func.cpp
@@ -124,6 +124,11 @@
 
 void logLine(LogLevel Level, std::string_view Message,
              std::initializer_list<LogField> Fields) {
+  logLine(Level, Message, std::span(Fields.begin(), Fields.size()));
+}
+
+void logLine(LogLevel Level, std::string_view Message,
+             std::span<const LogField> Fields) {
   const log4cxx::LoggerPtr Logger = processLogger();
   const log4cxx::LevelPtr NativeLevel = toLevel(Level);
   if (!Logger->isEnabledFor(NativeLevel))
--- a/packages/base/log_func.h
+++ b/packages/base/log_func.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string_view>
 
 namespace camphornotch {
@@ -26,6 +27,11 @@
 /// settings. Each line has the host and role of the settings.
 void setupLogging(const CommonSettings &Settings);
 
+/// Writes one line, as the overload below does.
+/// @param Fields the values; some of them may depend on the line.
+void logLine(LogLevel Level, std::string_view Message,
+             std::span<const LogField> Fields);
+
 /// Writes one line, unless its level is below that of the settings or too many
 /// lines were written in this second.
 /// @param Message what happened, without values that vary.
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -69,6 +69,9 @@
   return Ranks;
 }
 
+/// Bytes of a prompt in a token, for its estimate.
+constexpr int64_t BytesPerToken = 4;
+
 /// Sort key of waiting items; the smallest starts first.
 using ItemRank = std::tuple<bool, int64_t, int64_t, bool, int64_t, int64_t>;
 
@@ -87,6 +90,7 @@
 /// Sets what an item takes from its submission's route. The items of a split
 /// route follow its shares; each owner draws the same service for an item.
 void applyRoute(const Route &SubmissionRoute, ScheduledItem &Item) {
+  Item.RouteName = SubmissionRoute.Name;
   Item.Service = drawService(SubmissionRoute, hashBytes(Item.Key.Item.Value));
   Item.SingleVersion = SubmissionRoute.SingleVersion;
   Item.Priority = SubmissionRoute.Priority;
@@ -126,6 +130,7 @@
     Added.Arrival = Arrival;
     Added.IndexInSubmission = ++Index;
     Added.LengthHint = Item.LengthHint;
+    Added.PromptTokens = static_cast<int64_t>(Item.Body.size()) / BytesPerToken;
     Added.Resubmitted = ResubmittedGroups.contains(Item.Group);
     Added.GroupRank = Ranks.at(Item.Group);
     Added.WantedGroups = State.Record.WantedGroups;
@@ -174,10 +179,11 @@
 }
 
 const EndpointState *ItemScheduler::chooseEndpoint(const ScheduledItem &Item,
+                                                   const ExpectedWork &Work,
                                                    const EndpointPool &Pool,
                                                    Millis Now) {
-  EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion,
-                      Item.ExcludedEndpoints, 1};
+  EndpointQuery Query{Item.Service,           Item.Model, Item.MinVersion,
+                      Item.ExcludedEndpoints, 1,          Work};
   const EndpointState *Chosen = Pool.choose(Query, Now);
   if (Chosen != nullptr || Query.ExcludedEndpoints.empty())
     return Chosen;
@@ -204,15 +210,20 @@
     const auto Needs = std::tuple(Item->Service, Item->Model, Item->MinVersion);
     if (Unplaceable.contains(Needs))
       continue;
+    const ExpectedWork Work = Pool.usesForecasts() && this->WorkOf
+                                  ? this->WorkOf(*Item)
+                                  : ExpectedWork{};
     const EndpointState *Chosen =
-        ItemScheduler::chooseEndpoint(*Item, Pool, Now);
+        ItemScheduler::chooseEndpoint(*Item, Work, Pool, Now);
     if (Chosen == nullptr) {
       Unplaceable.insert(Needs);
       continue;
     }
     Item->Running = true;
     ++this->RunningCount;
-    Starts.push_back(ItemStart{Item->Key, Chosen->Record.Id});
+    Starts.push_back(ItemStart{Item->Key, Chosen->Record.Id, Work, {}});
+    if (Pool.usesForecasts())
+      Starts.back().Forecast = Pool.forecast(*Chosen, Work, Now);
     Pool.workStarted(Starts.back().Endpoint);
   }
   return Starts;
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -24,8 +24,11 @@
 /// Deterministic, without I/O.
 class ItemScheduler {
 public:
-  explicit ItemScheduler(ItemOrder Order = WantedGroupsFirst{})
-      : Order(Order) {}
+  /// @param WorkOf asked for each item that is placed under
+  ///   RemainingWorkChoice; empty: nothing is known of their work.
+  explicit ItemScheduler(ItemOrder Order = WantedGroupsFirst{},
+                         ItemWorkSource WorkOf = {})
+      : Order(Order), WorkOf(std::move(WorkOf)) {}
 
   /// Adds the items of a submission that have no result yet.
   /// @param SubmissionRoute the submission's route.
@@ -78,10 +81,12 @@
 private:
   /// @return the endpoint that should run a waiting item now, or null.
   static const EndpointState *chooseEndpoint(const ScheduledItem &Item,
+                                             const ExpectedWork &Work,
                                              const EndpointPool &Pool,
                                              Millis Now);
 
   ItemOrder Order;
+  ItemWorkSource WorkOf;
   std::map<ItemKey, ScheduledItem> Items;
   size_t RunningCount = 0;
   /// Number of submissions added so far.
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -5,7 +5,9 @@
 #define CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_TYPE_H
 
 #include "core/batch/batch_type.h"
+#include "core/gateway/work_forecast_type.h"
 
+#include <functional>
 #include <set>
 #include <string_view>
 #include <variant>
@@ -15,6 +17,8 @@
 /// An item that waits for an engine or runs on one.
 struct ScheduledItem {
   ItemKey Key;
+  /// The name of its submission's current route.
+  std::string RouteName;
   /// The service whose engines can run it, by its submission's current route.
   std::string Service;
   std::string Model;
@@ -33,6 +37,8 @@
   int64_t IndexInSubmission = 0;
   /// Expected output in tokens; 0: unknown.
   int64_t LengthHint = 0;
+  /// Estimate of its prompt, in tokens.
+  int64_t PromptTokens = 0;
   /// Whether an earlier submission left an item of its group unfinished.
   bool Resubmitted = false;
   /// Its group's position in the order of the submission's groups: first the
@@ -63,10 +69,17 @@
 /// @pre the setting was validated.
 ItemOrder parseItemOrder(std::string_view Name);
 
+/// @return the work to expect of an item that starts now.
+using ItemWorkSource = std::function<ExpectedWork(const ScheduledItem &)>;
+
 /// A decision to send an item to an engine.
 struct ItemStart {
   ItemKey Key;
   EndpointId Endpoint;
+  /// The work to expect of it; used by RemainingWorkChoice.
+  ExpectedWork Work{};
+  /// When the engine is expected to end it; only under RemainingWorkChoice.
+  WorkForecast Forecast{};
 };
 
 } // namespace camphornotch
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -115,8 +115,9 @@
   WorkForecast forecast(const EndpointState &State, const ExpectedWork &Work,
                         Millis Now) const;
 
-  /// @return false if each eligible endpoint has a fresh report or measurement
-  ///   and none of them could end the least work of the request in time. Its
+  /// @return false if each eligible endpoint has a queue and a fresh report or
+  ///   measurement, and none of them could end the least work of the request in
+  ///   time. Its
   ///   time grows with the endpoints of the service only if most are too late.
   bool canEndBy(const EndpointQuery &Query, Millis Deadline, Millis Now) const;
 
--- a/packages/core/gateway/endpoint_pool_forecast.cpp
+++ b/packages/core/gateway/endpoint_pool_forecast.cpp
@@ -18,10 +18,13 @@
 constexpr size_t Candidates = 5;
 constexpr size_t CandidatesInRegion = 4;
 constexpr size_t CandidatesInDataCentre = 1;
+/// Endpoints of each distance that are looked at, as some may not be chosen.
+constexpr size_t MaxDraws = 6;
 /// Candidates drawn when few endpoints may be chosen.
 constexpr size_t LastCandidates = 3;
-/// Endpoints looked at to find these, as some may not be chosen.
-constexpr size_t MaxDraws = 6;
+/// Endpoints looked at for an item when these draws find none. Bounds the time
+/// while all engines are full: below 50 microseconds.
+constexpr size_t MaxLookedForItems = 1'024;
 /// Time of an event at an engine without other work, and time of a plain
 /// request, where nothing is measured.
 constexpr double PriorPaceMs = 27.0;
@@ -29,7 +32,7 @@
 constexpr double PriorEvents = 12.0;
 constexpr double PriorMs = 20.0;
 /// How much longer an event takes at an engine with all slots in use than at
-/// one without other work, as a share; also used by expectedTime().
+/// one without other work, as a share; expectedTime() assumes the same.
 constexpr double SlotSlowdown = 0.5;
 /// Tokens of a prompt that an engine reads in a millisecond: the lowest of the
 /// sites, so that prompts are rather not moved.
@@ -223,11 +226,19 @@
   }
   if (Best != nullptr)
     return Best;
-  // Few may be chosen, if any.
+  // Few may be chosen, if any. An item looks again soon; a request has no other
+  // chance.
+  const size_t Looked = Query.MinFreeSlots > 0
+                            ? std::min(Service->All.size(), MaxLookedForItems)
+                            : Service->All.size();
   std::vector<const EndpointState *> Eligible;
-  for (const EndpointState *State : Service->All)
+  size_t At = nextDraw(Draw) % Service->All.size();
+  for (size_t Count = 0; Count < Looked; ++Count) {
+    const EndpointState *State = Service->All[At];
+    At = At + 1 == Service->All.size() ? 0 : At + 1;
     if (this->mayTake(*State, Query, Now))
       Eligible.push_back(State);
+  }
   for (size_t Count = 0; Count < LastCandidates && !Eligible.empty(); ++Count)
     Consider(*Eligible[nextDraw(Draw) % Eligible.size()]);
   return Best;
@@ -274,7 +285,9 @@
     const WorkForecast Each = this->forecastAt(*State, *Service, Least, Now);
     const bool Known = Each.Source == PaceSource::Reported ||
                        Each.Source == PaceSource::Measured;
-    return !Known || Each.WaitMs * WaitTrust + Each.RunMs <= TimeLeft;
+    // Without a queue it is sent: its time is learned only then.
+    return !Known || Each.WaitMs <= 0 ||
+           Each.WaitMs * WaitTrust + Each.RunMs <= TimeLeft;
   });
 }
 
--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -80,7 +80,8 @@
   const double Spread =
       static_cast<double>(this->Params.Work.Draw >> DrawShift) / DrawRange;
   return EndRequest{StatusUnavailable, std::string(ForecastReason),
-                    Millis{static_cast<int64_t>(Excess * (1 + Spread))}};
+                    Millis{static_cast<int64_t>(Excess * (1 + Spread))},
+                    Nearest};
 }
 
 ForwardStep ForwardPlan::giveUp(Millis Now) const {
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -50,6 +50,8 @@
   std::string Reason;
   /// Retry-After for the caller; 0: none.
   Millis RetryAfter{0};
+  /// The forecast by which it is refused.
+  std::optional<WorkForecast> Forecast{};
 };
 
 using ForwardStep =
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -30,7 +30,7 @@
 
 /// @return the reason that the metrics count the refusal under.
 RefusalReason reasonOf(const EndRequest &End) {
-  if (End.Reason == "deadline")
+  if (End.Reason == "deadline" || End.Reason == ForecastReason)
     return RefusalReason::DeadlineTooShort;
   if (End.Reason == "endpoints_full")
     return RefusalReason::QueueFull;
@@ -79,6 +79,9 @@
             MaySendInterval, [this, Id] { this->advance(Id); });
         return;
       }
+      if (Active->AttemptCount == 0 && Send->Forecast.has_value() &&
+          Active->Callbacks.OnForecast)
+        Active->Callbacks.OnForecast(*Send->Forecast);
       this->send(Id, *Active, Send->Endpoint);
       continue;
     }
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -45,6 +45,8 @@
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
   std::function<bool()> MaySend;
+  /// The request is sent to its first endpoint, by this forecast. Optional.
+  std::function<void(const WorkForecast &)> OnForecast;
   /// The head of a stream arrived.
   std::function<void(HttpResponse)> OnStreamStart;
   /// Complete events of a stream arrived.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -92,7 +92,7 @@
           [this](const std::string &Model, int64_t Version) {
             this->requireVersion(Model, Version);
           }),
-      Random(std::random_device{}()),
+      RequestWork(Counts, WorkUnit::Millis), Random(std::random_device{}()),
       RequestSeconds(Counts.histogram("request_seconds",
                                       "Time of callers' requests, in seconds.",
                                       RequestBounds)) {
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -12,6 +12,7 @@
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "gateway/work_tracker_base.h"
 #include "net/http_server_base.h"
 
 #include <memory>
@@ -58,6 +59,11 @@
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
                const platform::RoutedRequest &Routed, const Route &MatchedRoute,
                const std::string &AccountName);
+  /// The end of a forwarded request, for its log line.
+  struct ForwardedRequest;
+  /// Logs the answer to a forwarded request, and learns from it.
+  void onForwarded(const ForwardedRequest &Request, int Status,
+                   std::string_view Cause);
   /// @param RetryAfter the Retry-After of the answer; 0: none.
   void refuse(const std::shared_ptr<HttpExchange> &Exchange, int Status,
               std::string_view Reason, Millis RetryAfter);
@@ -124,6 +130,8 @@
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ProbeServer;
   std::unique_ptr<HttpServer> PeerServer;
+  /// Learns how long plain requests take.
+  WorkTracker RequestWork;
   /// Random source for choosing a service by its share of a route.
   std::mt19937_64 Random;
   /// When SIGTERM arrived; 0: not yet.
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -26,6 +26,8 @@
 /// Retry-After while the gateway has no configuration or has not read the
 /// endpoints. Both are read within a second of its start.
 constexpr Millis StartingRetryAfter{500};
+/// Cause in the log of a stream that could not be completed.
+constexpr std::string_view StreamCutOff = "stream cut off";
 
 } // namespace
 
@@ -135,6 +137,50 @@
   this->Batches.submit(Exchange, Routed, *AccountName);
 }
 
+struct Gateway::ForwardedRequest {
+  Millis ArrivedAt;
+  std::string RequestId;
+  std::string Service;
+  std::string Account;
+  std::string RouteName;
+  /// Version of the configuration that it was forwarded by.
+  int64_t Version = 0;
+  ExpectedWork Work;
+  /// Absent unless the policy forecasts, or if it was not sent.
+  std::optional<WorkForecast> Forecast;
+};
+
+void Gateway::onForwarded(const ForwardedRequest &Request, int Status,
+                          std::string_view Cause) {
+  const Millis Took = steadyNow() - Request.ArrivedAt;
+  constexpr double MillisPerSecond = 1000.0;
+  this->RequestSeconds.Observe(static_cast<double>(Took.Count) /
+                               MillisPerSecond);
+  const std::string StatusText = concat(Status);
+  const std::string TookText = concat(Took.Count);
+  const std::string VersionText = concat(Request.Version);
+  std::vector<LogField> Fields{{"request_id", Request.RequestId},
+                               {"service", Request.Service},
+                               {"account", Request.Account},
+                               {"status", StatusText},
+                               {"cause", Cause},
+                               {"took_ms", TookText},
+                               {"config", VersionText}};
+  std::optional<ForecastFields> Added;
+  if (Request.Forecast.has_value()) {
+    Added.emplace(Request.Work, *Request.Forecast);
+    Added->addTo(Fields);
+    if (Cause == ForecastReason)
+      this->RequestWork.countLate();
+    if (Status < StatusFirstFailure && Cause != StreamCutOff)
+      this->RequestWork.finished(
+          Request.RouteName, 0,
+          static_cast<double>(std::max<int64_t>(Took.Count, 1)),
+          Request.Work.Amount);
+  }
+  logLine(LogLevel::Info, "request answered", Fields);
+}
+
 void Gateway::forward(const std::shared_ptr<HttpExchange> &Exchange,
                       const platform::RoutedRequest &Routed,
                       const Route &MatchedRoute,
@@ -173,28 +219,22 @@
   Job.Request.HasAccounts = this->Routes.Accounts != nullptr;
   Job.Request.Account = AccountName;
   Job.Request.ReceivedEvents = Routed.ReceivedEvents;
-  const auto Log = [this, Now, AccountName, Id = Routed.RequestId,
-                    Service = Job.Params.Service,
-                    Version = this->Routes.Version](int Status,
-                                                    std::string_view Cause) {
-    const Millis Elapsed = steadyNow() - Now;
-    constexpr double MillisPerSecond = 1000.0;
-    this->RequestSeconds.Observe(static_cast<double>(Elapsed.Count) /
-                                 MillisPerSecond);
-    logLine(LogLevel::Info, "request answered",
-            {{"request_id", Id},
-             {"service", Service},
-             {"account", AccountName},
-             {"status", concat(Status)},
-             {"cause", Cause},
-             {"took_ms", concat(Elapsed.Count)},
-             {"config", concat(Version)}});
+  if (this->Pool.usesForecasts())
+    Job.Params.Work = this->RequestWork.expect({MatchedRoute.Name, 0, 0});
+  const auto Forwarded = std::make_shared<ForwardedRequest>(ForwardedRequest{
+      Now, Routed.RequestId, Job.Params.Service, AccountName, MatchedRoute.Name,
+      this->Routes.Version, Job.Params.Work, std::nullopt});
+  const auto Log = [this, Forwarded](int Status, std::string_view Cause) {
+    this->onForwarded(*Forwarded, Status, Cause);
   };
   ForwardCallbacks Callbacks;
   Callbacks.OnConnectionBroken = [this,
                                   Digest](const EndpointLifetime &Endpoint) {
     this->reportBroken(Digest, Endpoint);
   };
+  Callbacks.OnForecast = [Forwarded](const WorkForecast &Forecast) {
+    Forwarded->Forecast = Forecast;
+  };
   Callbacks.OnAnswer = [this, Exchange, Log,
                         Digest](const HttpResponse &Response) {
     Log(Response.Status, "endpoint");
@@ -202,7 +242,9 @@
       this->Suspects.succeeded(Digest);
     Exchange->answer(Response);
   };
-  Callbacks.OnRefusal = [Exchange, Log](const EndRequest &End) {
+  Callbacks.OnRefusal = [Exchange, Log, Forwarded](const EndRequest &End) {
+    if (End.Forecast.has_value())
+      Forwarded->Forecast = End.Forecast;
     Log(End.Status, End.Reason);
     Exchange->answer(
         platform::encodeRefusal(End.Status, End.Reason, End.RetryAfter));
@@ -218,7 +260,7 @@
       this->Forward.pause(*AssignedId);
   };
   Callbacks.OnStreamEnd = [this, Exchange, Log, Digest](bool Complete) {
-    Log(StatusOk, Complete ? "stream ended" : "stream cut off");
+    Log(StatusOk, Complete ? "stream ended" : StreamCutOff);
     if (Complete) {
       this->Suspects.succeeded(Digest);
       Exchange->finish();
--- a/packages/gateway/item_moves.cpp
+++ b/packages/gateway/item_moves.cpp
@@ -62,11 +62,15 @@
                        Item->MinVersion);
     if (Unmovable.contains(Kind))
       continue;
-    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion};
+    EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion};
+    if (this->Pool.usesForecasts())
+      Query.Work = this->expectWork(*Item);
     if (this->Pool.findFaster(Active.Endpoint, Query, Now) == nullptr) {
       Unmovable.insert(Kind);
       continue;
     }
+    if (this->Pool.usesForecasts())
+      this->Work.countMove();
     this->requeue(Key, RequeueReason::Moved, WorkOutcome::Abandoned,
                   "another engine is much faster");
     // One run at a time: it takes a free slot that the next run then does not
--- a/packages/gateway/item_scoring.cpp
+++ b/packages/gateway/item_scoring.cpp
@@ -48,6 +48,8 @@
   Job.Params.Service = drawService(*ScoringRoute, this->Random());
   Job.Params.ArrivedAt = Now;
   Job.Params.Deadline = Now + ScoringTimeout;
+  if (this->Pool.usesForecasts())
+    Job.Params.Work.Draw = this->Random();
   Job.Request.Path = ScoringCall.Path;
   Job.Request.Host = ScoringCall.Host;
   Job.Request.Body = ScoringCall.Body;
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -29,8 +29,11 @@
                    ItemTaskCallbacks Callbacks, ItemTaskOptions Options)
     : Events(Events), Http(Http), Pool(Pool), Forward(Forward), Counts(Counts),
       Callbacks(std::move(Callbacks)), Options(Options),
-      Scheduler(Options.Order), Reruns(Http, Pool, Counts),
-      Random(std::random_device{}()) {
+      Work(Counts, WorkUnit::Events),
+      Scheduler(
+          Options.Order,
+          [this](const ScheduledItem &Item) { return this->expectWork(Item); }),
+      Reruns(Http, Pool, Counts), Random(std::random_device{}()) {
   this->checkRuns();
 }
 
@@ -174,6 +177,9 @@
   Active.EngineStartedAtMs = Engine->Record.StartedAtMs;
   Active.LastEventAt = steadyNow();
   Active.EventsAtStart = Active.Events.size();
+  if (Active.ExpectedEvents == 0 && Start.Work.Amount > 0)
+    Active.ExpectedEvents =
+        Start.Work.Amount + static_cast<double>(Active.Events.size());
   Active.Size = TextSize(Item->Tokens);
   for (const wire::TextEvent &Event : Active.Events)
     Active.Size.add(Event.Data);
@@ -198,12 +204,7 @@
                   WorkOutcome::ConnectionBroken, Failure.Cause.Message);
   };
   Active.Call = this->Http.start(std::move(Call), std::move(Callbacks));
-  logLine(LogLevel::Info, "item started",
-          {{"request_id", Key.Item.Value},
-           {"submission", Key.Submission.Value},
-           {"endpoint", Start.Endpoint.Value},
-           {"events_had", concat(Active.Events.size())},
-           {"outstanding", concat(Engine->Outstanding)}});
+  this->logStart(Start, Active);
 }
 
 void ItemTask::onHead(const ItemKey &Key, const HttpResponse &Response) {
@@ -335,6 +336,7 @@
   this->Pool.workEnded(Active->Endpoint, WorkOutcome::Answered, Millis{0}, Now);
   Active->Call = HttpCallId{};
   Active->Complete = true;
+  this->learnWork(Key, *Active);
   this->startScoring(Key);
   this->scheduleStart();
 }
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -9,6 +9,7 @@
 #include "core/batch/partition_fold_base.h"
 #include "gateway/forward_task_base.h"
 #include "gateway/second_run_base.h"
+#include "gateway/work_tracker_base.h"
 
 #include <functional>
 #include <map>
@@ -110,6 +111,8 @@
     Millis LastEventAt{0};
     /// Number of events when the call started.
     size_t EventsAtStart = 0;
+    /// Events in all that were expected at its first start; 0: not estimated.
+    double ExpectedEvents = 0;
     /// Version of the weights that generates the next event; -1: not known.
     int64_t Version = -1;
     /// Size of the text, checked against its limits.
@@ -136,6 +139,12 @@
   /// @return the route with the priority of the submission's account, if the
   ///   account has one.
   Route routeFor(const SubmissionState &State, const Route &MatchedRoute) const;
+  /// @return the work to expect of an item's rest.
+  ExpectedWork expectWork(const ScheduledItem &Item);
+  /// Writes the line of an item's start.
+  void logStart(const ItemStart &Start, const Run &Active) const;
+  /// Learns from an item whose text is complete.
+  void learnWork(const ItemKey &Key, const Run &Active);
   /// Sends an item to the engine that the scheduler chose.
   void startRun(const ItemStart &Start);
   void onHead(const ItemKey &Key, const HttpResponse &Response);
@@ -195,6 +204,8 @@
   Metrics &Counts;
   ItemTaskCallbacks Callbacks;
   ItemTaskOptions Options;
+  /// Learns how many events items make.
+  WorkTracker Work;
   /// Chooses which items run, and where.
   ItemScheduler Scheduler;
   /// Items in progress.
--- a/packages/gateway/second_run_base.cpp
+++ b/packages/gateway/second_run_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/second_run_base.h"
 
 #include "base/clock_func.h"
+#include "base/hash_func.h"
 #include "base/http_status_type.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
@@ -39,8 +40,10 @@
   if (this->Runs.contains(Key) || Suspect || OldestVersion < 0 ||
       OldestVersion >= NewestVersion || this->running() >= MaxRuns)
     return;
-  const EndpointQuery Query{
+  EndpointQuery Query{
       Item.Service, Item.Model, NewestVersion, {FirstRunEngine}, MinFreeSlots};
+  Query.Work.Draw =
+      hashBytes(Key.Item.Value, static_cast<uint64_t>(NewestVersion));
   const EndpointState *Engine = this->Pool.choose(Query, steadyNow());
   const wire::BatchItemField *Field = findItem(State, Key.Item);
   if (Engine == nullptr || Field == nullptr)
--- a/tests/gateway/late_refusal_test.cpp
+++ b/tests/gateway/late_refusal_test.cpp
@@ -72,6 +72,20 @@
   cr_assert_eq(Each.refusal().Status, 0);
 }
 
+// Guards against refusing for ever by times that are learned from requests that
+// are sent only.
+Test(lateRefusal, noQueueButLongWork_isSent) {
+  LateFixture Each;
+  for (const char *Name : {"a", "b"}) {
+    EngineLoad Load;
+    Load.Running = 1;
+    Load.PaceMs = 40;
+    Each.Pool.loadReported(Address{Name, 80}, Load, Each.Now);
+  }
+  Each.Params.Work.Least = 500;
+  cr_assert_eq(Each.refusal().Status, 0);
+}
+
 // Guards against callers that all come back at the same time.
 Test(lateRefusal, differentDraws_spreadTheRetries) {
   LateFixture Each;
--- a/tests/gateway/placement_simulation.h
+++ b/tests/gateway/placement_simulation.h
@@ -29,7 +29,7 @@
   Millis Arrivals{0};
   /// Whether items move to faster engines.
   bool Moves = false;
-  /// Whether a loader reports ten times the pace and no work.
+  /// Whether one loader reports a pace of 1 ms and no work.
   bool WrongReports = false;
 };
 
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -174,9 +174,10 @@
 public:
   /// @param Partitions number of partitions of each topic.
   FakeGateway(Loop &Events, HttpTarget Store, const std::string &Name,
-              const FakeEngine &Engine, int64_t Partitions)
+              const FakeEngine &Engine, int64_t Partitions,
+              EndpointChoice Choice = ExpectedTimeChoice{})
       : Http(Events), Client(Events, Http, std::move(Store)),
-        Pool(Geography{"dc", {}}), Forward(Events, Http, Pool, Counts) {
+        Pool(Geography{"dc", {}}, Choice), Forward(Events, Http, Pool, Counts) {
     this->Settings.Common.Host = Name;
     this->Settings.Partitions = Partitions;
     this->Settings.RecordBytes = 4096;
@@ -309,6 +310,7 @@
 struct GatewayFixture {
   /// Number of partitions of each topic.
   int64_t Partitions;
+  EndpointChoice Choice;
   Loop Events;
   standin::StandinStoreServer Store{this->Events, this->Partitions};
   FakeEngine Engine{this->Events};
@@ -316,17 +318,18 @@
   HttpClient Caller{this->Events};
 
   /// @param Partitions number of partitions of each topic.
-  explicit GatewayFixture(int Count = 2, int64_t Partitions = 2)
-      : Partitions(Partitions) {
+  explicit GatewayFixture(int Count = 2, int64_t Partitions = 2,
+                          EndpointChoice Choice = ExpectedTimeChoice{})
+      : Partitions(Partitions), Choice(Choice) {
     for (int Index = 0; Index < Count; ++Index)
       this->add("gateway-" + std::to_string(Index));
   }
 
   /// Starts a gateway.
   void add(const std::string &Name) {
-    this->Gateways.push_back(
-        std::make_unique<FakeGateway>(this->Events, this->Store.target(), Name,
-                                      this->Engine, this->Partitions));
+    this->Gateways.push_back(std::make_unique<FakeGateway>(
+        this->Events, this->Store.target(), Name, this->Engine,
+        this->Partitions, this->Choice));
     this->Gateways.back()->begin();
   }
 
--- a/tests/gateway_tasks/whole_gateway_fixture.h
+++ b/tests/gateway_tasks/whole_gateway_fixture.h
@@ -21,7 +21,7 @@
   HttpClient Caller{this->Events};
 
   /// Starts the gateway without a configuration.
-  WholeGateway() {
+  explicit WholeGateway(const std::string &Choice = "expected_time") {
     GatewaySettings Settings;
     Settings.Common.Host = "gateway-1";
     Settings.Common.DataCentre = "dc";
@@ -36,7 +36,7 @@
     Settings.Partitions = 2;
     Settings.RecordBytes = 4096;
     Settings.SubmissionLifetime = seconds(60);
-    Settings.EndpointChoice = "expected_time";
+    Settings.EndpointChoice = Choice;
     Settings.ItemOrder = "wanted_groups";
     this->Tested = std::make_unique<Gateway>(this->Events, Settings);
     cr_assert(this->Tested->begin().has_value());
