Fix: [Gateway] Drawn candidates leave out endpoints that failed lately

Cause: under remaining_work, a request could meet only candidates that failed lately while sound endpoints were left. Change: they are candidates only if no other endpoint may be chosen.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -21,6 +21,8 @@
 constexpr double MinSpeedup = 1.4;
 /// Maximum age of a usable loader report: several report intervals.
 constexpr Millis LoadMaxAge{1'500};
+/// Factor on the expected time of an avoided endpoint.
+constexpr double AvoidPenalty = 50.0;
 /// Time that an endpoint is avoided after its first failure; doubles with each
 /// further one.
 constexpr Millis InitialAvoidTime{150};
--- a/packages/core/gateway/endpoint_pool_forecast.cpp
+++ b/packages/core/gateway/endpoint_pool_forecast.cpp
@@ -194,10 +194,8 @@
   const EndpointState *Best = nullptr;
   double BestMs = 0;
   const auto Consider = [&](const EndpointState &State) {
-    const WorkForecast Each =
-        this->forecastAt(State, *Service, Query.Work, Now);
     const double EndMs =
-        Now < State.AvoidUntil ? Each.endMs() * AvoidPenalty : Each.endMs();
+        this->forecastAt(State, *Service, Query.Work, Now).endMs();
     if (Best == nullptr || EndMs < BestMs) {
       Best = &State;
       BestMs = EndMs;
@@ -218,7 +216,7 @@
          Tries > 0 && Wanted > 0; --Tries) {
       const EndpointState &State = *Group[At];
       At = (At + Stride) % Group.size();
-      if (!this->mayTake(State, Query, Now))
+      if (Now < State.AvoidUntil || !this->mayTake(State, Query, Now))
         continue;
       Consider(State);
       --Wanted;
@@ -232,13 +230,16 @@
                             ? std::min(Service->All.size(), MaxLookedForItems)
                             : Service->All.size();
   std::vector<const EndpointState *> Eligible;
+  std::vector<const EndpointState *> Avoided;
   size_t At = nextDraw(Draw) % Service->All.size();
   for (size_t Count = 0; Count < Looked; ++Count) {
     const EndpointState *State = Service->All[At];
     At = At + 1 == Service->All.size() ? 0 : At + 1;
     if (this->mayTake(*State, Query, Now))
-      Eligible.push_back(State);
+      (Now < State->AvoidUntil ? Avoided : Eligible).push_back(State);
   }
+  if (Eligible.empty())
+    Eligible = std::move(Avoided);
   for (size_t Count = 0; Count < LastCandidates && !Eligible.empty(); ++Count)
     Consider(*Eligible[nextDraw(Draw) % Eligible.size()]);
   return Best;
--- a/packages/core/gateway/endpoint_pool_internal.h
+++ b/packages/core/gateway/endpoint_pool_internal.h
@@ -15,8 +15,6 @@
 /// Maximum age of a usable measurement: other load at the sites slows an
 /// endpoint for a few seconds at a time.
 inline constexpr Millis MeasurementMaxAge{3'000};
-/// Factor on the expected time of an avoided endpoint.
-inline constexpr double AvoidPenalty = 50.0;
 
 } // namespace camphornotch
 
--- a/tests/gateway/work_forecast_test.cpp
+++ b/tests/gateway/work_forecast_test.cpp
@@ -4,6 +4,7 @@
 #include "core/gateway/endpoint_pool_base.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 using namespace camphornotch;
 
@@ -197,6 +198,66 @@
   cr_assert(Each.Pool.choose(Each.query(), Each.Now) == nullptr);
 }
 
+// Guards against requests for a broken endpoint while a sound one is left, and
+// against none while all have broken.
+Test(workForecast, brokenEndpoints_areChosenOnlyIfAllAre) {
+  ForecastFixture Each;
+  for (int Index = 0; Index < 40; ++Index) {
+    const std::string Name = "e" + std::to_string(Index);
+    Each.add(Name);
+    if (Index == 7)
+      continue;
+    Each.Pool.workStarted(EndpointId{Name});
+    Each.Pool.workEnded(EndpointId{Name}, WorkOutcome::ConnectionBroken,
+                        Millis{0}, Each.Now);
+  }
+  cr_assert_eq(Each.chosen("e7"), 100);
+  Each.Pool.remove(EndpointId{"e7"});
+  cr_assert(Each.Pool.choose(Each.query(), Each.Now) != nullptr);
+}
+
+// Guards against an endpoint that may not be chosen, and against no choice
+// while the other policies find one.
+Test(workForecast, anyEndpoints_theSameMayBeChosenAsUnderExpectedTime) {
+  cr_assert(rc::check([] {
+    const Geography Place{"dc-0", {{"dc-0", "r"}, {"dc-1", "r"}}};
+    EndpointPool New(Place, RemainingWorkChoice{});
+    EndpointPool Old(Place, ExpectedTimeChoice{});
+    const Millis Now = seconds(100);
+    const int Count = *rc::gen::inRange(0, 30);
+    for (int Index = 0; Index < Count; ++Index) {
+      EndpointRecord Record;
+      Record.Id = EndpointId{std::to_string(Index)};
+      Record.Service = *rc::gen::element<std::string>("s", "t");
+      Record.DataCentre = *rc::gen::element<std::string>("dc-0", "dc-1", "x");
+      Record.Draining = *rc::gen::arbitrary<bool>();
+      Record.Versions["m"] = *rc::gen::inRange(1, 4);
+      Record.Slots = 2;
+      New.put(Record);
+      Old.put(Record);
+      for (int Work = *rc::gen::inRange(0, 4); Work > 0; --Work) {
+        New.workStarted(Record.Id);
+        Old.workStarted(Record.Id);
+      }
+    }
+    EndpointQuery Query{"s",
+                        "m",
+                        *rc::gen::inRange(1, 4),
+                        {EndpointId{"3"}},
+                        *rc::gen::inRange(0, 2)};
+    Query.Work.Draw = *rc::gen::arbitrary<uint64_t>();
+    const EndpointState *Chosen = New.choose(Query, Now);
+    RC_ASSERT((Chosen == nullptr) == (Old.choose(Query, Now) == nullptr));
+    if (Chosen == nullptr)
+      return;
+    RC_ASSERT(Chosen->Record.Service == "s");
+    RC_ASSERT(!Chosen->Record.Draining);
+    RC_ASSERT(Chosen->Record.Id.Value != "3");
+    RC_ASSERT(Chosen->Record.Versions.at("m") >= Query.MinVersion);
+    RC_ASSERT(Query.MinFreeSlots == 0 || Chosen->Outstanding < 2);
+  }));
+}
+
 // Guards against a run that stays on a slowed engine because this process has
 // no measurement of the others, and against moves that gain little.
 Test(workForecast, slowedEngine_theRunMovesByReports) {
