--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -3,15 +3,14 @@
 
 #include "core/gateway/endpoint_pool_base.h"
 
+#include "core/gateway/endpoint_pool_internal.h"
+
 #include <algorithm>
-#include <array>
 
 namespace camphornotch {
 
 namespace {
 
-/// Round-trip time by NetworkDistance, from the sites' link delays.
-constexpr std::array<double, 3> RoundTripMs{1.0, 4.0, 26.0};
 /// Time assumed for an endpoint not measured yet: the mean of the sites'
 /// shortest kind of request.
 constexpr double UnmeasuredMs = 20.0;
@@ -22,6 +21,8 @@
 constexpr double MinSpeedup = 1.4;
 /// Maximum age of a usable loader report: several report intervals.
 constexpr Millis LoadMaxAge{1'500};
+/// Factor on the expected time of an avoided endpoint.
+constexpr double AvoidPenalty = 50.0;
 /// Time that an endpoint is avoided after its first failure; doubles with each
 /// further one.
 constexpr Millis InitialAvoidTime{150};
@@ -29,9 +30,6 @@
 constexpr Millis MaxAvoidTime{2'000};
 /// Time that an endpoint is avoided after it refused work.
 constexpr Millis FullAvoidTime{60};
-/// Maximum age of a usable measurement: other load at the sites slows an
-/// endpoint for a few seconds at a time.
-constexpr Millis MeasurementMaxAge{3'000};
 /// Time for which a lifetime without an entry in the directory stays marked as
 /// leaving: the longest time for which the store keeps history.
 constexpr Millis LeavingMemory{300'000};
@@ -40,8 +38,6 @@
 constexpr size_t MaxLeavingMarks = 8'192;
 /// Interval of the search for marks that are no longer needed.
 constexpr Millis LeavingTrimInterval{10'000};
-/// Factor on the expected time of an avoided endpoint.
-constexpr double AvoidPenalty = 50.0;
 
 } // namespace
 
@@ -63,14 +59,22 @@
     State.Leaving = this->LeavingMarks.contains(Record.lifetime());
     const EndpointId Id = Record.Id;
     State.Record = std::move(Record);
-    this->Endpoints.insert_or_assign(Id, std::move(State));
+    if (Found != this->Endpoints.end())
+      this->Index.remove(Found->second);
+    this->Index.add(
+        this->Endpoints.insert_or_assign(Id, std::move(State)).first->second);
     return true;
   }
   EndpointRecord &Known = Found->second.Record;
   const bool Changed = Known.Draining != Record.Draining ||
                        Known.Versions != Record.Versions ||
                        Known.Service != Record.Service;
+  const bool Reindexed = Known.Service != Record.Service;
+  if (Reindexed)
+    this->Index.remove(Found->second);
   Known = std::move(Record);
+  if (Reindexed)
+    this->Index.add(Found->second);
   return Changed;
 }
 
@@ -80,7 +84,13 @@
     Found->second.ChangedAt = Now;
 }
 
-void EndpointPool::remove(const EndpointId &Id) { this->Endpoints.erase(Id); }
+void EndpointPool::remove(const EndpointId &Id) {
+  const auto Found = this->Endpoints.find(Id);
+  if (Found == this->Endpoints.end())
+    return;
+  this->Index.remove(Found->second);
+  this->Endpoints.erase(Found);
+}
 
 bool EndpointPool::leavingSeen(const EndpointLifetime &Lifetime, Millis Now) {
   if (!this->LeavingMarks.insert_or_assign(Lifetime, Now).second)
@@ -121,12 +131,11 @@
 
 void EndpointPool::loadReported(const Address &ListenAddress,
                                 const EngineLoad &Load, Millis Now) {
-  for (auto &[Id, State] : this->Endpoints) {
-    if (State.Record.ListenAddress != ListenAddress)
-      continue;
-    State.Load = Load;
-    State.LoadReceivedAt = Now;
-    State.StartedSinceLoad = 0;
+  for (EndpointState *State : this->Index.at(ListenAddress)) {
+    State->Load = Load;
+    State->LoadReceivedAt = Now;
+    State->StartedSinceLoad = 0;
+    this->updateMedian(State->Record.Service, Now);
   }
 }
 
@@ -154,9 +163,9 @@
                                     const std::string &Model,
                                     Millis Now) const {
   int64_t Newest = 0;
-  for (const auto &[Id, State] : this->Endpoints)
-    if (State.Record.Service == Service)
-      Newest = std::max(Newest, EndpointPool::versionOf(State, Model, Now));
+  if (const ServiceEndpoints *Found = this->Index.find(Service))
+    for (const EndpointState *State : Found->All)
+      Newest = std::max(Newest, EndpointPool::versionOf(*State, Model, Now));
   return Newest;
 }
 
@@ -187,14 +196,13 @@
   return State.SmoothedMs > 0 && Now - State.MeasuredAt < MeasurementMaxAge;
 }
 
-double EndpointPool::shortestSmoothedMs(std::string_view Service,
-                                        Millis Now) const {
+double EndpointPool::shortestSmoothedMs(const ServiceEndpoints &Service,
+                                        Millis Now) {
   double Best = 0;
-  for (const auto &[Id, State] : this->Endpoints)
-    if (State.Record.Service == Service &&
-        EndpointPool::isMeasured(State, Now) &&
-        (Best == 0 || State.SmoothedMs < Best))
-      Best = State.SmoothedMs;
+  for (const EndpointState *State : Service.All)
+    if (EndpointPool::isMeasured(*State, Now) &&
+        (Best == 0 || State->SmoothedMs < Best))
+      Best = State->SmoothedMs;
   return Best > 0 ? Best : UnmeasuredMs;
 }
 
@@ -224,6 +232,10 @@
     double operator()(const ExpectedTimeChoice & /*Choice*/) const {
       return this->Pool.expectedTime(this->State, this->Unmeasured, this->Now);
     }
+    double operator()(const RemainingWorkChoice & /*Choice*/) const {
+      return this->Pool.forecast(this->State, ExpectedWork{}, this->Now)
+          .endMs();
+    }
     double operator()(const LeastOutstandingChoice & /*Choice*/) const {
       return static_cast<double>(this->State.Outstanding);
     }
@@ -234,21 +246,31 @@
   return std::visit(Visitor{*this, State, Unmeasured, Now}, this->Choice);
 }
 
+bool EndpointPool::mayTake(const EndpointState &State,
+                           const EndpointQuery &Query, Millis Now) const {
+  if (!EndpointPool::isEligible(State, Query, Now))
+    return false;
+  return Query.MinFreeSlots == 0 ||
+         (Now >= State.AvoidUntil &&
+          this->workAt(State, Now) + Query.MinFreeSlots <= State.Record.Slots);
+}
+
 const EndpointState *EndpointPool::choose(const EndpointQuery &Query,
                                           Millis Now) const {
-  const double Unmeasured = this->shortestSmoothedMs(Query.Service, Now);
+  if (this->usesForecasts())
+    return this->chooseDrawn(Query, Now);
+  const ServiceEndpoints *Service = this->Index.find(Query.Service);
+  if (Service == nullptr)
+    return nullptr;
+  const double Unmeasured = EndpointPool::shortestSmoothedMs(*Service, Now);
   const EndpointState *Best = nullptr;
   double BestRank = 0;
-  for (const auto &[Id, State] : this->Endpoints) {
-    if (!EndpointPool::isEligible(State, Query, Now))
-      continue;
-    if (Query.MinFreeSlots > 0 &&
-        (Now < State.AvoidUntil ||
-         this->workAt(State, Now) + Query.MinFreeSlots > State.Record.Slots))
+  for (const EndpointState *State : Service->All) {
+    if (!this->mayTake(*State, Query, Now))
       continue;
-    const double Rank = this->rank(State, Unmeasured, Now);
+    const double Rank = this->rank(*State, Unmeasured, Now);
     if (Best == nullptr || Rank < BestRank) {
-      Best = &State;
+      Best = State;
       BestRank = Rank;
     }
   }
@@ -271,8 +293,10 @@
     return;
   EndpointState &State = Found->second;
   State.Outstanding = std::max<int64_t>(State.Outstanding - 1, 0);
-  if (Elapsed > Millis{0})
+  if (Elapsed > Millis{0}) {
     EndpointPool::addMeasurement(State, Elapsed, Now);
+    this->updateMedian(State.Record.Service, Now);
+  }
   switch (Outcome) {
   case WorkOutcome::Answered:
     State.ConsecutiveFailures = 0;
@@ -310,14 +334,24 @@
 
 void EndpointPool::paceMeasured(const EndpointId &Id, Millis Gap, Millis Now) {
   const auto Found = this->Endpoints.find(Id);
-  if (Found != this->Endpoints.end())
-    EndpointPool::addMeasurement(Found->second, Gap, Now);
+  if (Found == this->Endpoints.end())
+    return;
+  EndpointState &State = Found->second;
+  EndpointPool::addMeasurement(State, Gap, Now);
+  const auto New = static_cast<double>(Gap.Count);
+  State.EventMs = State.EventMs > 0 ? State.EventMs * (1 - SmoothingFactor) +
+                                          New * SmoothingFactor
+                                    : New;
+  State.EventMeasuredAt = Now;
+  this->updateMedian(State.Record.Service, Now);
 }
 
 const EndpointState *EndpointPool::findFaster(const EndpointId &Id,
                                               EndpointQuery Query,
                                               Millis Now) const {
   const EndpointState *Current = this->find(Id);
+  if (Current != nullptr && this->usesForecasts())
+    return this->findSooner(*Current, std::move(Query), Now);
   if (Current == nullptr || !EndpointPool::isMeasured(*Current, Now))
     return nullptr;
   Query.ExcludedEndpoints.insert(Id);
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -5,9 +5,12 @@
 #define CAMPHORNOTCH_CORE_GATEWAY_ENDPOINT_POOL_BASE_H
 
 #include "core/gateway/endpoint_choice_type.h"
+#include "core/gateway/endpoint_index_base.h"
 #include "core/gateway/endpoint_pool_type.h"
+#include "core/gateway/work_forecast_type.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -30,6 +33,8 @@
   std::set<EndpointId> ExcludedEndpoints;
   /// Slots that must be free; 0: the endpoint may be full.
   int64_t MinFreeSlots = 0;
+  /// The work of the request, for RemainingWorkChoice.
+  ExpectedWork Work{};
 };
 
 /// State of the endpoints and choice among them; deterministic, without I/O.
@@ -39,6 +44,10 @@
   explicit EndpointPool(Geography Locations,
                         EndpointChoice Choice = ExpectedTimeChoice{});
 
+  EndpointPool(const EndpointPool &) = delete;
+  EndpointPool &operator=(const EndpointPool &) = delete;
+  ~EndpointPool() = default;
+
   /// Adds or updates a registered endpoint.
   /// @return whether the endpoint is new, or its service, versions or draining
   ///         state changed.
@@ -65,6 +74,8 @@
   /// Chooses an eligible endpoint. ExpectedTimeChoice takes the shortest
   /// smoothed time, scaled by the work at the endpoint, so that short requests
   /// avoid slow endpoints and items spread over the engines.
+  /// RemainingWorkChoice draws a few candidates of each distance by
+  /// ExpectedWork::Draw and takes the one that is expected to end first.
   /// @return the endpoint, or null if none is eligible.
   const EndpointState *choose(const EndpointQuery &Query, Millis Now) const;
 
@@ -96,6 +107,20 @@
   void versionSeen(const EndpointId &Id, const std::string &Model,
                    int64_t Version);
 
+  /// @return whether choices follow the expected work of requests
+  ///   (RemainingWorkChoice).
+  bool usesForecasts() const;
+
+  /// @return when an endpoint would finish a request that is sent now.
+  WorkForecast forecast(const EndpointState &State, const ExpectedWork &Work,
+                        Millis Now) const;
+
+  /// @return false if each eligible endpoint has a queue and a fresh report or
+  ///   measurement, and none of them could end the least work of the request in
+  ///   time. Its
+  ///   time grows with the endpoints of the service only if most are too late.
+  bool canEndBy(const EndpointQuery &Query, Millis Deadline, Millis Now) const;
+
   const EndpointState *find(const EndpointId &Id) const;
 
   const std::map<EndpointId, EndpointState> &all() const {
@@ -103,6 +128,25 @@
   }
 
 private:
+  /// The time of an event or request at an endpoint without other work.
+  struct Pace {
+    double Ms = 0;
+    PaceSource Source = PaceSource::Prior;
+  };
+
+  /// @return the endpoint's pace, if it was reported or measured lately.
+  std::optional<Pace> ownPace(const EndpointState &State, Millis Now) const;
+  /// Updates the service's median time if it is due.
+  void updateMedian(std::string_view ServiceName, Millis Now);
+  WorkForecast forecastAt(const EndpointState &State,
+                          const ServiceEndpoints &Service,
+                          const ExpectedWork &Work, Millis Now) const;
+  /// choose() under RemainingWorkChoice.
+  const EndpointState *chooseDrawn(const EndpointQuery &Query,
+                                   Millis Now) const;
+  /// findFaster() under RemainingWorkChoice.
+  const EndpointState *findSooner(const EndpointState &Current,
+                                  EndpointQuery Query, Millis Now) const;
   /// @param Unmeasured the time assumed for an endpoint without a recent
   ///        measurement, in milliseconds.
   /// @return the endpoint's cost under the policy; the lowest is chosen.
@@ -115,13 +159,16 @@
   /// @return whether the endpoint meets the query, its load aside.
   static bool isEligible(const EndpointState &State, const EndpointQuery &Query,
                          Millis Now);
+  /// @return whether the endpoint meets the query.
+  bool mayTake(const EndpointState &State, const EndpointQuery &Query,
+               Millis Now) const;
   /// @return work at the endpoint, of all gateways as far as known.
   int64_t workAt(const EndpointState &State, Millis Now) const;
   /// @return whether its smoothed time is recent enough to use.
   static bool isMeasured(const EndpointState &State, Millis Now);
   /// @return the shortest recent smoothed time of the service's endpoints, or
   ///         UnmeasuredMs if there is none.
-  double shortestSmoothedMs(std::string_view Service, Millis Now) const;
+  static double shortestSmoothedMs(const ServiceEndpoints &Service, Millis Now);
   /// Adds a measurement to the endpoint's smoothed time.
   static void addMeasurement(EndpointState &State, Millis Elapsed, Millis Now);
   /// @param Unmeasured as for rank().
@@ -138,6 +185,8 @@
   /// Number of work starts so far; orders them for RoundRobinChoice.
   int64_t ChoiceCount = 0;
   std::map<EndpointId, EndpointState> Endpoints;
+  /// Finds them; the policies look at the endpoints of one service only.
+  EndpointIndex Index;
   /// When each leaving lifetime last said so. They outlive their entries in the
   /// directory, which may lapse while the endpoint still runs.
   std::map<EndpointLifetime, Millis> LeavingMarks;
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -49,6 +49,8 @@
   std::function<void(uint64_t Number, NetworkDistance)> OnAttemptSent;
   /// An attempt did not reach its endpoint, or was not run there. Optional.
   std::function<void(uint64_t Number)> OnAttemptNotRun;
+  /// The request is sent to its first endpoint, by this forecast. Optional.
+  std::function<void(const WorkForecast &)> OnForecast;
   /// The head of a stream arrived.
   std::function<void(HttpResponse)> OnStreamStart;
   /// Complete events of a stream arrived.
