Fix: [Gateway] Submissions without a key cannot take an account's id

Cause: on a public route for submissions, a caller without a key got its own id unchanged as the id within the system. With the id "one/lot" it took the place of account one's submission "lot", and its leftover texts that of account one's. As its record named no account, a tenant header in an item reached the engine. Change: its ids begin with a slash, and its record has an empty account, which tells it from a submission of a configuration without accounts.

--- a/packages/core/accounts/access_func.cpp
+++ b/packages/core/accounts/access_func.cpp
@@ -26,13 +26,13 @@
                         nullptr};
 }
 
-std::string accountScopedId(std::string_view AccountName,
+std::string accountScopedId(std::optional<std::string_view> AccountName,
                             std::string_view CallerId) {
-  if (AccountName.empty())
+  if (!AccountName.has_value())
     return std::string(CallerId);
   // Escaping makes the first slash the end of the account's name.
   std::string Escaped;
-  for (const char Each : AccountName)
+  for (const char Each : *AccountName)
     if (absl::ascii_isalnum(static_cast<unsigned char>(Each)) || Each == '-' ||
         Each == '_' || Each == '.')
       Escaped += Each;
--- a/packages/core/accounts/access_func.h
+++ b/packages/core/accounts/access_func.h
@@ -43,12 +43,13 @@
                             std::optional<std::string_view> Key,
                             bool IsCurrent);
 
-/// @param AccountName the account that submitted; empty: accounts are not used.
+/// @param AccountName the account that submitted; empty: a caller without a
+///   key; absent: the configuration has no accounts.
 /// @param CallerId the id that the caller chose.
-/// @return the id within this system. Ids of two accounts never coincide, so
-///   that one account cannot learn of, or interfere with, another one's
-///   submissions and items.
-std::string accountScopedId(std::string_view AccountName,
+/// @return the id within this system. Ids of two accounts never coincide, nor
+///   does that of a caller without a key with an account's, so that none can
+///   learn of, or interfere with, another one's submissions and items.
+std::string accountScopedId(std::optional<std::string_view> AccountName,
                             std::string_view CallerId);
 
 } // namespace camphornotch
--- a/packages/core/batch/partition_fold_base.cpp
+++ b/packages/core/batch/partition_fold_base.cpp
@@ -111,6 +111,13 @@
   });
 }
 
+std::optional<std::string_view>
+submittingAccount(const wire::SubmissionRecord &Record) {
+  if (!Record.__isset.Account)
+    return std::nullopt;
+  return Record.Account;
+}
+
 const wire::BatchItemField *findItem(const SubmissionState &Submission,
                                      const ItemId &Item) {
   const auto &Items = Submission.Record.Items;
--- a/packages/core/batch/partition_fold_base.h
+++ b/packages/core/batch/partition_fold_base.h
@@ -7,8 +7,10 @@
 #include "base/error_type.h"
 #include "core/batch/batch_type.h"
 
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace camphornotch {
@@ -85,6 +87,11 @@
   std::map<SubmissionId, SubmissionState> Submissions;
 };
 
+/// @return the account that submitted; empty: a caller without a key; absent:
+///   the configuration had no accounts.
+std::optional<std::string_view>
+submittingAccount(const wire::SubmissionRecord &Record);
+
 /// @return the item as it was submitted, or null.
 const wire::BatchItemField *findItem(const SubmissionState &Submission,
                                      const ItemId &Item);
--- a/packages/gateway/batch_owner.cpp
+++ b/packages/gateway/batch_owner.cpp
@@ -165,7 +165,8 @@
   std::set<ItemId> Resubmitted;
   for (const wire::BatchItemField &Item : State->Record.Items) {
     const ItemId Name{Item.Id};
-    const ItemId LeftoverId{accountScopedId(State->Record.Account, Item.Id)};
+    const ItemId LeftoverId{
+        accountScopedId(submittingAccount(State->Record), Item.Id)};
     if (!this->Leftovers.table().contains(LeftoverId))
       continue;
     Resubmitted.insert(Name);
--- a/packages/gateway/batch_task_base.cpp
+++ b/packages/gateway/batch_task_base.cpp
@@ -136,15 +136,15 @@
 
 void BatchTask::submit(const std::shared_ptr<HttpExchange> &Exchange,
                        const platform::RoutedRequest &Request,
-                       const std::string &AccountName) {
+                       const std::optional<std::string> &AccountName) {
   Result<wire::SubmissionRecord> Read =
       platform::decodeSubmission(Request.RequestId, Exchange->request());
   if (!Read.has_value()) {
     this->refuse(Exchange, StatusBadRequest, Read.error().Message, Millis{0});
     return;
   }
-  if (!AccountName.empty())
-    Read.value().__set_Account(AccountName);
+  if (AccountName.has_value())
+    Read.value().__set_Account(*AccountName);
   const SubmissionId Id{Request.RequestId};
   const PartitionId Partition = this->partitionOf(Id);
   const Millis Now = steadyNow();
--- a/packages/gateway/batch_task_base.h
+++ b/packages/gateway/batch_task_base.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace camphornotch {
@@ -59,10 +60,11 @@
   /// acknowledged.
   /// @param Request its id is that of the submission, as accountScopedId()
   ///   makes it.
-  /// @param AccountName the account that submits; empty: accounts are not used.
+  /// @param AccountName the account that submits; empty: a caller without a
+  ///   key; absent: the configuration has no accounts.
   void submit(const std::shared_ptr<HttpExchange> &Exchange,
               const platform::RoutedRequest &Request,
-              const std::string &AccountName);
+              const std::optional<std::string> &AccountName);
 
   /// Serves a read of results, here or at the partition's owner.
   void readResults(const std::shared_ptr<HttpExchange> &Exchange,
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -55,6 +55,9 @@
   std::optional<std::string>
   admit(const std::shared_ptr<HttpExchange> &Exchange,
         const Route *MatchedRoute);
+  /// @return the account's name; nothing if the configuration has no accounts.
+  std::optional<std::string>
+  accountIfUsed(const std::string &AccountName) const;
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
                const platform::RoutedRequest &Routed, const Route &MatchedRoute,
                const std::string &AccountName);
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -91,13 +91,19 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+Gateway::accountIfUsed(const std::string &AccountName) const {
+  return this->Routes.Accounts == nullptr ? std::nullopt
+                                          : std::optional(AccountName);
+}
+
 void Gateway::onSubmissionCall(const std::shared_ptr<HttpExchange> &Exchange,
                                platform::DecodedRequest Call) {
   const std::optional<std::string> AccountName = this->admit(Exchange, nullptr);
   if (!AccountName.has_value())
     return;
-  const auto Scope = [&AccountName](SubmissionId &Id) {
-    Id.Value = accountScopedId(*AccountName, Id.Value);
+  const auto Scope = [this, &AccountName](SubmissionId &Id) {
+    Id.Value = accountScopedId(this->accountIfUsed(*AccountName), Id.Value);
   };
   if (auto *Read = std::get_if<platform::ResultsRead>(&Call)) {
     Scope(Read->Id);
@@ -130,9 +136,11 @@
     this->forward(Exchange, Routed, *MatchedRoute, *AccountName);
     return;
   }
+  const std::optional<std::string> Submitter =
+      this->accountIfUsed(*AccountName);
   if (!Routed.RequestId.empty())
-    Routed.RequestId = accountScopedId(*AccountName, Routed.RequestId);
-  this->Batches.submit(Exchange, Routed, *AccountName);
+    Routed.RequestId = accountScopedId(Submitter, Routed.RequestId);
+  this->Batches.submit(Exchange, Routed, Submitter);
 }
 
 void Gateway::forward(const std::shared_ptr<HttpExchange> &Exchange,
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -57,7 +57,7 @@
     const auto Running = this->Runs.find(Key);
     wire::LeftoverText Text;
     const std::string LeftoverId =
-        accountScopedId(State.Record.Account, Item.Id);
+        accountScopedId(submittingAccount(State.Record), Item.Id);
     Text.Item = LeftoverId;
     Text.Whole = Done != this->Finished.end() ||
                  (Running != this->Runs.end() && Running->second.Complete);
--- a/tests/accounts/account_table_test.cpp
+++ b/tests/accounts/account_table_test.cpp
@@ -113,7 +113,8 @@
 
 // Guards against ids of two accounts that coincide.
 Test(accountScopedId, namesWithSlashes_doNotCoincide) {
-  cr_assert_eq(accountScopedId("", "x"), "x");
+  cr_assert_eq(accountScopedId(std::nullopt, "x"), "x");
+  cr_assert_neq(accountScopedId("", "a/x"), accountScopedId("a", "x"));
   cr_assert_eq(accountScopedId("a", "x"), "a/x");
   cr_assert_neq(accountScopedId("a/b", "c"), accountScopedId("a", "b/c"));
   cr_assert_neq(accountScopedId("a%2Fb", "c"), accountScopedId("a/b", "c"));
--- a/tests/gateway_tasks/account_test.cpp
+++ b/tests/gateway_tasks/account_test.cpp
@@ -20,7 +20,9 @@
   {"name":"score","host":"h","path_prefix":"/score/","kind":"safe",
    "service":"s","timeout_ms":60000,"attempts":2,"public":true},
   {"name":"b","host":"h","path_prefix":"/roll/","kind":"rollout","service":"s",
-   "attempts":2}],
+   "attempts":2},
+  {"name":"o","host":"h","path_prefix":"/open/","kind":"rollout","service":"s",
+   "attempts":2,"public":true}],
  "services":[{"name":"s","engine":{"slots":8,"models":[{"name":"m"}]}}],
  "limits":{})";
 
@@ -192,6 +194,27 @@
   }));
 }
 
+// Guards against a caller without a key who takes the id of an account's
+// submission, or names an account to the engine.
+Test(account, submissionWithoutKey_collidesWithNoneAndNamesNoAccount) {
+  AccountNet Net;
+  Net.Engine.Hold = true;
+  HttpCall Call = GatewayFixture::submission("one/lot", 1);
+  Call.Target = Net.Tested->callerTarget();
+  Call.Host = "h";
+  Call.Path = "/open/x";
+  Call.Reuse = false;
+  platform::Json Body = platform::Json::parse(Call.Body);
+  Body["items"][0]["headers"] = {{"X-Camphornotch-Tenant", "one"}};
+  Call.Body = Body.dump();
+  cr_assert_eq(answerTo(Net.Events, Net.Caller, std::move(Call)).Status, 202);
+  cr_assert_eq(Net.ask("GET", "/-/lots/lot", {}, bearer("key-1")).Status, 404);
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Net.Engine.HeadersById.contains("one/lot-0");
+  }));
+  cr_assert(Net.received("one/lot-0", "x-camphornotch-tenant").empty());
+}
+
 // Guards against denying a key that a newer configuration holds while the store
 // is out of reach.
 Test(account, unknownKeyWhileTheStoreIsAway_gets503) {
--- a/tests/gateway_tasks/gateway_fixture.h
+++ b/tests/gateway_tasks/gateway_fixture.h
@@ -291,7 +291,7 @@
     const platform::DecodedRequest Ask =
         platform::decodeCallerRequest(Exchange->request());
     if (const auto *Routed = std::get_if<platform::RoutedRequest>(&Ask))
-      this->Batches->submit(Exchange, *Routed, "");
+      this->Batches->submit(Exchange, *Routed, std::nullopt);
     else if (const auto *Read = std::get_if<platform::ResultsRead>(&Ask))
       this->Batches->readResults(Exchange, *Read);
     else if (const auto *Body = std::get_if<platform::ItemBodyRead>(&Ask))
