Fix: [Gateway] A suspended gateway does not deny keys by its old configuration

Cause: whether the configuration is current was the outcome of the last read of the store, however old. After a suspension, unknown keys got 401 in place of 503 until the next read failed or was answered. Change: an answer counts for 1,400 ms, twice the wait of a read.

--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -82,7 +82,7 @@
                const Route *MatchedRoute) {
   const AccessDecision Decision =
       this->Access.check(Exchange->request(), this->Routes, MatchedRoute,
-                         this->Published.available());
+                         this->Published.available(steadyNow()));
   if (Decision.isAllowed())
     return Decision.Caller == nullptr ? std::string() : Decision.Caller->Name;
   const AccessRefusal Refusal = accessRefusal(Decision.Outcome);
--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/keyed_follower_base.h"
 
+#include "base/clock_func.h"
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "platform/store_codec_internal.h"
@@ -19,6 +20,10 @@
 /// read.
 constexpr Millis ReadWait{700};
 constexpr Millis RetryPause{150};
+/// Longest age of the last answer while reads go on: twice ReadWait. A process
+/// that was suspended, or whose connection is dead, has an older one before its
+/// read fails.
+constexpr Millis MaxAnswerAge{1'400};
 
 } // namespace
 
@@ -127,7 +132,12 @@
   });
 }
 
+bool KeyedFollower::available(Millis Now) const {
+  return this->Available && Now - this->AnsweredAt <= MaxAnswerAge;
+}
+
 void KeyedFollower::onReadAnswered() {
+  this->AnsweredAt = steadyNow();
   if (this->Available)
     return;
   this->Available = true;
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -41,9 +41,9 @@
 
   void begin();
 
-  /// @return whether the store answered the last read, so that a new record
-  ///   would be known.
-  bool available() const { return this->Available; }
+  /// @return whether the store answered the last read, and lately, so that a
+  ///   new record would be known.
+  bool available(Millis Now) const;
 
 private:
   /// Reads a page of newest records.
@@ -68,6 +68,8 @@
   bool NewestRead = false;
   /// Whether the last read was answered.
   bool Available = false;
+  /// When the last answer of the store arrived.
+  Millis AnsweredAt{0};
 };
 
 } // namespace camphornotch
