--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -13,21 +13,12 @@
 #include "gateway/leaving_func.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace camphornotch {
 
 namespace {
 
-/// Interval of the check of all runs.
-constexpr Millis CheckInterval{50};
-/// Time without an event after which a run moves to another engine. Events
-/// arrive every 40 ms, on slowed engines every 150 ms, and loading weights does
-/// not delay them.
-constexpr Millis StallTimeout{1'200};
-/// Events that a run must have received before it may move to a faster engine.
-constexpr size_t MoveAfterEvents = 3;
 /// New events that are recorded together in one progress record.
 constexpr size_t EventsPerSave = 20;
 
@@ -430,57 +421,4 @@
       this->saveProgress(Key, Active);
 }
 
-void ItemTask::checkRuns() {
-  this->Events.callAfter(CheckInterval, [this] { this->checkRuns(); });
-  const Millis Now = steadyNow();
-  std::vector<ItemKey> Stalled;
-  for (const auto &[Key, Active] : this->Runs) {
-    if (Active.Call.Value == 0)
-      continue;
-    if (Now - Active.LastEventAt > StallTimeout)
-      Stalled.push_back(Key);
-  }
-  for (const ItemKey &Key : Stalled)
-    this->requeue(Key, RequeueReason::ConnectionBroken, WorkOutcome::TimedOut,
-                  "no event in time");
-  this->Reruns.stopStalled();
-  if (this->Options.MoveItems && !this->Stopped)
-    this->moveSlowRun();
-  if (this->Scheduler.waiting() > 0)
-    this->scheduleStart();
-  else if (this->Options.SecondRuns && !this->Stopped)
-    this->startSecondRuns();
-}
-
-void ItemTask::moveSlowRun() {
-  const Millis Now = steadyNow();
-  using RunKind =
-      std::tuple<EndpointId, std::string_view, std::string_view, int64_t>;
-  // Runs of the same kind for which no faster engine exists; each kind is
-  // looked up once.
-  std::set<RunKind> Unmovable;
-  for (auto &[Key, Active] : this->Runs) {
-    const ScheduledItem *Item = this->Scheduler.find(Key);
-    const bool Settled =
-        Active.Events.size() >= Active.EventsAtStart + MoveAfterEvents;
-    if (Active.Call.Value == 0 || Item == nullptr || !Settled ||
-        !this->Callbacks.KnowsEnd(Key.Submission))
-      continue;
-    const RunKind Kind(Active.Endpoint, Item->Service, Item->Model,
-                       Item->MinVersion);
-    if (Unmovable.contains(Kind))
-      continue;
-    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion};
-    if (this->Pool.findFaster(Active.Endpoint, Query, Now) == nullptr) {
-      Unmovable.insert(Kind);
-      continue;
-    }
-    this->requeue(Key, RequeueReason::Moved, WorkOutcome::Abandoned,
-                  "another engine is much faster");
-    // One run at a time: it takes a free slot that the next run then does not
-    // have.
-    return;
-  }
-}
-
 } // namespace camphornotch
