Feature: [Batch] Accounts share engines by expected work

Cause: the items of one account's large submission kept those of later accounts waiting until all had started. Change: item_order = fair_share. Among items of equal urgency and service, the turns of the present order go to the account that was given the least expected work (start-time fair queueing); an item is charged once and corrected when its work is known. Groups are ranked again as results arrive: complete ones count, those with an item that was given up come last. The run that moves off a slow engine is chosen in core, last items of wanted groups first. Items without an account, and the other orders, start as before.

--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -194,8 +194,9 @@
                 "expected_time|least_outstanding|round_robin",
                 "How to choose among endpoints; all but the first are baselines."},
     SettingSpec{"gateway", "item_order", &GatewaySettings::ItemOrder,
-                "wanted_groups", 0, 0, "wanted_groups|arrival",
-                "Which waiting items start first; the second is a baseline."},
+                "wanted_groups", 0, 0, "wanted_groups|arrival|fair_share",
+                "Which waiting items start first; the second is a baseline, "
+                "the third shares engines among client accounts."},
     SettingSpec{"gateway", "move_items", &GatewaySettings::MoveItems, "yes", 0,
                 0, "", "Whether items move off much slower engines."},
     SettingSpec{"gateway", "second_runs", &GatewaySettings::SecondRuns, "yes",
--- /dev/null
+++ b/packages/core/batch/item_order_func.h
@@ -0,0 +1,67 @@
+/// @file
+/// The order in which waiting items start.
+
+#ifndef CAMPHORNOTCH_CORE_BATCH_ITEM_ORDER_FUNC_H
+#define CAMPHORNOTCH_CORE_BATCH_ITEM_ORDER_FUNC_H
+
+#include "core/batch/fair_share_base.h"
+#include "core/batch/item_scheduler_type.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace camphornotch {
+
+/// Sorts waiting items; the first one starts first. Items of equal rank keep
+/// their order. The share among accounts is not part of it.
+void sortWaiting(const ItemOrder &Order, std::vector<ScheduledItem *> &Waiting);
+
+/// @return whether the item's group is beyond those that its caller waits for.
+bool isBeyondWanted(const ScheduledItem &Item);
+
+/// @return the items that it competes with for engines.
+SharePool sharePoolOf(const ScheduledItem &Item);
+
+/// Gives the turns of sorted items to the accounts by their fair shares. Each
+/// turn of an item with an account goes to an item of the same pool: of the
+/// account that was given the least work, the first one in the sorted order.
+/// Items without an account keep their turns.
+class FairTurns {
+public:
+  /// @param Shares what accounts were given so far; must outlive this.
+  /// @param Sorted the waiting items by sortWaiting().
+  FairTurns(FairShare &Shares, std::span<ScheduledItem *const> Sorted);
+
+  /// @param Turn the next of the sorted items; each is passed once.
+  /// @return the item whose turn it is.
+  ScheduledItem &next(ScheduledItem &Turn);
+
+  /// Notes that the item that next() returned started.
+  /// @param Work the work that it is charged with.
+  void started(const ScheduledItem &Item, double Work);
+
+private:
+  /// An account in the order of its pool.
+  struct Place {
+    SharePosition Position;
+    std::string Account;
+
+    auto operator<=>(const Place &) const = default;
+  };
+  struct PoolQueue {
+    std::map<std::string, std::deque<ScheduledItem *>> ByAccount;
+    std::set<Place> Order;
+    /// The account of the last turn, which is not in Order.
+    std::optional<std::string> Taken;
+  };
+
+  FairShare &Shares;
+  std::map<SharePool, PoolQueue> Pools;
+};
+
+} // namespace camphornotch
+
+#endif // CAMPHORNOTCH_CORE_BATCH_ITEM_ORDER_FUNC_H
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -4,11 +4,13 @@
 #include "core/batch/item_scheduler_base.h"
 
 #include "base/hash_func.h"
+#include "core/batch/item_order_func.h"
 #include "core/batch/partition_fold_base.h"
 #include "core/gateway/route_func.h"
 
 #include <algorithm>
 #include <cassert>
+#include <optional>
 #include <tuple>
 
 namespace camphornotch {
@@ -69,26 +71,12 @@
   return Ranks;
 }
 
-/// Sort key of waiting items; the smallest starts first.
-using ItemRank = std::tuple<bool, int64_t, int64_t, bool, int64_t, int64_t>;
-
-ItemRank rankOf(const WantedGroupsFirst & /*Order*/,
-                const ScheduledItem &Item) {
-  const bool BeyondWanted =
-      Item.WantedGroups > 0 && Item.GroupRank >= Item.WantedGroups;
-  return ItemRank{BeyondWanted,      Item.Priority,    Item.Arrival,
-                  !Item.Resubmitted, -Item.LengthHint, Item.GroupRank};
-}
-
-ItemRank rankOf(const ArrivalOrder & /*Order*/, const ScheduledItem &Item) {
-  return ItemRank{false, 0, Item.Arrival, false, Item.IndexInSubmission, 0};
-}
-
 /// Sets what an item takes from its submission's route. The items of a split
 /// route follow its shares; each owner draws the same service for an item.
 void applyRoute(const Route &SubmissionRoute, ScheduledItem &Item) {
   Item.Service = drawService(SubmissionRoute, hashBytes(Item.Key.Item.Value));
   Item.SingleVersion = SubmissionRoute.SingleVersion;
+  Item.RouteName = SubmissionRoute.Name;
   Item.Priority = SubmissionRoute.Priority;
   Item.Attempts = std::max(Item.Attempts, SubmissionRoute.Attempts);
 }
@@ -98,6 +86,8 @@
 ItemOrder parseItemOrder(std::string_view Name) {
   if (Name == "arrival")
     return ArrivalOrder{};
+  if (Name == "fair_share")
+    return FairShareOrder{};
   assert(Name == "wanted_groups");
   return WantedGroupsFirst{};
 }
@@ -113,6 +103,8 @@
   const std::map<std::string, int64_t> Ranks =
       rankGroups(State, ResubmittedGroups);
   const SubmissionId Id{State.Record.Id};
+  const std::string Account(
+      submittingAccount(State.Record).value_or(std::string_view()));
   int64_t Index = 0;
   for (const wire::BatchItemField &Item : State.Record.Items) {
     const ItemKey Key{Id, ItemId{Item.Id}};
@@ -120,6 +112,8 @@
       continue;
     ScheduledItem Added;
     Added.Key = Key;
+    Added.Account = Account;
+    Added.Group = Item.Group;
     applyRoute(SubmissionRoute, Added);
     Added.Model = State.Record.Model;
     Added.MinVersion = State.Record.MinVersion;
@@ -131,6 +125,13 @@
     Added.WantedGroups = State.Record.WantedGroups;
     this->Items.emplace(Key, std::move(Added));
   }
+  if (!std::holds_alternative<FairShareOrder>(this->Order) || Account.empty() ||
+      State.Record.WantedGroups <= 0)
+    return;
+  this->Steps.insert_or_assign(
+      Id, StepProgress(State, ResubmittedGroups,
+                       this->Means.expected(SubmissionRoute.Name)));
+  this->ChangedSteps.insert(Id);
 }
 
 std::set<SubmissionId> ItemScheduler::submissions() const {
@@ -152,14 +153,64 @@
   return Moved;
 }
 
-void ItemScheduler::drop(const ItemKey &Key) {
+void ItemScheduler::drop(const ItemKey &Key, ItemEnd End) {
   const auto Found = this->Items.find(Key);
   if (Found == this->Items.end())
     return;
+  if (std::holds_alternative<FairShareOrder>(this->Order) &&
+      !Found->second.Account.empty())
+    this->noteEnd(Found->second, End);
   this->RunningCount -= Found->second.Running ? 1 : 0;
   this->Items.erase(Found);
 }
 
+void ItemScheduler::noteEnd(const ScheduledItem &Item, const ItemEnd &End) {
+  if (End.Completed && End.Work > 0)
+    this->Means.add(Item.RouteName, End.Work);
+  if (End.Work > 0 && Item.ChargedWork > 0)
+    this->Shares.corrected(sharePoolOf(Item), Item.Account,
+                           End.Work - Item.ChargedWork);
+  const auto Step = this->Steps.find(Item.Key.Submission);
+  if (Step == this->Steps.end())
+    return;
+  Step->second.itemEnded(Item.Key.Item, End.Completed);
+  this->ChangedSteps.insert(Item.Key.Submission);
+}
+
+void ItemScheduler::updateRanks() {
+  for (const SubmissionId &Id : this->ChangedSteps) {
+    const auto Step = this->Steps.find(Id);
+    if (Step == this->Steps.end())
+      continue;
+    const std::map<std::string, int64_t> &Ranks = Step->second.ranks();
+    for (auto Each = this->Items.lower_bound(ItemKey{Id, ItemId{}});
+         Each != this->Items.end() && Each->first.Submission == Id; ++Each)
+      Each->second.GroupRank = Ranks.at(Each->second.Group);
+  }
+  this->ChangedSteps.clear();
+}
+
+double ItemScheduler::charge(ScheduledItem &Item) const {
+  // What an item was charged with at its first start covers all of its runs.
+  if (Item.ChargedWork > 0)
+    return 0;
+  Item.ChargedWork = this->expectedWork(Item);
+  return Item.ChargedWork;
+}
+
+void ItemScheduler::setExpectedWork(const ItemKey &Key, double Work) {
+  const auto Found = this->Items.find(Key);
+  if (Found != this->Items.end())
+    Found->second.ExpectedWork = Work;
+}
+
+double ItemScheduler::expectedWork(const ScheduledItem &Item) const {
+  if (Item.ExpectedWork > 0)
+    return Item.ExpectedWork;
+  return Item.LengthHint > 0 ? static_cast<double>(Item.LengthHint)
+                             : this->Means.expected(Item.RouteName);
+}
+
 std::vector<ItemKey> ItemScheduler::dropSubmission(const SubmissionId &Id) {
   std::vector<ItemKey> Running;
   std::erase_if(this->Items, [&](const auto &Each) {
@@ -170,6 +221,11 @@
     return true;
   });
   this->RunningCount -= Running.size();
+  this->Steps.erase(Id);
+  std::set<std::string> Present;
+  for (const auto &[Key, Item] : this->Items)
+    Present.insert(Item.Account);
+  this->Shares.trim(Present);
   return Running;
 }
 
@@ -186,21 +242,22 @@
 }
 
 std::vector<ItemStart> ItemScheduler::plan(EndpointPool &Pool, Millis Now) {
+  this->updateRanks();
   std::vector<ScheduledItem *> Waiting;
   for (auto &[Key, Item] : this->Items)
     if (!Item.Running && Item.NotBefore <= Now)
       Waiting.push_back(&Item);
   // Items of equal rank stay in the order of their keys.
-  std::ranges::stable_sort(Waiting, {}, [this](const ScheduledItem *Item) {
-    return std::visit(
-        [Item](const auto &Chosen) { return rankOf(Chosen, *Item); },
-        this->Order);
-  });
+  sortWaiting(this->Order, Waiting);
+  std::optional<FairTurns> Turns;
+  if (std::holds_alternative<FairShareOrder>(this->Order))
+    Turns.emplace(this->Shares, Waiting);
   // If no endpoint has room for an item, none has for others that need the
   // same service, model and version.
   std::set<std::tuple<std::string, std::string, int64_t>> Unplaceable;
   std::vector<ItemStart> Starts;
-  for (ScheduledItem *Item : Waiting) {
+  for (ScheduledItem *Turn : Waiting) {
+    ScheduledItem *Item = Turns.has_value() ? &Turns->next(*Turn) : Turn;
     const auto Needs = std::tuple(Item->Service, Item->Model, Item->MinVersion);
     if (Unplaceable.contains(Needs))
       continue;
@@ -212,6 +269,8 @@
     }
     Item->Running = true;
     ++this->RunningCount;
+    if (Turns.has_value())
+      Turns->started(*Item, this->charge(*Item));
     Starts.push_back(ItemStart{Item->Key, Chosen->Record.Id});
     Pool.workStarted(Starts.back().Endpoint);
   }
@@ -266,6 +325,11 @@
   return Found == this->Items.end() ? nullptr : &Found->second;
 }
 
+size_t ItemScheduler::openInGroup(const ScheduledItem &Item) const {
+  const auto Step = this->Steps.find(Item.Key.Submission);
+  return Step == this->Steps.end() ? 0 : Step->second.openItems(Item.Group);
+}
+
 size_t ItemScheduler::waiting() const {
   return this->Items.size() - this->RunningCount;
 }
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -4,7 +4,10 @@
 #ifndef CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_BASE_H
 #define CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_BASE_H
 
+#include "core/batch/fair_share_base.h"
 #include "core/batch/item_scheduler_type.h"
+#include "core/batch/step_progress_base.h"
+#include "core/batch/work_mean_base.h"
 #include "core/gateway/endpoint_pool_base.h"
 #include "core/gateway/route_type.h"
 
@@ -43,7 +46,15 @@
   bool updateRoute(const SubmissionId &Id, const Route &SubmissionRoute);
 
   /// Removes an item that has its result.
-  void drop(const ItemKey &Key);
+  void drop(const ItemKey &Key, ItemEnd End = {});
+
+  /// Sets the work that an item is expected to take. Without it, an item is
+  /// expected to take its length hint, or else the mean of its route.
+  /// @param Work in tokens of output; 0: not estimated.
+  void setExpectedWork(const ItemKey &Key, double Work);
+
+  /// @return the work that an item is expected to take, in tokens of output.
+  double expectedWork(const ScheduledItem &Item) const;
 
   /// Removes all items of a submission.
   /// @return those that were running.
@@ -53,6 +64,8 @@
   /// whose items all arrive at once: items of the groups that the caller waits
   /// for go first, then those of older submissions, then those of resubmitted
   /// groups, then the longest, so that the item that ends last started early.
+  /// FairShareOrder gives the turns of items of equal urgency to the accounts
+  /// by the work that they were given (see FairShare).
   /// @param Pool the endpoints; each start is recorded in it.
   /// @return the items to start, which count as running from now on.
   std::vector<ItemStart> plan(EndpointPool &Pool, Millis Now);
@@ -69,6 +82,13 @@
   /// @return the item, or null.
   const ScheduledItem *find(const ItemKey &Key) const;
 
+  /// @return the items that wait or run.
+  const std::map<ItemKey, ScheduledItem> &all() const { return this->Items; }
+
+  /// @return the number of items of its group without a result, itself
+  ///   included; 0: not known, as the order does not need it.
+  size_t openInGroup(const ScheduledItem &Item) const;
+
   /// @return number of items waiting.
   size_t waiting() const;
 
@@ -81,8 +101,23 @@
                                              const EndpointPool &Pool,
                                              Millis Now);
 
+  /// Notes that an item with an account has its result.
+  void noteEnd(const ScheduledItem &Item, const ItemEnd &End);
+  /// @return the work to charge the item's account with at this start.
+  double charge(ScheduledItem &Item) const;
+  /// Ranks the groups of submissions again that got results.
+  void updateRanks();
+
   ItemOrder Order;
   std::map<ItemKey, ScheduledItem> Items;
+  /// Work given to accounts; used by FairShareOrder alone, as the next two.
+  FairShare Shares;
+  /// Of submissions with an account whose callers wait for some of the groups.
+  std::map<SubmissionId, StepProgress> Steps;
+  /// Submissions that got results since the last plan.
+  std::set<SubmissionId> ChangedSteps;
+  /// Work of finished items by route.
+  WorkMean Means;
   size_t RunningCount = 0;
   /// Number of submissions added so far.
   int64_t Arrivals = 0;
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -15,6 +15,12 @@
 /// An item that waits for an engine or runs on one.
 struct ScheduledItem {
   ItemKey Key;
+  /// The client account that submitted it; empty: none.
+  std::string Account;
+  /// Its group in the submission.
+  std::string Group;
+  /// Name of its submission's current route.
+  std::string RouteName;
   /// The service whose engines can run it, by its submission's current route.
   std::string Service;
   std::string Model;
@@ -33,6 +39,10 @@
   int64_t IndexInSubmission = 0;
   /// Expected output in tokens; 0: unknown.
   int64_t LengthHint = 0;
+  /// Work that it is expected to take, in tokens of output; 0: not estimated.
+  double ExpectedWork = 0;
+  /// Work that its account was charged with at its first start; 0: not started.
+  double ChargedWork = 0;
   /// Whether an earlier submission left an item of its group unfinished.
   bool Resubmitted = false;
   /// Its group's position in the order of the submission's groups: first the
@@ -56,13 +66,25 @@
 /// Items start in the order of their submissions, and within a submission in
 /// the order in which it lists them. Serves as a baseline for comparisons.
 struct ArrivalOrder {};
+/// As WantedGroupsFirst, but accounts of equal priority share the engines by
+/// expected work, and the wanted groups are those that can still be complete
+/// first. Items without an account start as by WantedGroupsFirst.
+struct FairShareOrder {};
 /// Which waiting items start first.
-using ItemOrder = std::variant<WantedGroupsFirst, ArrivalOrder>;
+using ItemOrder = std::variant<WantedGroupsFirst, ArrivalOrder, FairShareOrder>;
 
 /// @param Name a value of the setting item_order.
 /// @pre the setting was validated.
 ItemOrder parseItemOrder(std::string_view Name);
 
+/// How an item ended.
+struct ItemEnd {
+  /// Whether it has a text; otherwise it was given up.
+  bool Completed = true;
+  /// Work that it took, in tokens of output; 0: not known.
+  double Work = 0;
+};
+
 /// A decision to send an item to an engine.
 struct ItemStart {
   ItemKey Key;
--- /dev/null
+++ b/packages/core/batch/run_move_func.cpp
@@ -0,0 +1,41 @@
+/// @file
+/// Chooses the run that moves from a slow engine to a much faster one.
+
+#include "core/batch/run_move_func.h"
+
+#include "core/batch/item_order_func.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <tuple>
+
+namespace camphornotch {
+
+std::optional<ItemKey> chooseMove(const ItemScheduler &Scheduler,
+                                  std::vector<MovableRun> Runs,
+                                  const EndpointPool &Pool, Millis Now) {
+  std::ranges::stable_sort(Runs, {}, [&Scheduler](const MovableRun &Run) {
+    const size_t Open = Scheduler.openInGroup(*Run.Item);
+    const bool First = Open > 0 && !isBeyondWanted(*Run.Item);
+    return std::tuple(!First, First ? Open : 0);
+  });
+  using RunKind =
+      std::tuple<EndpointId, std::string_view, std::string_view, int64_t>;
+  // Runs of the same kind for which no faster engine exists; each kind is
+  // looked up once.
+  std::set<RunKind> Unmovable;
+  for (const MovableRun &Run : Runs) {
+    const ScheduledItem &Item = *Run.Item;
+    const RunKind Kind(Run.Endpoint, Item.Service, Item.Model, Item.MinVersion);
+    if (Unmovable.contains(Kind))
+      continue;
+    const EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion};
+    if (Pool.findFaster(Run.Endpoint, Query, Now) != nullptr)
+      return Item.Key;
+    Unmovable.insert(Kind);
+  }
+  return std::nullopt;
+}
+
+} // namespace camphornotch
--- a/packages/gateway/item_checks.cpp
+++ b/packages/gateway/item_checks.cpp
@@ -3,10 +3,12 @@
 /// move.
 
 #include "base/clock_func.h"
+#include "core/batch/run_move_func.h"
 #include "gateway/item_task_base.h"
 
-#include <set>
-#include <tuple>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace camphornotch {
 
@@ -46,34 +48,19 @@
 }
 
 void ItemTask::moveSlowRun() {
-  const Millis Now = steadyNow();
-  using RunKind =
-      std::tuple<EndpointId, std::string_view, std::string_view, int64_t>;
-  // Runs of the same kind for which no faster engine exists; each kind is
-  // looked up once.
-  std::set<RunKind> Unmovable;
-  for (auto &[Key, Active] : this->Runs) {
+  std::vector<MovableRun> Movable;
+  for (const auto &[Key, Active] : this->Runs) {
     const ScheduledItem *Item = this->Scheduler.find(Key);
     const bool Settled =
         Active.Events.size() >= Active.EventsAtStart + MoveAfterEvents;
-    if (Active.Call.Value == 0 || Item == nullptr || !Settled ||
-        !this->Callbacks.KnowsEnd(Key.Submission))
-      continue;
-    const RunKind Kind(Active.Endpoint, Item->Service, Item->Model,
-                       Item->MinVersion);
-    if (Unmovable.contains(Kind))
-      continue;
-    const EndpointQuery Query{Item->Service, Item->Model, Item->MinVersion};
-    if (this->Pool.findFaster(Active.Endpoint, Query, Now) == nullptr) {
-      Unmovable.insert(Kind);
-      continue;
-    }
-    this->requeue(Key, RequeueReason::Moved, WorkOutcome::Abandoned,
-                  "another engine is much faster");
-    // One run at a time: it takes a free slot that the next run then does not
-    // have.
-    return;
+    if (Active.Call.Value != 0 && Item != nullptr && Settled &&
+        this->Callbacks.KnowsEnd(Key.Submission))
+      Movable.push_back(MovableRun{Item, Active.Endpoint});
   }
+  if (const std::optional<ItemKey> Key = chooseMove(
+          this->Scheduler, std::move(Movable), this->Pool, steadyNow()))
+    this->requeue(*Key, RequeueReason::Moved, WorkOutcome::Abandoned,
+                  "another engine is much faster");
 }
 
 } // namespace camphornotch
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -100,7 +100,11 @@
 
 void ItemTask::onResultAdded(const ItemKey &Key) {
   this->Reruns.stop(Key, "the item's result is recorded");
-  this->Scheduler.drop(Key);
+  const SubmissionState *State = this->Callbacks.FindSubmission(Key.Submission);
+  ItemEnd End;
+  if (State != nullptr && State->Positions.contains(Key.Item))
+    End.Completed = State->Results[State->Positions.at(Key.Item)].Completed;
+  this->Scheduler.drop(Key, End);
   this->removeRun(Key);
 }
 
@@ -389,7 +393,8 @@
            {"submission", Key.Submission.Value},
            {"state", Completed ? "completed" : "dead"},
            {"cause", Cause}});
-  this->Scheduler.drop(Key);
+  const size_t Work = Active == nullptr ? 0 : Active->Events.size();
+  this->Scheduler.drop(Key, ItemEnd{Completed, static_cast<double>(Work)});
   this->Reruns.stop(Key, "the item has a result");
   this->removeRun(Key);
   this->Callbacks.OnResult(Record);
