--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -252,12 +252,19 @@
   std::optional<FairTurns> Turns;
   if (std::holds_alternative<FairShareOrder>(this->Order))
     Turns.emplace(this->Shares, Waiting);
+  AccountLoads Loads;
+  if (!this->Quotas.empty())
+    Loads = this->accountLoads();
   // If no endpoint has room for an item, none has for others that need the
   // same service, model and version.
   std::set<std::tuple<std::string, std::string, int64_t>> Unplaceable;
   std::vector<ItemStart> Starts;
   for (ScheduledItem *Turn : Waiting) {
     ScheduledItem *Item = Turns.has_value() ? &Turns->next(*Turn) : Turn;
+    const auto Quota = this->Quotas.find(Item->Account);
+    if (Turns.has_value() && Quota != this->Quotas.end() &&
+        Loads[Item->Account].Running >= Quota->second)
+      continue;
     const auto Needs = std::tuple(Item->Service, Item->Model, Item->MinVersion);
     if (Unplaceable.contains(Needs))
       continue;
@@ -269,6 +276,8 @@
     }
     Item->Running = true;
     ++this->RunningCount;
+    if (Quota != this->Quotas.end())
+      ++Loads[Item->Account].Running;
     if (Turns.has_value())
       Turns->started(*Item, this->charge(*Item));
     Starts.push_back(ItemStart{Item->Key, Chosen->Record.Id});
@@ -325,6 +334,17 @@
   return Found == this->Items.end() ? nullptr : &Found->second;
 }
 
+AccountLoads ItemScheduler::accountLoads() const {
+  AccountLoads Loads;
+  for (const auto &[Key, Item] : this->Items) {
+    if (Item.Account.empty())
+      continue;
+    AccountLoad &Load = Loads[Item.Account];
+    ++(Item.Running ? Load.Running : Load.Waiting);
+  }
+  return Loads;
+}
+
 size_t ItemScheduler::openInGroup(const ScheduledItem &Item) const {
   const auto Step = this->Steps.find(Item.Key.Submission);
   return Step == this->Steps.end() ? 0 : Step->second.openItems(Item.Group);
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -4,6 +4,7 @@
 #ifndef CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_BASE_H
 #define CAMPHORNOTCH_CORE_BATCH_ITEM_SCHEDULER_BASE_H
 
+#include "core/batch/account_quota_func.h"
 #include "core/batch/fair_share_base.h"
 #include "core/batch/item_scheduler_type.h"
 #include "core/batch/step_progress_base.h"
@@ -11,6 +12,8 @@
 #include "core/gateway/endpoint_pool_base.h"
 #include "core/gateway/route_type.h"
 
+#include <utility>
+
 namespace camphornotch {
 
 /// Why a running item waits for an engine again.
@@ -70,6 +73,16 @@
   /// @return the items to start, which count as running from now on.
   std::vector<ItemStart> plan(EndpointPool &Pool, Millis Now);
 
+  /// Bounds the running items of accounts, which compete with the same accounts
+  /// at other gateways; used by FairShareOrder alone.
+  /// @param Most of each account (see accountQuotas()); others have no bound.
+  void setQuotas(std::map<std::string, int64_t> Most) {
+    this->Quotas = std::move(Most);
+  }
+
+  /// @return the items of each account; items without one are left out.
+  AccountLoads accountLoads() const;
+
   /// Makes a running item wait again.
   /// @param Endpoint where it ran.
   void requeue(const ItemKey &Key, RequeueReason Reason,
@@ -116,6 +129,8 @@
   std::map<SubmissionId, StepProgress> Steps;
   /// Submissions that got results since the last plan.
   std::set<SubmissionId> ChangedSteps;
+  /// Most running items by account.
+  std::map<std::string, int64_t> Quotas;
   /// Work of finished items by route.
   WorkMean Means;
   size_t RunningCount = 0;
--- a/tests/batch/order_fixture.h
+++ b/tests/batch/order_fixture.h
@@ -21,6 +21,7 @@
   Record.DataCentre = "dc";
   Record.Slots = Slots;
   Record.Versions["m"] = 5;
+  Record.ListenAddress = Address{Id, 1};
   return Record;
 }
 
