Add: [Ctl] check-config for the platform's configuration

Cause: a configuration that gateways leave parts of out, or that contradicts itself, was noticed after its publication. Change: camphornotch check-config FILE [--against FILE].

--- a/packages/ctl/command_func.h
+++ b/packages/ctl/command_func.h
@@ -12,6 +12,10 @@
 /// `check FILE`: reports every faulty line of a rule file.
 ExitCode runCheck(const Options &Wanted);
 
+/// `check-config FILE`: checks a file of the platform's configuration, with
+/// exit codes of its own (docs/operators.md).
+ExitCode runCheckConfig(const Options &Wanted);
+
 /// `diff FILE [OLD]`: compares a rule file with the accepted one or with OLD.
 ExitCode runDiff(const Options &Wanted);
 
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -21,6 +21,7 @@
              "accepted one");
 DEFINE_int64(timeout_ms, 15000, "longest wait for the log and for hosts");
 DEFINE_int64(from, 0, "log: the first offset to print");
+DEFINE_string(against, "", "check-config: another version to compare with");
 DEFINE_bool(cancel, false, "drain: take the order back");
 DEFINE_string(caller, "", "explain: a caller or trainer");
 DEFINE_string(serves, "", "explain: a model or service");
@@ -49,6 +50,8 @@
 constexpr std::array Commands{
     CommandSpec{"check", 1, 1, runCheck,
                 "check FILE             name every faulty line"},
+    CommandSpec{"check-config", 1, 1, runCheckConfig,
+                "check-config FILE      check a platform configuration"},
     CommandSpec{"diff", 1, 2, runDiff,
                 "diff FILE [OLD]        compare with the accepted file or OLD"},
     CommandSpec{"show", 0, 0, runShow,
@@ -67,9 +70,10 @@
 };
 
 /// The flags that this program defines, in the order of --help.
-constexpr std::array FlagNames{
-    "log",    "host_list", "json",   "author", "base", "timeout_ms", "from",
-    "cancel", "caller",    "serves", "method", "path", "endpoint",   "host"};
+constexpr std::array FlagNames{"log",    "host_list",  "json",   "author",
+                               "base",   "timeout_ms", "from",   "against",
+                               "cancel", "caller",     "serves", "method",
+                               "path",   "endpoint",   "host"};
 
 /// Prints the subcommands and flags.
 void printHelp() {
@@ -125,6 +129,7 @@
   Out.Base = FLAGS_base;
   Out.Timeout = Millis{FLAGS_timeout_ms};
   Out.FirstOffset = FLAGS_from;
+  Out.Against = FLAGS_against;
   Out.Cancel = FLAGS_cancel;
   Out.Caller = FLAGS_caller;
   Out.Serves = FLAGS_serves;
--- a/packages/ctl/options_type.h
+++ b/packages/ctl/options_type.h
@@ -44,6 +44,8 @@
   Millis Timeout;
   /// The first offset that `log` prints; 0: the oldest that the log keeps.
   int64_t FirstOffset = 0;
+  /// File that `check-config` compares with; empty: none.
+  std::string Against;
   /// Whether `drain` cancels the order to leave.
   bool Cancel = false;
   /// @name The request or host that `explain` evaluates the rules for
