--- a/packages/core/batch/item_order_func.cpp
+++ b/packages/core/batch/item_order_func.cpp
@@ -46,37 +46,68 @@
   });
 }
 
+FairTurns::PoolQueue &FairTurns::queueOf(const ScheduledItem &Item) {
+  const bool Beyond = isBeyondWanted(Item);
+  const auto Matches = [&Item, Beyond](const PoolQueue &Each) {
+    return Each.Pool.BeyondWanted == Beyond &&
+           Each.Pool.Priority == Item.Priority &&
+           Each.Pool.Service == Item.Service;
+  };
+  if (this->Found != nullptr && Matches(*this->Found))
+    return *this->Found;
+  const auto Known = std::ranges::find_if(this->Pools, Matches);
+  if (Known == this->Pools.end())
+    this->Found = &this->Pools.emplace_back(PoolQueue{sharePoolOf(Item)});
+  else
+    this->Found = &*Known;
+  return *this->Found;
+}
+
 FairTurns::FairTurns(FairShare &Shares, std::span<ScheduledItem *const> Sorted)
     : Shares(Shares) {
-  for (ScheduledItem *Item : Sorted)
-    if (!Item->Account.empty())
-      this->Pools[sharePoolOf(*Item)].ByAccount[Item->Account].push_back(Item);
-  for (auto &[Pool, Queue] : this->Pools)
-    for (const auto &[Account, Items] : Queue.ByAccount) {
-      Shares.compete(Pool, Account);
-      Queue.Order.insert(Place{Shares.position(Pool, Account), Account});
+  for (ScheduledItem *Item : Sorted) {
+    if (Item->Account.empty())
+      continue;
+    PoolQueue &Queue = this->queueOf(*Item);
+    const auto [Named, IsNew] =
+        Queue.ByName.try_emplace(Item->Account, Queue.Accounts.size());
+    if (IsNew)
+      Queue.Accounts.push_back(AccountQueue{Item->Account});
+    Queue.Accounts[Named->second].Items.push_back(Item);
+  }
+  for (PoolQueue &Queue : this->Pools)
+    for (const auto &[Name, Index] : Queue.ByName) {
+      AccountQueue &Each = Queue.Accounts[Index];
+      Shares.compete(Queue.Pool, Each.Account);
+      Each.Position = Shares.position(Queue.Pool, Each.Account);
+      Queue.Order.emplace(Each.Position, Index);
     }
 }
 
 ScheduledItem &FairTurns::next(ScheduledItem &Turn) {
   if (Turn.Account.empty())
     return Turn;
-  const SharePool Pool = sharePoolOf(Turn);
-  PoolQueue &Queue = this->Pools.at(Pool);
-  if (Queue.Taken.has_value() && !Queue.ByAccount[*Queue.Taken].empty())
-    Queue.Order.insert(
-        Place{this->Shares.position(Pool, *Queue.Taken), *Queue.Taken});
+  PoolQueue &Queue = this->queueOf(Turn);
   assert(!Queue.Order.empty());
-  Queue.Taken = Queue.Order.extract(Queue.Order.begin()).value().Account;
-  std::deque<ScheduledItem *> &Items = Queue.ByAccount[*Queue.Taken];
-  ScheduledItem *Next = Items.front();
-  Items.pop_front();
-  return *Next;
+  Queue.Last = Queue.Order.begin()->second;
+  AccountQueue &First = Queue.Accounts[Queue.Last];
+  ScheduledItem &Next = *First.Items[First.Next++];
+  if (First.Next == First.Items.size())
+    Queue.Order.erase(Queue.Order.begin());
+  return Next;
 }
 
 void FairTurns::started(const ScheduledItem &Item, double Work) {
-  if (!Item.Account.empty())
-    this->Shares.started(sharePoolOf(Item), Item.Account, Work);
+  if (Item.Account.empty())
+    return;
+  PoolQueue &Queue = this->queueOf(Item);
+  AccountQueue &Started = Queue.Accounts[Queue.Last];
+  assert(Started.Account == Item.Account);
+  this->Shares.started(Queue.Pool, Item.Account, Work);
+  if (Queue.Order.erase({Started.Position, Queue.Last}) == 0)
+    return;
+  Started.Position = this->Shares.position(Queue.Pool, Item.Account);
+  Queue.Order.emplace(Started.Position, Queue.Last);
 }
 
 } // namespace camphornotch
--- a/packages/core/batch/item_order_func.h
+++ b/packages/core/batch/item_order_func.h
@@ -8,9 +8,10 @@
 #include "core/batch/item_scheduler_type.h"
 
 #include <deque>
-#include <optional>
 #include <set>
 #include <span>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace camphornotch {
@@ -44,22 +45,33 @@
   void started(const ScheduledItem &Item, double Work);
 
 private:
-  /// An account in the order of its pool.
-  struct Place {
-    SharePosition Position;
+  /// The items of one account that have not had their turn.
+  struct AccountQueue {
     std::string Account;
-
-    auto operator<=>(const Place &) const = default;
+    std::vector<ScheduledItem *> Items;
+    /// Index of the next one in Items.
+    size_t Next = 0;
+    SharePosition Position;
   };
   struct PoolQueue {
-    std::map<std::string, std::deque<ScheduledItem *>> ByAccount;
-    std::set<Place> Order;
-    /// The account of the last turn, which is not in Order.
-    std::optional<std::string> Taken;
+    SharePool Pool;
+    std::vector<AccountQueue> Accounts;
+    std::map<std::string_view, size_t> ByName;
+    /// Indexes in Accounts of those with items, by position; of equal ones, the
+    /// account with the first item in the sorted order goes first.
+    std::set<std::pair<SharePosition, size_t>> Order;
+    /// The account of the last turn.
+    size_t Last = 0;
   };
 
+  /// @return the queue of an item's pool; a new one if there is none.
+  PoolQueue &queueOf(const ScheduledItem &Item);
+
   FairShare &Shares;
-  std::map<SharePool, PoolQueue> Pools;
+  /// Few: one for each urgency and service. A deque keeps them in place.
+  std::deque<PoolQueue> Pools;
+  /// The queue that was found last; neighbours mostly have the same.
+  PoolQueue *Found = nullptr;
 };
 
 } // namespace camphornotch
