--- a/tests/gateway_tasks/account_test.cpp
+++ b/tests/gateway_tasks/account_test.cpp
@@ -2,6 +2,7 @@
 /// A whole gateway with client accounts: who is served, and what endpoints see.
 
 #include "base/text_func.h"
+#include "tests/net/scripted_server.h"
 #include "whole_gateway_fixture.h"
 
 #include <absl/strings/match.h>
@@ -44,7 +45,8 @@
 struct AccountNet : WholeGateway {
   FakeEngine Engine{this->Events};
 
-  AccountNet() {
+  explicit AccountNet(const std::string &ItemOrder = "wanted_groups")
+      : WholeGateway(ItemOrder) {
     this->configure(configText(1, TwoAccounts));
     this->Store.put("keyed.servers", "i-1",
                     R"({"service":"s","zone":"dc","slots":8,"state":"ready",)"
@@ -118,6 +120,49 @@
   cr_assert_eq(Named[0], "one");
 }
 
+// Guards against a trailer that names another account.
+Test(account, trailerThatNamesAnAccount_reachesNoEndpoint) {
+  AccountNet Net;
+  PlainSocket Client(Net.Tested->callerTarget().Port);
+  Client.send("POST /a/x HTTP/1.1\r\nhost: h\r\n"
+              "authorization: Bearer key-1\r\n"
+              "x-camphornotch-request-id: t1\r\n"
+              "trailer: x-camphornotch-tenant\r\n"
+              "transfer-encoding: chunked\r\n\r\n"
+              "1\r\nx\r\n0\r\nx-camphornotch-tenant: two\r\n\r\n");
+  cr_assert(turnUntil(Net.Events,
+                      [&] { return Net.Engine.HeadersById.contains("t1"); }));
+  const std::vector<std::string> Expected{"one"};
+  cr_assert(Net.received("t1", "x-camphornotch-tenant") == Expected);
+}
+
+// Guards against a second set of credentials that an endpoint receives, or that
+// counts in place of the first.
+Test(account, twoSetsOfCredentials_areNoKeyAndReachNoEndpoint) {
+  AccountNet Net;
+  HttpHeaders Headers = bearer("key-1");
+  Headers.push_back({"authorization", "Basic dXNlcg=="});
+  cr_assert_eq(Net.ask("GET", "/a/x", {}, Headers).Status, 401);
+  cr_assert_eq(Net.ask("GET", "/p/x", {}, Headers).Status, 200);
+  cr_assert(Net.received("r1", "authorization").empty());
+  cr_assert(Net.received("r1", "x-camphornotch-tenant").empty());
+}
+
+// Guards against items that the fair order loses between the scheduler and the
+// engine.
+Test(account, fairShare_runsTheItemsOfAllAccounts) {
+  AccountNet Net("fair_share");
+  for (const char *Key : {"key-1", "key-3"})
+    cr_assert_eq(Net.submit("lot", Key).Status, 202);
+  for (const char *Key : {"key-1", "key-3"})
+    cr_assert(turnUntil(Net.Events, [&] {
+      const HttpResponse Answer =
+          Net.ask("GET", "/-/lots/lot", {}, bearer(Key));
+      return Answer.Status == 200 &&
+             platform::Json::parse(Answer.Body)["results"].size() == 1;
+    }));
+}
+
 Test(account, publicRoute_servesAnyoneAndPassesNoKey) {
   AccountNet Net;
   HttpHeaders Headers = bearer("key-9");
--- a/tests/gateway_tasks/whole_gateway_fixture.h
+++ b/tests/gateway_tasks/whole_gateway_fixture.h
@@ -21,7 +21,7 @@
   HttpClient Caller{this->Events};
 
   /// Starts the gateway without a configuration.
-  WholeGateway() {
+  explicit WholeGateway(const std::string &ItemOrder = "wanted_groups") {
     GatewaySettings Settings;
     Settings.Common.Host = "gateway-1";
     Settings.Common.DataCentre = "dc";
@@ -37,7 +37,7 @@
     Settings.RecordBytes = 4096;
     Settings.SubmissionLifetime = seconds(60);
     Settings.EndpointChoice = "expected_time";
-    Settings.ItemOrder = "wanted_groups";
+    Settings.ItemOrder = ItemOrder;
     this->Tested = std::make_unique<Gateway>(this->Events, Settings);
     cr_assert(this->Tested->begin().has_value());
   }
