--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -17,7 +17,11 @@
 /// An item that waits for an engine or runs on one.
 struct ScheduledItem {
   ItemKey Key;
-  /// The name of its submission's current route.
+  /// The client account that submitted it; empty: none.
+  std::string Account;
+  /// Its group in the submission.
+  std::string Group;
+  /// Name of its submission's current route.
   std::string RouteName;
   /// The service whose engines can run it, by its submission's current route.
   std::string Service;
@@ -39,6 +43,10 @@
   int64_t LengthHint = 0;
   /// Estimate of its prompt, in tokens.
   int64_t PromptTokens = 0;
+  /// Work that it is expected to take, in tokens of output; 0: not estimated.
+  double ExpectedWork = 0;
+  /// Work that its account was charged with at its first start; 0: not started.
+  double ChargedWork = 0;
   /// Whether an earlier submission left an item of its group unfinished.
   bool Resubmitted = false;
   /// Its group's position in the order of the submission's groups: first the
@@ -62,8 +70,12 @@
 /// Items start in the order of their submissions, and within a submission in
 /// the order in which it lists them. Serves as a baseline for comparisons.
 struct ArrivalOrder {};
+/// As WantedGroupsFirst, but accounts of equal priority share the engines by
+/// expected work, and the wanted groups are those that can still be complete
+/// first. Items without an account start as by WantedGroupsFirst.
+struct FairShareOrder {};
 /// Which waiting items start first.
-using ItemOrder = std::variant<WantedGroupsFirst, ArrivalOrder>;
+using ItemOrder = std::variant<WantedGroupsFirst, ArrivalOrder, FairShareOrder>;
 
 /// @param Name a value of the setting item_order.
 /// @pre the setting was validated.
@@ -71,6 +83,13 @@
 
 /// @return the work to expect of an item that starts now.
 using ItemWorkSource = std::function<ExpectedWork(const ScheduledItem &)>;
+/// How an item ended.
+struct ItemEnd {
+  /// Whether it has a text; otherwise it was given up.
+  bool Completed = true;
+  /// Work that it took, in tokens of output; 0: not known.
+  double Work = 0;
+};
 
 /// A decision to send an item to an engine.
 struct ItemStart {
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -13,8 +13,8 @@
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
 #include "gateway/usage_task_base.h"
-#include "net/client_limits_base.h"
 #include "gateway/work_tracker_base.h"
+#include "net/client_limits_base.h"
 #include "net/http_server_base.h"
 
 #include <memory>
@@ -58,6 +58,9 @@
   std::optional<std::string>
   admit(const std::shared_ptr<HttpExchange> &Exchange,
         const Route *MatchedRoute);
+  /// @return the account's name; nothing if the configuration has no accounts.
+  std::optional<std::string>
+  accountIfUsed(const std::string &AccountName) const;
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
                const platform::RoutedRequest &Routed, const Route &MatchedRoute,
                const std::string &AccountName);
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -91,7 +91,7 @@
                const Route *MatchedRoute) {
   const AccessDecision Decision =
       this->Access.check(Exchange->request(), this->Routes, MatchedRoute,
-                         this->Published.available());
+                         this->Published.available(steadyNow()));
   if (Decision.isAllowed())
     return Decision.Caller == nullptr ? std::string() : Decision.Caller->Name;
   const AccessRefusal Refusal = accessRefusal(Decision.Outcome);
@@ -100,13 +100,19 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+Gateway::accountIfUsed(const std::string &AccountName) const {
+  return this->Routes.Accounts == nullptr ? std::nullopt
+                                          : std::optional(AccountName);
+}
+
 void Gateway::onSubmissionCall(const std::shared_ptr<HttpExchange> &Exchange,
                                platform::DecodedRequest Call) {
   const std::optional<std::string> AccountName = this->admit(Exchange, nullptr);
   if (!AccountName.has_value())
     return;
-  const auto Scope = [&AccountName](SubmissionId &Id) {
-    Id.Value = accountScopedId(*AccountName, Id.Value);
+  const auto Scope = [this, &AccountName](SubmissionId &Id) {
+    Id.Value = accountScopedId(this->accountIfUsed(*AccountName), Id.Value);
   };
   if (auto *Read = std::get_if<platform::ResultsRead>(&Call)) {
     Scope(Read->Id);
@@ -139,9 +145,11 @@
     this->forward(Exchange, Routed, *MatchedRoute, *AccountName);
     return;
   }
+  const std::optional<std::string> Submitter =
+      this->accountIfUsed(*AccountName);
   if (!Routed.RequestId.empty())
-    Routed.RequestId = accountScopedId(*AccountName, Routed.RequestId);
-  this->Batches.submit(Exchange, Routed, *AccountName);
+    Routed.RequestId = accountScopedId(Submitter, Routed.RequestId);
+  this->Batches.submit(Exchange, Routed, Submitter);
 }
 
 struct Gateway::ForwardedRequest {
--- a/tests/gateway_tasks/placement_test.cpp
+++ b/tests/gateway_tasks/placement_test.cpp
@@ -45,7 +45,7 @@
 
 // Guards against plain requests that get no answer under the policy.
 Test(placement, remainingWork_plainRequestsAreAnswered) {
-  WholeGateway Net("remaining_work");
+  WholeGateway Net("wanted_groups", "remaining_work");
   Net.configure(R"({"version":1,"routes":[
     {"name":"a","host":"h","path_prefix":"/a/","kind":"safe","service":"s",
      "timeout_ms":60000,"target_latency_ms":200,"attempts":2}],
--- a/tests/gateway_tasks/whole_gateway_fixture.h
+++ b/tests/gateway_tasks/whole_gateway_fixture.h
@@ -21,7 +21,8 @@
   HttpClient Caller{this->Events};
 
   /// Starts the gateway without a configuration.
-  explicit WholeGateway(const std::string &Choice = "expected_time") {
+  explicit WholeGateway(const std::string &ItemOrder = "wanted_groups",
+                        const std::string &Choice = "expected_time") {
     GatewaySettings Settings;
     Settings.Common.Host = "gateway-1";
     Settings.Common.DataCentre = "dc";
@@ -37,7 +38,7 @@
     Settings.RecordBytes = 4096;
     Settings.SubmissionLifetime = seconds(60);
     Settings.EndpointChoice = Choice;
-    Settings.ItemOrder = "wanted_groups";
+    Settings.ItemOrder = ItemOrder;
     this->Tested = std::make_unique<Gateway>(this->Events, Settings);
     cr_assert(this->Tested->begin().has_value());
   }
