--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -262,6 +262,21 @@
   cr_assert(Record.Items[0].__isset.Scoring);
 }
 
+// Guards against a body within the limit that takes twenty times its size when
+// it is parsed, and against counting the commas of texts as values.
+Test(decodeSubmission, farTooManyValues_areRefusedBeforeTheyAreParsed) {
+  std::string Values = R"({"items":[)";
+  for (int Count = 0; Count < 300'000; ++Count)
+    Values += "[],";
+  const auto Refused =
+      decodeSubmission("s", submissionRequest(Values + "[]]}"));
+  cr_assert_neq(Refused.error().Message.find("too many values"),
+                std::string::npos);
+  const std::string Text = R"({"items":[{"id":"a","path":"/p","group":")" +
+                           std::string(400'000, ',') + R"("}]})";
+  cr_assert(decodeSubmission("s", submissionRequest(Text)).has_value());
+}
+
 Test(decodeSubmission, invalidSubmission_isAnErrorWithAMessage) {
   const auto Fails = [](const std::string &Body) {
     const auto Decoded = decodeSubmission("s", submissionRequest(Body));
