Fix: [Tests] Played gateways stay where they are

Cause: an endpoint pool can no longer be moved since its index points into it. Change: the played gateways are kept in a deque. Result: tests/batch builds again.

--- a/tests/batch/gateway_share_test.cpp
+++ b/tests/batch/gateway_share_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <deque>
 #include <random>
 #include <utility>
 
@@ -45,7 +46,8 @@
 std::map<std::string, double> playGateways(size_t Gateways, uint32_t Seed,
                                            bool Exchange) {
   std::minstd_rand Random(Seed);
-  std::vector<PlayedGateway> All;
+  // A deque, as gateways cannot be moved.
+  std::deque<PlayedGateway> All;
   for (size_t Index = 0; Index < Gateways; ++Index) {
     All.emplace_back(FairShareOrder{});
     All.back().Accounts.push_back("large");
