Fix: [Limits] Streams and a mixed crowd stay within the budget

Cause: 90 connections of all kinds at a time took a gateway with memory_mb = 48 to 57.7 MB (VmHWM): streams held buffers that did not count, in several copies. A stream could also be ended because its client was slow. Change: less of a connection to an endpoint waits in the kernel, the buffer of a written part is released, streams pause at once while memory is short, and only whole responses are ended for clients that do not read. Gauge client_bytes_held_highest. The loader's server of probes has limits of its own.

--- a/packages/core/limits/limit_controller_base.cpp
+++ b/packages/core/limits/limit_controller_base.cpp
@@ -48,7 +48,7 @@
 }
 
 void LimitController::setInput(Connection &Of, int64_t Bytes) {
-  this->Held += Bytes - Of.Input;
+  this->hold(Bytes - Of.Input);
   Of.Input = Bytes;
 }
 
@@ -95,7 +95,7 @@
   ++this->Open[indexOf(Port)];
   Client &From = this->Clients[Key];
   ++From.Open;
-  this->Held += ConnectionBytes;
+  this->hold(ConnectionBytes);
   Made.State = &From.Idle;
   Made.Place = From.Idle.insert(From.Idle.end(), Id);
   return Decision;
@@ -105,7 +105,7 @@
   Connection *Closed = this->find(Id);
   if (Closed == nullptr)
     return;
-  this->Held -= Closed->Input + Closed->Unread + ConnectionBytes;
+  this->hold(-(Closed->Input + Closed->Unread + ConnectionBytes));
   --this->Open[indexOf(Closed->From.first)];
   Client &From = this->Clients[Closed->From];
   Closed->State->erase(Closed->Place);
@@ -165,7 +165,7 @@
     return;
   if (IsProgress || Of->Unread == 0)
     Of->ReadAt = Now;
-  this->Held += Added;
+  this->hold(Added);
   Of->Unread += Added;
   assert(Of->Unread >= 0);
 }
--- a/packages/core/limits/limit_controller_base.h
+++ b/packages/core/limits/limit_controller_base.h
@@ -7,6 +7,7 @@
 
 #include "core/limits/limit_type.h"
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <optional>
@@ -67,7 +68,10 @@
 
   /// Bytes not tied to a connection are held (released, if negative): bodies of
   /// complete requests, responses being collected.
-  void hold(int64_t Bytes) { this->Held += Bytes; }
+  void hold(int64_t Bytes) {
+    this->Held += Bytes;
+    this->Highest = std::max(this->Highest, this->Held);
+  }
 
   /// @return whether the bytes may be held without ending anything.
   bool fits(int64_t Bytes) const {
@@ -95,6 +99,8 @@
 
   bool isKnown(ConnectionId Id) const { return this->Known.contains(Id); }
   int64_t held() const { return this->Held; }
+  /// @return the most that was held so far.
+  int64_t highest() const { return this->Highest; }
   int64_t connections(ClientPort Port) const {
     return this->Open[static_cast<size_t>(Port)];
   }
@@ -143,6 +149,7 @@
   std::array<int64_t, ClientPortCount> Open{};
   std::array<int64_t, LimitReasonCount> Counts{};
   int64_t Held = 0;
+  int64_t Highest = 0;
 };
 
 } // namespace camphornotch
--- a/packages/gateway/client_limits_func.cpp
+++ b/packages/gateway/client_limits_func.cpp
@@ -54,6 +54,16 @@
       StatusRequestTimeout, "the request arrives too slowly", Millis{0});
 }
 
+HttpServerConfig probeServerConfig(Loop &Events,
+                                   const CommonSettings &Settings) {
+  HttpServerConfig Config;
+  Config.Address = Settings.ListenHttp.Ip;
+  Config.Port = Settings.ListenHttp.Port;
+  limitServer(Config, makeClientLimits(Events, Settings, Config.MaxBodyBytes),
+              ClientPort::Probes);
+  return Config;
+}
+
 void applyBodyLimit(ClientLimits &Limits, HttpServer &Server,
                     const CommonSettings &Settings, int64_t BodyBytes) {
   if (BodyBytes <= 0)
@@ -70,6 +80,10 @@
       .gauge("client_bytes_held",
              "Bytes held for clients, as they are counted.")
       .Set(static_cast<double>(Limits.held()));
+  Counts
+      .gauge("client_bytes_held_highest",
+             "The most of client_bytes_held so far.")
+      .Set(static_cast<double>(Limits.highest()));
   Counts.gauge("client_bytes_limit", "Limit on client_bytes_held; 0: none.")
       .Set(static_cast<double>(Limits.rules().HeldBytes));
   constexpr std::array Ports{
--- a/packages/gateway/client_limits_func.h
+++ b/packages/gateway/client_limits_func.h
@@ -28,6 +28,11 @@
 void limitServer(HttpServerConfig &Config,
                  const std::shared_ptr<ClientLimits> &Limits, ClientPort Kind);
 
+/// @return the configuration of a server for probes and metrics alone, with
+///   limits of its own.
+HttpServerConfig probeServerConfig(Loop &Events,
+                                   const CommonSettings &Settings);
+
 /// Applies the body limit of the configuration in force, so that a body above
 /// it is refused before it is complete.
 /// @param BodyBytes 0: none.
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -223,7 +223,9 @@
   Callbacks.OnStreamEvents = [this, Exchange,
                               AssignedId](std::string_view Part) {
     Exchange->write(Part);
-    if (Exchange->unsentBytes() > MaxUnsentBytes)
+    const bool IsShort =
+        this->Limits != nullptr && !this->Limits->controller().fits(0);
+    if (Exchange->unsentBytes() > (IsShort ? 0 : MaxUnsentBytes))
       this->Forward.pause(*AssignedId);
   };
   Callbacks.OnStreamEnd = [this, Exchange, Log, Digest](bool Complete) {
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -8,6 +8,7 @@
 #include "base/log_func.h"
 #include "base/text_func.h"
 #include "core/loads/engine_place_func.h"
+#include "gateway/client_limits_func.h"
 #include "gateway/gateway_settings_func.h"
 #include "platform/engine_func.h"
 #include "platform/operator_func.h"
@@ -69,9 +70,8 @@
   const Result<uint16_t> Linked = this->Peers.listen();
   if (!Linked.has_value())
     return Linked.error();
-  HttpServerConfig Config;
-  Config.Address = this->Settings.Common.ListenHttp.Ip;
-  Config.Port = this->Settings.Common.ListenHttp.Port;
+  const HttpServerConfig Config =
+      probeServerConfig(this->Events, this->Settings.Common);
   auto Listener =
       HttpServer::listen(this->Events, Config,
                          [this](const std::shared_ptr<HttpExchange> &Exchange) {
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -173,7 +173,7 @@
     }
     disableNagle(h2o_socket_get_fd(Socket));
     if (Call.Owner->Limits != nullptr)
-      limitKernelBuffers(h2o_socket_get_fd(Socket));
+      limitEndpointBuffers(h2o_socket_get_fd(Socket));
     Call.Owner->sendRequest(Call);
   }
 
--- a/packages/net/http_responder_base.cpp
+++ b/packages/net/http_responder_base.cpp
@@ -43,9 +43,13 @@
   HttpOpenRequests *Requests = Self->Requests;
   const std::function<void()> Handler = std::move(Self->OnDisposed);
   Requests->Open.erase(Self);
+  Self->Writing.clear();
+  Self->Queued.clear();
+  Self->Whole.clear();
+  Self->Sent = 0;
+  Self->countUnread(true);
   if (Self->Limits != nullptr &&
       Self->Limits->controller().isKnown(Self->Connection)) {
-    Self->Limits->unread(Self->Connection, -Self->Counted, true);
     Self->Limited->requestEnded();
   }
   Self->~HttpResponder();
@@ -93,11 +97,16 @@
   const auto Now = static_cast<int64_t>(this->unsentBytes() +
                                         this->Whole.size() - this->Sent);
   const int64_t Added = Now - std::exchange(this->Counted, Now);
-  this->Limits->unread(this->Connection, Added, IsProgress);
+  // A stream holds a bounded part and is never ended for a slow client.
+  if (this->IsInParts)
+    this->Limits->unread(this->Connection, Added, IsProgress);
+  else
+    this->Limits->hold(Added);
 }
 
 void HttpResponder::answerInParts(const HttpResponse &Response) {
   this->Streaming = true;
+  this->IsInParts = true;
   this->Whole = Response.Body;
   h2o_start_response(this->Request, &this->Source.Super);
   this->sendNextPart();
@@ -179,6 +188,8 @@
   }
   Self->Sending = false;
   Self->Writing.clear();
+  if (Self->Limits != nullptr && Self->Writing.capacity() > PartBytes)
+    Self->Writing.shrink_to_fit();
   Self->countUnread(true);
   const bool Drained = Self->Queued.empty() && !Self->Ended;
   if (Drained && Self->OnDrained)
--- a/packages/net/http_responder_internal.h
+++ b/packages/net/http_responder_internal.h
@@ -106,6 +106,7 @@
   /// A whole response that is sent in parts; Sent of its bytes were passed on.
   std::string Whole;
   size_t Sent = 0;
+  bool IsInParts = false;
   std::shared_ptr<ClientLimits> Limits;
   ConnectionId Connection;
   /// Valid while the limits know the connection.
--- a/packages/net/limited_connection_base.cpp
+++ b/packages/net/limited_connection_base.cpp
@@ -23,6 +23,7 @@
 /// Size of a socket's kernel buffers; the kernel doubles it. A connection with
 /// a round trip of 24 ms, the longest of the sites, still gets 85 Mbit/s.
 constexpr int KernelBufferBytes = 256 << 10;
+constexpr int EndpointBufferBytes = 96 << 10;
 /// A body below this size stays in h2o's buffer until the end of its request.
 constexpr size_t MinMovedBytes = size_t{256} << 10;
 /// Bytes of a body that exist twice while it is moved.
@@ -75,6 +76,11 @@
   return Moved;
 }
 
+void limitEndpointBuffers(int Fd) {
+  setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &EndpointBufferBytes,
+             sizeof(EndpointBufferBytes));
+}
+
 void limitKernelBuffers(int Fd) {
   setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &KernelBufferBytes,
              sizeof(KernelBufferBytes));
--- a/packages/net/limited_connection_internal.h
+++ b/packages/net/limited_connection_internal.h
@@ -86,6 +86,10 @@
 /// for a connection than the process does otherwise.
 void limitKernelBuffers(int Fd);
 
+/// The same for a connection to an endpoint, whose input is held several times
+/// for a moment.
+void limitEndpointBuffers(int Fd);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_NET_LIMITED_CONNECTION_INTERNAL_H
