--- a/tests/batch/account_quota_test.cpp
+++ b/tests/batch/account_quota_test.cpp
@@ -79,7 +79,7 @@
       for (const ItemStart &Start : Each.plan())
         Running.push_back(Start);
     }
-    cr_log_warn("%s: %.2f ms for a plan of %zu waiting items", Name,
+    cr_log_info("%s: %.2f ms for a plan of %zu waiting items", Name,
                 static_cast<double>((steadyNow() - Began).Count) / Plans,
                 Each.Scheduler.waiting());
   }
--- a/tests/batch/gateway_share_test.cpp
+++ b/tests/batch/gateway_share_test.cpp
@@ -156,7 +156,7 @@
     Least = std::min(Least, Work);
   }
   const double Mean = Sum / static_cast<double>(Ended.size());
-  cr_log_warn(
+  cr_log_info(
       "%zu gateways, seed %u, exchange %d: work %.0f, large %.3f of the mean, "
       "least %.3f",
       Gateways, Seed, Exchange ? 1 : 0, Sum, Ended.at("large") / Mean,
--- a/tests/batch/step_end_test.cpp
+++ b/tests/batch/step_end_test.cpp
@@ -111,7 +111,7 @@
     Old += Fixed;
     New += Renewed;
   }
-  cr_log_warn("steps complete after %ld by fixed ranks, %ld by fair_share",
+  cr_log_info("steps complete after %ld by fixed ranks, %ld by fair_share",
               static_cast<long>(Old), static_cast<long>(New));
   cr_assert_leq(New, Old);
 }
