Fix: [Tests] Figures of the crowd tests are information, not warnings

Change: the measured figures are logged as information. Result: the assertions, bounds and crowds are unchanged; the program's exit code follows them.

--- a/tests/crowds/crowd_fixture.h
+++ b/tests/crowds/crowd_fixture.h
@@ -161,7 +161,7 @@
     const size_t Highest = this->status("VmHWM");
     const size_t Now = this->status("VmRSS");
     const size_t Open = this->descriptors();
-    cr_log_warn("VmHWM %zu, VmRSS %zu, budget %zu, descriptors %zu of %d",
+    cr_log_info("VmHWM %zu, VmRSS %zu, budget %zu, descriptors %zu of %d",
                 Highest, Now, Budget, Open, this->Limits.FileDescriptors);
     cr_expect_leq(Highest, Budget, "VmHWM %zu is over the budget %zu", Highest,
                   Budget);
