--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -16,7 +16,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 RECEIPT = "X-Camphornotch-Response-Signature"
@@ -57,7 +56,7 @@
 class Channel(asyncio.Protocol):
     """One server-side HTTP/1.1 channel; one request at a time."""
 
-    def __init__(self, handler, limit_reads=None):
+    def __init__(self, handler):
         self.handler, self.buffer, self.busy = handler, b"", False
         self.closed = asyncio.Event()
         self.drained = asyncio.Event()
@@ -508,6 +507,19 @@
     return template
 
 
+def roles_of(path):
+    """The texts of each [roles.NAME] of the deploy file."""
+    roles, current = {}, None
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            name, _, value = (part.strip() for part in line.partition("="))
+            if line.startswith("["):
+                current = roles.setdefault(line.strip().strip("[]").removeprefix("roles."), {})
+            elif current is not None and value.startswith('"'):
+                current[name] = value.strip('"')
+    return roles
+
+
 class Deployment:
     """The project's own processes, started with the commands of the deploy file."""
 
@@ -522,7 +534,7 @@
         self.store = Store(record, f"{self.net}.1", self.port, parts)
         self.processes = {}        # machine -> process
         self.settings = {}         # machine -> values of its template
-        self.roles = tomllib.load(open(os.path.join(ROOT, "deploy", "system.toml"), "rb"))["roles"]
+        self.roles = roles_of(os.path.join(ROOT, "deploy", "system.toml"))
         self.tasks = []
 
     def free_base(self):
