Fix: [Net] A response without a valid status is no answer

Seen: an endpoint that sends the status 000 on a stream, with a part of the body: the caller got "HTTP/1.1 0" and the bytes as its answer. 99, 20, 600 and 999 reached callers too, 0200 as 200; an interim response that announces a body (100, 103, 199) and a 101 were passed on as well. Complete answers of 000 to 199 were skipped as interim, and the caller waited for its deadline (504).

Cause: http_parser takes any digits up to 999 for a status. HttpResponseReader decided by "at most 199" what is interim, once the message was complete, so that the head of one with a body was reported before.

Change: ResponseHeadCheck reads the status line before http_parser does: HTTP/1.x and three digits, 100 to 599. An interim response ends with its head and is never reported; 101 is rejected, as no upgrade is ever requested. All answers are read there: those of endpoints, of the store, of peers and of the product's own log.

--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -11,13 +11,17 @@
 
 /// The largest interim status.
 constexpr int LastInterim = 199;
-/// An interim status that no other response follows.
+/// The answer to an upgrade, which the client never requests.
 constexpr int SwitchingProtocols = 101;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 /// Limit on the interim responses before one response; http_parser has the same
 /// limit for a head, a chunk's line and the trailers.
 constexpr size_t MaxInterimBytes = HTTP_MAX_HEADER_SIZE;
+/// What http_parser does after the end of a head, by its callback's result.
+constexpr int ReadBody = 0;
+constexpr int SkipBody = 1;
+constexpr int RejectMessage = -1;
 
 /// @return whether status and headers say where the body ends.
 bool isFramed(const HttpResponse &Response) {
@@ -35,6 +39,7 @@
 
 void HttpResponseReader::reset() {
   http_parser_init(&this->Parser, HTTP_RESPONSE);
+  this->HeadCheck = ResponseHeadCheck{};
   this->Parser.data = this;
   this->Response = HttpResponse{};
   this->Response.ContentType.clear();
@@ -75,8 +80,13 @@
     };
     Settings.on_headers_complete = [](http_parser *Parser) {
       HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      const auto Status = static_cast<int>(Parser->status_code);
+      if (Status == SwitchingProtocols)
+        return RejectMessage;
+      Self.Response.Status = Status;
+      if (Status <= LastInterim)
+        return SkipBody;
       Self.HeadRead = true;
-      Self.Response.Status = static_cast<int>(Parser->status_code);
       Self.Response.ContentType =
           findHeader(Self.Response.Headers, "content-type");
       Self.Response.Framed = isFramed(Self.Response);
@@ -84,7 +94,7 @@
       const bool HasLength = Parser->content_length != ULLONG_MAX;
       if (HasLength && !Chunked && !Self.NoBody)
         Self.ContentLength = Parser->content_length;
-      return Self.NoBody ? 1 : 0;
+      return Self.NoBody ? SkipBody : ReadBody;
     };
     Settings.on_body = [](http_parser *Parser, const char *At, size_t Length) {
       HttpResponseReader::self(Parser).Response.Body.append(At, Length);
@@ -110,14 +120,14 @@
 
 ReadState HttpResponseReader::parse(std::string_view Bytes) {
   for (;;) {
+    if (!this->HeadCheck.add(Bytes))
+      return ReadState::Invalid;
     const size_t Read =
         http_parser_execute(&this->Parser, &HttpResponseReader::callbacks(),
                             Bytes.data(), Bytes.size());
     const ReadState State = this->currentState();
     this->Unread = Bytes.size() - Read;
-    const int Status = this->Response.Status;
-    const bool Interim = State == ReadState::Complete &&
-                         Status <= LastInterim && Status != SwitchingProtocols;
+    const bool Interim = State == ReadState::Complete && !this->HeadRead;
     if (!Interim)
       return State;
     Bytes.remove_prefix(Read);
--- a/packages/net/http_parser_internal.h
+++ b/packages/net/http_parser_internal.h
@@ -5,6 +5,7 @@
 #define CAMPHORNOTCH_NET_HTTP_PARSER_INTERNAL_H
 
 #include "net/http_type.h"
+#include "net/response_head_internal.h"
 
 #include <functional>
 #include <http_parser.h>
@@ -61,10 +62,13 @@
   void reset();
 
   http_parser Parser{};
+  /// Of the head being read.
+  ResponseHeadCheck HeadCheck;
   HttpResponse Response;
   bool NoBody;
   /// Whether the last callback brought a part of a header value, not of a name.
   bool InValue = false;
+  /// Whether the head of the final response was read.
   bool HeadRead = false;
   bool Done = false;
   uint64_t ContentLength = 0;
--- /dev/null
+++ b/tests/net/response_head_test.cpp
@@ -0,0 +1,121 @@
+/// @file
+/// The HTTP client with responses whose heads are not valid.
+
+#include "net_fixture.h"
+#include "scripted_server.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphornotch;
+
+namespace {
+
+/// One call to a scripted server.
+struct HeadFixture {
+  Loop Events;
+  HttpClient Client{this->Events};
+  ScriptedServer Server;
+  /// Status 0: the call has not finished.
+  HttpResponse Answer;
+  /// Statuses passed to the Head callback.
+  std::vector<int> Heads;
+  bool Failed = false;
+  ErrorKind Cause = ErrorKind::Unavailable;
+
+  HeadFixture() {
+    this->Answer.Status = 0;
+    HttpCall Call;
+    Call.Target = this->Server.target();
+    Call.Timeout = seconds(2);
+    Call.Timeout = seconds(2);
+    HttpCallbacks Callbacks;
+    Callbacks.Head = [this](const HttpResponse &Head) {
+      this->Heads.push_back(Head.Status);
+    };
+    Callbacks.Finished = [this](HttpResponse Response) {
+      this->Answer = std::move(Response);
+    };
+    Callbacks.Failed = [this](const HttpFailure &Failure) {
+      this->Failed = true;
+      this->Cause = Failure.Cause.Kind;
+    };
+    this->Client.start(std::move(Call), std::move(Callbacks));
+    cr_assert(turnUntil(this->Events,
+                        [this] { return this->Server.hasRequests(0, 1); }));
+  }
+
+  /// @return whether the call ends.
+  bool ends() {
+    return turnUntil(this->Events, [this] {
+      return this->Failed || this->Answer.Status != 0;
+    });
+  }
+
+  /// Sends bytes one by one, each read by itself.
+  void sendSlowly(std::string_view Bytes) {
+    for (size_t At = 0; At < Bytes.size() && !this->Failed; ++At) {
+      this->Server.send(0, Bytes.substr(At, 1));
+      this->Events.runOnce(Millis{1});
+    }
+  }
+};
+
+/// Expects that a response is rejected, whether it arrives at once or slowly.
+void expectInvalid(const std::string &Bytes) {
+  for (const bool Slowly : {false, true}) {
+    HeadFixture Net;
+    if (Slowly)
+      Net.sendSlowly(Bytes);
+    else
+      Net.Server.send(0, Bytes);
+    cr_expect(Net.ends() && Net.Failed, "%s", Bytes.c_str());
+    cr_expect_eq(Net.Cause, ErrorKind::BadInput, "%s", Bytes.c_str());
+    cr_expect(Net.Heads.empty(), "%s", Bytes.c_str());
+  }
+}
+
+/// Expects that a response is accepted, whether it arrives at once or slowly.
+void expectStatus(const std::string &Bytes, int Status) {
+  for (const bool Slowly : {false, true}) {
+    HeadFixture Net;
+    if (Slowly)
+      Net.sendSlowly(Bytes);
+    else
+      Net.Server.send(0, Bytes);
+    cr_expect(Net.ends(), "%s", Bytes.c_str());
+    cr_expect_eq(Net.Answer.Status, Status, "%s", Bytes.c_str());
+    cr_expect(Net.Heads == std::vector<int>{Status}, "%s", Bytes.c_str());
+    cr_expect_str_eq(Net.Answer.Body.c_str(), "ok");
+  }
+}
+
+const std::string Body = "content-length: 2\r\n\r\nok";
+
+} // namespace
+
+Test(responseHead, invalidStatusLine_fails) {
+  for (const char *Line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+        "HTTP/1.1 0200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 2 0 OK",
+        "HTTP/1.1 200OK", "HTTP/2.0 200 OK", "HTTP/1.1 101 Switching"})
+    expectInvalid(std::string(Line) + "\r\n" + Body);
+}
+
+Test(responseHead, validStatusLine_isAccepted) {
+  for (const char *Line : {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+                           "HTTP/1.0 200 OK", "HTTP/1.1 200 a\tb: \xc3\xa4"})
+    expectStatus(std::string(Line) + "\r\n" + Body, 200);
+  expectStatus("HTTP/1.1 599 Odd\r\n" + Body, 599);
+}
+
+Test(responseHead, interimResponses_areSkippedAndHaveNoBody) {
+  const std::string Interim = "HTTP/1.1 103 Early\r\nlink: x\r\n\r\n";
+  expectStatus(Interim + Interim + "HTTP/1.1 200 OK\r\n" + Body, 200);
+  expectStatus("HTTP/1.1 100 Continue\r\ncontent-length: 2\r\n\r\n"
+               "HTTP/1.1 200 OK\r\n" +
+                   Body,
+               200);
+  expectInvalid("HTTP/1.1 100 Continue\r\n" + Body);
+  expectInvalid(Interim + "HTTP/1.1 000 OK\r\n" + Body);
+}
