Fix: [Tests] Gateways as processes listen on ports that no other socket takes

The log of its gateway: "cannot listen on 127.0.0.1:40157: Address already in use".

Cause: the fixture let the kernel assign a port, released it and started the gateway; a listener or connection of another test could get it meanwhile.

Change: freePort() looks for a free port below those that the kernel assigns. The tests, their bounds and what they assert are unchanged.

--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <memory>
 #include <netinet/in.h>
+#include <random>
 #include <string>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -24,18 +25,30 @@
 
 namespace camphornotch {
 
-/// @return a port of the loopback address that nothing listens on.
+/// @return a port of the loopback address that no other socket uses. It is
+/// below
+///   those that the kernel assigns: one of these could be assigned to another
+///   socket before the gateway listens.
 inline uint16_t freePort() {
-  const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = {};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  auto *Base = reinterpret_cast<sockaddr *>(&Address);
-  cr_assert_eq(bind(Fd, Base, Length), 0);
-  cr_assert_eq(getsockname(Fd, Base, &Length), 0);
-  close(Fd);
-  return ntohs(Address.sin_port);
+  constexpr int First = 12'000;
+  constexpr int Count = 20'000;
+  // Processes of tests that run at the same time begin at different ports.
+  static int Tried = static_cast<int>(std::random_device()() % Count);
+  for (int Attempt = 0; Attempt < Count; ++Attempt) {
+    const auto Port = static_cast<uint16_t>(First + ++Tried % Count);
+    const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address = {};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Port);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool IsFree =
+        bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0;
+    close(Fd);
+    if (IsFree)
+      return Port;
+  }
+  cr_assert_fail("no free port");
+  return 0;
 }
 
 /// One camphornotchd with the role gateway; killed at the fixture's end.
