Fix: [Net] A response head with an invalid field name is no answer

Seen: an endpoint whose head holds a line such as "x-a : b", "x- a: b" or " x-a: b": callers got the answer with that line, or with it joined to the value of the line before. If a carriage return or line feed stands where a name begins ("\rx-a: b"), the head ended there for the gateway, and callers got the rest of the head as the first bytes of the body. Other control bytes in names were rejected before.

Cause: Debian builds http_parser without its strict mode: blanks are parts of names there, folded lines are joined, and the byte after a carriage return is not checked at the end of a head.

Change: ResponseHeadCheck reads the whole head, byte by byte, before http_parser does: names are tokens of RFC 9110, each line ends with CR LF, no line is folded (RFC 9112 lets a gateway discard such an answer), and reasons and values hold no control bytes but tabs. The call then fails like one with bytes that are no response.

--- a/packages/net/response_head_base.cpp
+++ b/packages/net/response_head_base.cpp
@@ -23,6 +23,13 @@
   return Byte == Expected;
 }
 
+/// @return whether a byte may be part of a field's name (RFC 9110, token).
+bool isNameByte(char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return absl::ascii_isalnum(static_cast<unsigned char>(Byte)) ||
+         Marks.find(Byte) != std::string_view::npos;
+}
+
 } // namespace
 
 bool ResponseHeadCheck::add(std::string_view Bytes) {
@@ -31,14 +38,53 @@
 }
 
 bool ResponseHeadCheck::addByte(char Byte) {
-  return this->Current == Part::Remainder || this->addToStatusLine(Byte);
+  switch (this->Current) {
+  case Part::StatusLine:
+    return this->addToStatusLine(Byte);
+  case Part::Text:
+    return this->addToText(Byte);
+  case Part::LineEnd:
+    return this->endLine(Byte, Part::LineStart);
+  case Part::LineStart:
+    return this->startLine(Byte);
+  case Part::Name:
+    return this->addToName(Byte);
+  case Part::HeadEnd:
+    return this->endLine(Byte, Part::Body);
+  case Part::Body:
+    return true;
+  }
+  return false;
 }
 
 bool ResponseHeadCheck::addToStatusLine(char Byte) {
   if (this->StatusLineBytes < StatusLineStart.size())
     return matches(Byte, StatusLineStart[this->StatusLineBytes++]);
-  this->Current = Part::Remainder;
-  return Byte == ' ' || Byte == '\r';
+  this->Current = Part::Text;
+  return Byte == ' ' || (Byte == '\r' && this->addToText(Byte));
+}
+
+bool ResponseHeadCheck::addToText(char Byte) {
+  if (Byte == '\r')
+    this->Current = Part::LineEnd;
+  return Byte == '\r' || Byte == '\t' ||
+         !absl::ascii_iscntrl(static_cast<unsigned char>(Byte));
+}
+
+bool ResponseHeadCheck::startLine(char Byte) {
+  this->Current = Byte == '\r' ? Part::HeadEnd : Part::Name;
+  return Byte == '\r' || isNameByte(Byte);
+}
+
+bool ResponseHeadCheck::addToName(char Byte) {
+  if (Byte == ':')
+    this->Current = Part::Text;
+  return Byte == ':' || isNameByte(Byte);
+}
+
+bool ResponseHeadCheck::endLine(char Byte, Part Next) {
+  this->Current = Next;
+  return Byte == '\n';
 }
 
 } // namespace camphornotch
--- a/packages/net/response_head_internal.h
+++ b/packages/net/response_head_internal.h
@@ -10,8 +10,9 @@
 
 namespace camphornotch {
 
-/// Rejects heads that http_parser accepts although they are not valid: it takes
-/// any number of up to 999 for a status, in any number of digits.
+/// Rejects heads that http_parser accepts although they are not valid. It takes
+/// any number of up to 999 for a status, in any number of digits, blanks for
+/// parts of field names, and some control bytes for the ends of lines.
 class ResponseHeadCheck {
 public:
   /// Checks the next bytes of a response, in any parts.
@@ -21,10 +22,23 @@
 
 private:
   /// What the next byte belongs to.
-  enum class Part : uint8_t { StatusLine, Remainder };
+  enum class Part : uint8_t {
+    StatusLine, ///< The version and the status.
+    Text,       ///< The reason or a field's value.
+    LineEnd,    ///< The line feed after one of these.
+    LineStart,  ///< A field's name, or the empty line.
+    Name,
+    HeadEnd, ///< The line feed of the empty line.
+    Body,
+  };
 
   bool addByte(char Byte);
+  /// Each handles a byte of one part; a field line has no continuation lines.
   bool addToStatusLine(char Byte);
+  bool addToText(char Byte);
+  bool addToName(char Byte);
+  bool startLine(char Byte);
+  bool endLine(char Byte, Part Next);
 
   Part Current = Part::StatusLine;
   /// Bytes of the status line so far.
--- a/tests/gateway_tasks/broken_answer_test.cpp
+++ b/tests/gateway_tasks/broken_answer_test.cpp
@@ -2,6 +2,7 @@
 /// A whole gateway before an endpoint whose answers are no valid HTTP: what
 /// callers receive.
 
+#include "base/text_func.h"
 #include "tests/net/scripted_server.h"
 #include "whole_gateway_fixture.h"
 
@@ -68,22 +69,29 @@
 
 /// Expects that callers of all kinds get a failure of the gateway in place of
 /// an answer.
-/// @param Head status line and header lines that are faulty.
-void expectNoAnswer(const std::string &Head) {
-  struct Body {
-    std::string Bytes;
+/// @param StatusLine the status line without its end.
+/// @param FirstLines further header lines, before the others.
+/// @param LastLines further header lines, after the others.
+void expectNoAnswer(const std::string &StatusLine,
+                    const std::string &FirstLines = "",
+                    const std::string &LastLines = "") {
+  struct Framing {
+    std::string Lines;
+    /// Whether the connection ends after the body.
     bool Ends;
   };
-  const std::string Event = "id: 1\ndata: a\n\n";
   for (const char *Path : {"/a/x", "/u/x", "/s/x"})
-    for (const Body &Each : {Body{"content-length: 15\r\n\r\n" + Event, false},
-                             Body{"content-length: 99\r\n\r\n" + Event, false},
-                             Body{"\r\n" + Event, true}}) {
+    for (const Framing &Each :
+         {Framing{"content-length: 15\r\n", false},
+          Framing{"content-length: 99\r\n", false}, Framing{"", true}}) {
       BrokenAnswer Run(Path);
+      const std::string Head =
+          concat(StatusLine, "\r\n", FirstLines, AnswerLines, Each.Lines,
+                 LastLines, "\r\n");
       const std::string Received =
-          Run.receivedFor(Head + AnswerLines + Each.Bytes, Each.Ends);
-      cr_expect(Received.starts_with("HTTP/1.1 502 "), "%s %s%s -> %s", Path,
-                Head.c_str(), Each.Bytes.c_str(), Received.c_str());
+          Run.receivedFor(Head + "id: 1\ndata: a\n\n", Each.Ends);
+      cr_expect(Received.starts_with("HTTP/1.1 502 "), "%s %s -> %s", Path,
+                Head.c_str(), Received.c_str());
     }
 }
 
@@ -94,7 +102,7 @@
 // Guards against a status that is none: callers got it as the answer.
 Test(brokenAnswer, invalidStatus_isReplacedByAFailure) {
   for (const char *Status : {"000", "099", "20", "0200", "600", "999"})
-    expectNoAnswer(std::string("HTTP/1.1 ") + Status + " Trouble\r\n");
+    expectNoAnswer(std::string("HTTP/1.1 ") + Status + " Trouble");
 }
 
 // Guards against an interim response that is passed on because it seems to
@@ -102,5 +110,19 @@
 Test(brokenAnswer, interimStatus_isNoAnswer) {
   for (const char *Status : {"100 Continue", "101 Switching Protocols",
                              "103 Early Hints", "199 Later"})
-    expectNoAnswer(std::string("HTTP/1.1 ") + Status + "\r\n");
+    expectNoAnswer(std::string("HTTP/1.1 ") + Status);
+}
+
+// Guards against field names with blanks or control bytes: callers got the
+// line, or a body that began within the head.
+Test(brokenAnswer, invalidFieldName_isReplacedByAFailure) {
+  using namespace std::string_literals;
+  for (const std::string &Byte :
+       {" "s, "\t"s, "\0"s, "\x01"s, "\x7f"s, "\r"s, "\n"s})
+    for (const std::string &Line :
+         {Byte + "x-a: b\r\n", "x-" + Byte + "a: b\r\n",
+          "x-a" + Byte + ": b\r\n"}) {
+      expectNoAnswer("HTTP/1.1 200 OK", Line);
+      expectNoAnswer("HTTP/1.1 200 OK", "", Line);
+    }
 }
--- a/tests/net/response_head_test.cpp
+++ b/tests/net/response_head_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// The HTTP client with responses whose heads are not valid.
 
+#include "base/text_func.h"
 #include "net_fixture.h"
 #include "scripted_server.h"
 
@@ -119,3 +120,29 @@
   expectInvalid("HTTP/1.1 100 Continue\r\n" + Body);
   expectInvalid(Interim + "HTTP/1.1 000 OK\r\n" + Body);
 }
+
+Test(responseHead, invalidFieldLine_fails) {
+  using namespace std::string_literals;
+  const std::string Good = "HTTP/1.1 200 OK\r\n";
+  for (const std::string &Line :
+       {" a: b"s, "\ta: b"s, "a : b"s, "a\t: b"s, "a b: c"s, "a\0b: c"s,
+        "a\x01: b"s, "\x7f: b"s, ": b"s, "a"s, "a\x80: b"s, "a(: b"s, "\ra: b"s,
+        "\na: b"s, "\r\r"s, "a: b\rc: d"s, "a: b\0"s, "a: b\x01"s}) {
+    expectInvalid(concat(Good, Line, "\r\n", Body));
+    expectInvalid(concat(Good, "content-length: 2\r\n", Line, "\r\n\r\nok"));
+  }
+  expectInvalid(Good + "a: b\r\n c\r\n" + Body);
+}
+
+Test(responseHead, lineEndsWithoutCarriageReturn_fails) {
+  expectInvalid("HTTP/1.1 200 OK\n" + Body);
+  expectInvalid("HTTP/1.1 200 OK\r\na: b\n" + Body);
+  expectInvalid("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\nok");
+}
+
+Test(responseHead, validFieldLines_areAccepted) {
+  for (const char *Line : {"a: b", "a:", "a:b", "a:  b\t c  ", "a: \xc3\xa4",
+                           "!#$%&'*+-.^_`|~09azAZ: x"})
+    expectStatus(std::string("HTTP/1.1 200 OK\r\n") + Line + "\r\n" + Body,
+                 200);
+}
