Fix: [Net] The check of a response head ends with the head

Cause: ResponseHeadCheck::add() looked at each byte after the head, too. The reader calls it again for what follows each interim response, so that the work grew with the square of the bytes read.

Change: add() returns at the end of the head.

--- a/packages/net/response_head_base.cpp
+++ b/packages/net/response_head_base.cpp
@@ -4,7 +4,6 @@
 #include "net/response_head_internal.h"
 
 #include <absl/strings/ascii.h>
-#include <algorithm>
 
 namespace camphornotch {
 
@@ -33,8 +32,13 @@
 } // namespace
 
 bool ResponseHeadCheck::add(std::string_view Bytes) {
-  return std::ranges::all_of(Bytes,
-                             [this](char Byte) { return this->addByte(Byte); });
+  for (const char Byte : Bytes) {
+    if (this->Current == Part::Body)
+      return true;
+    if (!this->addByte(Byte))
+      return false;
+  }
+  return true;
 }
 
 bool ResponseHeadCheck::addByte(char Byte) {
@@ -52,9 +56,9 @@
   case Part::HeadEnd:
     return this->endLine(Byte, Part::Body);
   case Part::Body:
-    return true;
+    break;
   }
-  return false;
+  return true;
 }
 
 bool ResponseHeadCheck::addToStatusLine(char Byte) {
--- a/tests/crowds/crowd_fixture.h
+++ b/tests/crowds/crowd_fixture.h
@@ -136,11 +136,7 @@
 
   /// @return a value of /proc/PID/status in bytes.
   size_t status(const std::string &Name) const {
-    std::ifstream File("/proc/" + std::to_string(this->pid()) + "/status");
-    for (std::string Line; std::getline(File, Line);)
-      if (Line.starts_with(Name + ":"))
-        return std::stoul(Line.substr(Name.size() + 1)) * KiB;
-    return 0;
+    return processStatus(this->pid(), Name);
   }
 
   size_t descriptors() const {
--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -51,6 +51,17 @@
   return 0;
 }
 
+/// @param Name a field of /proc/PID/status that has the unit kB.
+/// @return its value in bytes; 0: there is none.
+inline size_t processStatus(pid_t Pid, const std::string &Name) {
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/status");
+  constexpr size_t UnitBytes = 1024;
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.starts_with(Name + ":"))
+      return std::stoul(Line.substr(Name.size() + 1)) * UnitBytes;
+  return 0;
+}
+
 /// One camphornotchd with the role gateway; killed at the fixture's end.
 class GatewayProcess {
 public:
