Fix: [Gateway] A body that comes in place of a stream counts like any other

Seen: an endpoint that answers calls of a streaming route with the status 500 and a body without end, or one that stops short of 4 MiB, on 128 calls at once: the gateway kept all of them, 544 MB; its host allows 280 MB. It would be ended there, and with it the requests of all other clients.

Cause: the client of endpoints bounds the bodies that it collects together (32 MiB) and reads them under the memory limits of the process. Bodies of streaming calls are handed on in parts, so they never counted; the task kept the parts of a failure by itself, up to 4 MiB a call. The agent did the same for completions, up to 16 MiB a call.

Change: HttpClient::collect() lets the head decide: an answer that is no stream is collected like that of any other call, under the same limits. Both tasks use it and lose their own buffers. A failed completion of over 4 MiB now breaks the work at the agent (16 MiB before).

Result: faultyEndpoint::bodiesWithoutEnd, 24 cases on a real gateway process.

--- a/packages/daemon/agent_endpoint_base.cpp
+++ b/packages/daemon/agent_endpoint_base.cpp
@@ -64,12 +64,15 @@
     if (Found == this->Attempts.end())
       return;
     Found->second.Status = Head.Status;
-    Found->second.ContentType = Head.ContentType;
+    if (Head.Status != StatusOk)
+      this->Http.collect(Found->second.Call);
   };
   Tells.Chunk = [this, Run](std::string_view Bytes) {
     this->onChunk(Run, Bytes);
   };
-  Tells.Finished = [this, Run](const HttpResponse &) { this->onEnd(Run); };
+  Tells.Finished = [this, Run](HttpResponse Response) {
+    this->onEnd(Run, std::move(Response));
+  };
   Tells.Failed = [this, Run](const HttpFailure &Failure) {
     this->onFailure(Run, Failure);
   };
@@ -108,12 +111,6 @@
   auto Found = this->Attempts.find(Run);
   if (Found == this->Attempts.end())
     return;
-  if (Found->second.Status != StatusOk) {
-    Found->second.Body.append(Bytes);
-    if (Found->second.Body.size() > MaxFrameBytes)
-      this->breakOff(Run);
-    return;
-  }
   Found->second.Splitter.add(Bytes);
   while (auto Data = Found->second.Splitter.next()) {
     Result<StreamEvent> Event = parseStreamEvent(*Data);
@@ -145,14 +142,15 @@
   this->finish(Run, EndpointBroke{Run});
 }
 
-void EndpointClient::onEnd(RunId Run) {
+void EndpointClient::onEnd(RunId Run, HttpResponse Response) {
   const auto Found = this->Attempts.find(Run);
   if (Found == this->Attempts.end())
     return;
-  Attempt &Ended = Found->second;
+  const Attempt &Ended = Found->second;
   if (Ended.Status != StatusOk) {
-    this->finish(Run, EndpointFinished{Run, Ended.Status, Ended.ContentType,
-                                       std::move(Ended.Body)});
+    this->finish(Run, EndpointFinished{Run, Response.Status,
+                                       std::move(Response.ContentType),
+                                       std::move(Response.Body)});
     return;
   }
   if (!Ended.Done)
--- a/packages/daemon/agent_endpoint_base.h
+++ b/packages/daemon/agent_endpoint_base.h
@@ -70,10 +70,6 @@
     HttpCallId Call;
     /// The HTTP status; 0: the head has not arrived.
     int Status = 0;
-    /// The type of an answer that is no stream.
-    std::string ContentType;
-    /// Body of an answer that is no stream.
-    std::string Body;
     /// Cuts the stream into events.
     EventSplitter Splitter;
     /// The last finish reason.
@@ -89,7 +85,8 @@
   /// Takes a part of a completion's answer.
   void onChunk(RunId Run, std::string_view Bytes);
   /// The connection brought the whole answer.
-  void onEnd(RunId Run);
+  /// @param Response with the body of an answer that is no stream.
+  void onEnd(RunId Run, HttpResponse Response);
   /// The connection failed.
   void onFailure(RunId Run, const HttpFailure &Failure);
   /// Closes the connection of an attempt whose answer cannot be taken.
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -160,11 +160,12 @@
     this->abortAttempt(Id, Number, Fault);
     return;
   }
-  const bool Starts =
-      Active->Plan.params().MatchedRoute.Kind == RouteKind::Stream &&
-      Response.Status < StatusFirstFailure && !Current.Head.NotRun;
-  if (!Starts)
+  if (Active->Plan.params().MatchedRoute.Kind != RouteKind::Stream)
     return;
+  if (Response.Status >= StatusFirstFailure || Current.Head.NotRun) {
+    this->Http.collect(Current.Call);
+    return;
+  }
   Current.Streams = true;
   if (Active->Streaming) {
     Current.ResumesAfter = Active->Request.ReceivedEvents;
@@ -195,11 +196,6 @@
     return;
   Attempt &Current = Active->Attempts.at(Number);
   Current.Buffer += Part;
-  if (!Current.Streams) {
-    if (Current.Buffer.size() > DefaultMaxBodyBytes)
-      this->abortAttempt(Id, Number, "the body is over its limit");
-    return;
-  }
   if (Current.ResumesAfter > 0 && !this->resumes(Current)) {
     this->abortAttempt(Id, Number, "the stream does not go on where it ended");
     return;
@@ -230,8 +226,6 @@
   if (Active == nullptr || !Active->Attempts.contains(Number))
     return;
   const Attempt &Current = Active->Attempts.at(Number);
-  const bool Stream =
-      Active->Plan.params().MatchedRoute.Kind == RouteKind::Stream;
   if (Current.Head.NotRun) {
     this->endAttempt(Id, Number, AttemptOutcome::Refused,
                      Current.Head.Misdirected ? WorkOutcome::Misdirected
@@ -239,7 +233,7 @@
                      concat("status ", Response.Status));
     return;
   }
-  if (Stream && Current.Streams) {
+  if (Current.Streams) {
     if (Current.Buffer.empty()) {
       this->finish(Id, Number, std::move(Response));
       return;
@@ -256,8 +250,6 @@
                             " in place of the rest of the stream"));
     return;
   }
-  if (Stream)
-    Response.Body = Current.Buffer;
   const bool MayRetry = Response.Status >= StatusServerError &&
                         mayRepeat(Active->Plan.params().MatchedRoute);
   if (!MayRetry) {
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -107,7 +107,7 @@
     /// The event that the caller had last when a resumed stream began, until
     /// its first event has been checked; 0: there is nothing to check.
     int64_t ResumesAfter = 0;
-    /// Bytes of an incomplete event, or the body of a failure.
+    /// Bytes of an incomplete event.
     std::string Buffer;
 
     EndpointLifetime lifetime() const {
--- a/packages/net/http_client_base.cpp
+++ b/packages/net/http_client_base.cpp
@@ -482,6 +482,11 @@
   h2o_socket_read_start(Active->Socket, State::onRead);
 }
 
+void HttpClient::collect(HttpCallId Call) {
+  if (State::ActiveCall *Active = this->Inner->find(Call.Value))
+    Active->Callbacks.Chunk = nullptr;
+}
+
 void HttpClient::closeIdle(const HttpTarget &Target) {
   this->Inner->closeAllIdle(Target);
 }
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -72,6 +72,11 @@
   /// @param Call ignored if it is not paused.
   void resume(HttpCallId Call);
 
+  /// Collects the body for Finished, under the limits of collected bodies, in
+  /// place of passing its parts to Chunk. A caller that expects a stream can so
+  /// handle an answer that is none. Only within the call's Head callback.
+  void collect(HttpCallId Call);
+
   /// Closes all idle connections to a target: if one no longer answers, the
   /// others may not either. Also done when a call on a reused connection times
   /// out.
--- a/tests/crowds/faulty_endpoint_test.cpp
+++ b/tests/crowds/faulty_endpoint_test.cpp
@@ -79,6 +79,9 @@
       this->Callers.back()->send(
           concat("GET ", Path, " HTTP/1.1\r\nhost: h\r\n",
                  "x-camphornotch-request-id: c\r\n\r\n"));
+      // Accepts, so that the listener's queue does not overflow.
+      this->Net.Events.runOnce(Millis{1});
+      this->Faulty.poll();
     }
     constexpr Millis QuietFor{700};
     Millis LastProgress = steadyNow();
@@ -167,3 +170,21 @@
         {"", repeated("HTTP/1.1 100 Continue\r\n\r\n", 64 * KiB), Endless});
   }
 }
+
+Test(faultyEndpoint, bodiesWithoutEnd_staysWithinMemory, .timeout = 120) {
+  const std::string Block(64 * KiB, 'x');
+  const std::string Chunk = concat("10000\r\n", Block, "\r\n");
+  const std::string Long = "content-length: 99999999999\r\n\r\n";
+  const std::string Chunked = "transfer-encoding: chunked\r\n\r\n";
+  for (const char *Path : {"/a/x", "/s/x"})
+    for (const char *Status : {"200 OK", "500 Oops"})
+      for (const size_t Bytes : {Endless, 4 * MiB - 64 * KiB}) {
+        const std::string Head =
+            concat("HTTP/1.1 ", Status, "\r\n", AnswerLines);
+        const std::string Name =
+            concat(Path, " ", Status, " ", Bytes / KiB, " KiB");
+        runFaulty(Name.c_str(), Path, {Head + Long, Block, Bytes});
+        runFaulty(Name.c_str(), Path, {Head + Chunked, Chunk, Bytes});
+        runFaulty(Name.c_str(), Path, {Head + "\r\n", Block, Bytes});
+      }
+}
