Fix: [Net] A response head has a limit of fields

Seen: an endpoint that sends heads of very short lines and stops just below the 80 KiB of a head, on 256 calls at once: the gateway needed 350 MB; its host allows 280 MB.

Cause: the only limit of a head was one of bytes. A field of four bytes takes 64 bytes and its part of a growing table, 1.3 MB for such a head, and heads do not count among the collected bytes.

Change: ResponseHeadCheck rejects a head at its 257th field. The test makes 256 calls in place of 128 and has a further kind, long lines that stop.

--- a/packages/net/response_head_base.cpp
+++ b/packages/net/response_head_base.cpp
@@ -13,6 +13,8 @@
 /// a status.
 constexpr std::string_view StatusLineStart = "HTTP/1.# *##";
 
+constexpr size_t MaxFields = 256;
+
 /// @return whether a byte may stand in the place of one of StatusLineStart.
 bool matches(char Byte, char Expected) {
   if (Expected == '#')
@@ -76,8 +78,12 @@
 }
 
 bool ResponseHeadCheck::startLine(char Byte) {
-  this->Current = Byte == '\r' ? Part::HeadEnd : Part::Name;
-  return Byte == '\r' || isNameByte(Byte);
+  if (Byte == '\r') {
+    this->Current = Part::HeadEnd;
+    return true;
+  }
+  this->Current = Part::Name;
+  return isNameByte(Byte) && ++this->Fields <= MaxFields;
 }
 
 bool ResponseHeadCheck::addToName(char Byte) {
--- a/packages/net/response_head_internal.h
+++ b/packages/net/response_head_internal.h
@@ -12,7 +12,9 @@
 
 /// Rejects heads that http_parser accepts although they are not valid. It takes
 /// any number of up to 999 for a status, in any number of digits, blanks for
-/// parts of field names, and some control bytes for the ends of lines.
+/// parts of field names, some control bytes for the ends of lines, and as many
+/// lines as fit into its limit of bytes, although each takes more than its
+/// bytes.
 class ResponseHeadCheck {
 public:
   /// Checks the next bytes of a response, in any parts.
@@ -43,6 +45,8 @@
   Part Current = Part::StatusLine;
   /// Bytes of the status line so far.
   size_t StatusLineBytes = 0;
+  /// Field lines so far.
+  size_t Fields = 0;
 };
 
 } // namespace camphornotch
--- a/tests/crowds/faulty_endpoint_test.cpp
+++ b/tests/crowds/faulty_endpoint_test.cpp
@@ -40,8 +40,8 @@
 
 /// A gateway, its endpoints and calls that wait for the faulty one.
 struct FaultyEndpoint {
-  /// Calls at the same time: as many as a large endpoint takes.
-  static constexpr size_t Calls = 128;
+  /// Calls at the same time: as many as two large endpoints take.
+  static constexpr size_t Calls = 256;
   /// Memory of the smallest host that callers reach.
   static constexpr size_t MemoryMb = 280;
 
@@ -63,7 +63,7 @@
     this->Net.Store.put(
         "keyed.servers", Id,
         concat(R"({"service":")", Service,
-               R"(","slots":128,"state":"ready","zone":"dc","born":1,)",
+               R"(","slots":256,"state":"ready","zone":"dc","born":1,)",
                R"("address":"127.0.0.1:)", Port, R"("})"));
   }
 
@@ -158,13 +158,16 @@
 Test(faultyEndpoint, headsWithoutEnd_staysWithinMemory, .timeout = 120) {
   const std::string Good = "HTTP/1.1 200 OK\r\n";
   const std::string Line(64 * KiB, 'x');
+  const std::string LongLine = concat("a: ", std::string(400, 'x'), "\r\n");
   for (const char *Path : {"/a/x", "/s/x"}) {
     runFaulty("noise", Path, {"", Line, Endless});
     runFaulty("line", Path, {concat(Good, "a: "), Line, Endless});
     runFaulty("lines", Path, {Good, repeated("a:\r\n", 64 * KiB), Endless});
-    // Just below the limit of a head.
+    // These stop just below the limit of a head's bytes.
     runFaulty("lines that stop", Path,
               {Good, repeated("a:\r\n", 64 * KiB), 79 * KiB});
+    runFaulty("long lines that stop", Path,
+              {Good, repeated(LongLine, 64 * KiB), 79 * KiB});
     runFaulty(
         "interim", Path,
         {"", repeated("HTTP/1.1 100 Continue\r\n\r\n", 64 * KiB), Endless});
--- a/tests/net/response_head_test.cpp
+++ b/tests/net/response_head_test.cpp
@@ -146,3 +146,12 @@
     expectStatus(std::string("HTTP/1.1 200 OK\r\n") + Line + "\r\n" + Body,
                  200);
 }
+
+Test(responseHead, moreFieldsThanTheLimit_fails) {
+  constexpr size_t MaxFields = 256;
+  std::string Head = "HTTP/1.1 200 OK\r\n";
+  for (size_t Count = 1; Count < MaxFields; ++Count)
+    Head += "a:\r\n";
+  expectStatus(Head + Body, 200);
+  expectInvalid(concat(Head, "a:\r\n", Body));
+}
