Fix: [Gateway] A short grace period ends no request that came late in it

Seen: with grace_s = 4, a gateway took all requests for 2.9 s after SIGTERM and ended after 3.5 s. Requests to an engine that works 1.5 s were passed on and ended with the process: plain ones, those that may run once among them, with 502, streams without their end. With grace_s = 8, as on all deployments, nothing was cut.

Cause: the time for which requests are served whatever their deadline did not depend on the grace period.

Change: it is 2.9 s or 37 % of the grace period, whichever is less: 2.9 s as before with 8 s. After that a request is refused as not run unless its deadline is before the end of the process.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -27,7 +27,9 @@
 constexpr Millis StopAcceptTime{3'200};
 /// Time after SIGTERM from which a request is served only if its deadline is
 /// before the end of the process. Callers must expect an earlier one to be cut.
+/// In a short grace period, at most a part of it.
 constexpr Millis StopServeAllTime{2'900};
+constexpr int64_t StopServeAllPercent = 37;
 /// The process ends this long before the end of the grace period even if it is
 /// not idle.
 constexpr Millis StopMargin{500};
@@ -180,6 +182,13 @@
   return HttpTarget{this->Settings.Front.Ip, this->CallerServer->port()};
 }
 
+Millis Gateway::serveAllTime() const {
+  constexpr int64_t Whole = 100;
+  const Millis Grace = parseGracePeriod(this->Settings.GraceSeconds);
+  return std::min(StopServeAllTime,
+                  Millis{Grace.Count * StopServeAllPercent / Whole});
+}
+
 Millis Gateway::stopLimit() const {
   return this->StopRequestedAt + parseGracePeriod(this->Settings.GraceSeconds) -
          StopMargin;
@@ -189,7 +198,7 @@
   if (this->StopRequestedAt == Millis{0})
     return true;
   const Millis Since = steadyNow() - this->StopRequestedAt;
-  return Since < StopServeAllTime ||
+  return Since < this->serveAllTime() ||
          (Since < StopAcceptTime && Deadline < this->stopLimit());
 }
 
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -94,6 +94,9 @@
   std::string_view whyNotReady() const;
   /// @return when the process ends after SIGTERM, even if it is not idle.
   Millis stopLimit() const;
+  /// @return how long after SIGTERM requests are served whatever their
+  /// deadline.
+  Millis serveAllTime() const;
   /// @param Deadline when a new request ends at the latest.
   /// @return whether it may be handled; a gateway that stops refuses requests
   ///   that it might have to cut off.
--- a/tests/processes/process_fixture.h
+++ b/tests/processes/process_fixture.h
@@ -67,8 +67,9 @@
 public:
   /// @param Store the stand-in of the store.
   /// @param Extra further lines of the settings.
+  /// @param GraceSeconds the time that it has after SIGTERM.
   GatewayProcess(const HttpTarget &Store, const std::string &Name,
-                 const std::string &Extra = "")
+                 const std::string &Extra = "", int GraceSeconds = 8)
       : Front{"127.0.0.1", freePort()}, Probes{"127.0.0.1", freePort()},
         Peers{"127.0.0.1", freePort()}, Links{"127.0.0.1", freePort()} {
     std::string Folder = "/tmp/camphornotch-test-XXXXXX";
@@ -82,8 +83,8 @@
         << "\npeers = 127.0.0.1:" << this->Peers.Port
         << "\n[gateway]\nfront = 127.0.0.1:" << this->Front.Port
         << "\nstore = 127.0.0.1:" << Store.Port
-        << "\nregions = dc=r\ngrace_s = 8\npartitions = 2\n"
-           "record_bytes = 262144\n"
+        << "\nregions = dc=r\ngrace_s = " << GraceSeconds
+        << "\npartitions = 2\nrecord_bytes = 262144\n"
         << Extra;
     const std::string Log = this->Folder + "/log";
     const std::string Path = this->settingsPath();
@@ -124,6 +125,13 @@
   const HttpTarget &links() const { return this->Links; }
   pid_t pid() const { return this->Pid; }
 
+  /// @return whether the process has ended.
+  bool ended() {
+    if (this->Pid > 0 && waitpid(this->Pid, nullptr, WNOHANG) == this->Pid)
+      this->Pid = 0;
+    return this->Pid == 0;
+  }
+
 private:
   std::string settingsPath() const { return this->Folder + "/gateway.ini"; }
 
@@ -147,12 +155,14 @@
   /// Starts the gateways and waits until they are ready.
   /// @param Config the configuration.
   /// @param Extra further lines of the settings of each gateway.
+  /// @param GraceSeconds the time that each has after SIGTERM.
   ProcessFixture(int Count, const std::string &Config,
-                 const std::string &Extra = "") {
+                 const std::string &Extra = "", int GraceSeconds = 8) {
     this->Store.put("keyed.op", "config", Config);
     for (int Index = 0; Index < Count; ++Index)
       this->Gateways.push_back(std::make_unique<GatewayProcess>(
-          this->Store.target(), "gateway-" + std::to_string(Index), Extra));
+          this->Store.target(), "gateway-" + std::to_string(Index), Extra,
+          GraceSeconds));
     for (const auto &Gateway : this->Gateways)
       cr_assert(turnUntil(this->Events, [&] {
         HttpCall Call;
