Fix: [Net] A response with an unknown transfer coding is no answer

Seen: an endpoint that sends "transfer-encoding: gzip", "xchunked", "gzip, chunked" or "identity": callers got the body as it came, without that line.

Cause: http_parser decodes "chunked" alone and reads a body of any other coding up to the end of the connection. isFramed() took any such line for a statement of where the body ends, so that a cut body passed for a whole one.

Change: a head with a transfer coding other than "chunked" is rejected; the client offers no other.

--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -3,6 +3,9 @@
 
 #include "net/http_parser_internal.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <algorithm>
 #include <climits>
 
 namespace camphornotch {
@@ -31,6 +34,16 @@
          !findHeader(Response.Headers, "transfer-encoding").empty();
 }
 
+/// @return whether the body has a transfer coding that the client cannot
+///   decode: it offers none, and "chunked" needs no offer.
+bool hasUnknownCoding(const HttpHeaders &Headers) {
+  return std::ranges::any_of(Headers, [](const HttpHeader &Header) {
+    return absl::EqualsIgnoreCase(Header.Name, "transfer-encoding") &&
+           !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(Header.Value),
+                                   "chunked");
+  });
+}
+
 } // namespace
 
 HttpResponseReader::HttpResponseReader(bool NoBody) : NoBody(NoBody) {
@@ -86,6 +99,8 @@
       Self.Response.Status = Status;
       if (Status <= LastInterim)
         return SkipBody;
+      if (hasUnknownCoding(Self.Response.Headers))
+        return RejectMessage;
       Self.HeadRead = true;
       Self.Response.ContentType =
           findHeader(Self.Response.Headers, "content-type");
--- a/tests/gateway_tasks/broken_answer_test.cpp
+++ b/tests/gateway_tasks/broken_answer_test.cpp
@@ -126,3 +126,11 @@
       expectNoAnswer("HTTP/1.1 200 OK", "", Line);
     }
 }
+
+// Guards against bodies whose coding is not known: callers got them as they
+// came, and one that was cut short as complete.
+Test(brokenAnswer, unknownTransferCoding_isReplacedByAFailure) {
+  for (const char *Coding : {"gzip", "xchunked", "gzip, chunked", "identity"})
+    expectNoAnswer("HTTP/1.1 200 OK",
+                   concat("transfer-encoding: ", Coding, "\r\n"));
+}
--- a/tests/net/response_head_test.cpp
+++ b/tests/net/response_head_test.cpp
@@ -155,3 +155,17 @@
   expectStatus(Head + Body, 200);
   expectInvalid(concat(Head, "a:\r\n", Body));
 }
+
+Test(responseHead, unknownTransferCoding_fails) {
+  const std::string Good = "HTTP/1.1 200 OK\r\n";
+  for (const char *Lines :
+       {"transfer-encoding: gzip\r\n", "transfer-encoding: xchunked\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: chunked, gzip\r\n",
+        "transfer-encoding: identity\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n"})
+    expectInvalid(concat(Good, Lines, "\r\n2\r\nok\r\n0\r\n\r\n"));
+  expectStatus(Good + "Transfer-Encoding: Chunked \r\n\r\n"
+                      "2\r\nok\r\n0\r\n\r\n",
+               200);
+}
