Fix: [Net] Lines of a chunked body end with CR LF

Seen: an endpoint whose chunk is longer than its size says ("2\r\nokXY0\r\n\r\n"): the call ended as complete with the body "ok"; the bytes in the place of the line end were lost.

Cause: that of the invalid field names: Debian builds http_parser without its strict mode, and then it skips any byte in the place of a CR or LF around chunks.

Change: HttpResponseReader pauses http_parser at the end of each such line and looks at the two bytes that it read last.

--- a/packages/net/http_parser_base.cpp
+++ b/packages/net/http_parser_base.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/match.h>
 #include <algorithm>
 #include <climits>
+#include <utility>
 
 namespace camphornotch {
 
@@ -115,8 +116,23 @@
       HttpResponseReader::self(Parser).Response.Body.append(At, Length);
       return 0;
     };
+    Settings.on_chunk_header = [](http_parser *Parser) {
+      HttpResponseReader::self(Parser).AtChunkLineEnd = true;
+      http_parser_pause(Parser, 1);
+      return 0;
+    };
+    Settings.on_chunk_complete = [](http_parser *Parser) {
+      // After the trailers, on_message_complete follows.
+      if ((Parser->flags & F_TRAILING) != 0)
+        return 0;
+      HttpResponseReader::self(Parser).AtChunkLineEnd = true;
+      http_parser_pause(Parser, 1);
+      return 0;
+    };
     Settings.on_message_complete = [](http_parser *Parser) {
-      HttpResponseReader::self(Parser).Done = true;
+      HttpResponseReader &Self = HttpResponseReader::self(Parser);
+      Self.Done = true;
+      Self.AtChunkLineEnd = (Parser->flags & F_TRAILING) != 0;
       // Bytes after the response belong to no request.
       http_parser_pause(Parser, 1);
       return 0;
@@ -126,7 +142,26 @@
   return Table;
 }
 
+size_t HttpResponseReader::parsePart(std::string_view Bytes) {
+  const size_t Read =
+      http_parser_execute(&this->Parser, &HttpResponseReader::callbacks(),
+                          Bytes.data(), Bytes.size());
+  if (Read == 0)
+    return 0;
+  const char Before = Read > 1 ? Bytes[Read - 2] : this->LastByte;
+  this->LastByte = Bytes[Read - 1];
+  if (!std::exchange(this->AtChunkLineEnd, false))
+    return Read;
+  // Outside its strict mode http_parser takes any two bytes for CR LF there.
+  this->BadChunkLine = Before != '\r' || this->LastByte != '\n';
+  if (!this->Done)
+    http_parser_pause(&this->Parser, 0);
+  return Read;
+}
+
 ReadState HttpResponseReader::currentState() {
+  if (this->BadChunkLine)
+    return ReadState::Invalid;
   if (this->Done)
     return ReadState::Complete;
   return HTTP_PARSER_ERRNO(&this->Parser) == HPE_OK ? ReadState::Incomplete
@@ -137,19 +172,19 @@
   for (;;) {
     if (!this->HeadCheck.add(Bytes))
       return ReadState::Invalid;
-    const size_t Read =
-        http_parser_execute(&this->Parser, &HttpResponseReader::callbacks(),
-                            Bytes.data(), Bytes.size());
+    const size_t Read = this->parsePart(Bytes);
     const ReadState State = this->currentState();
-    this->Unread = Bytes.size() - Read;
+    Bytes.remove_prefix(Read);
+    this->Unread = Bytes.size();
     const bool Interim = State == ReadState::Complete && !this->HeadRead;
-    if (!Interim)
+    if (Interim) {
+      this->InterimBytes += Read;
+      if (this->InterimBytes > MaxInterimBytes)
+        return ReadState::Invalid;
+      this->reset();
+    } else if (State != ReadState::Incomplete) {
       return State;
-    Bytes.remove_prefix(Read);
-    this->InterimBytes += Read;
-    if (this->InterimBytes > MaxInterimBytes)
-      return ReadState::Invalid;
-    this->reset();
+    }
     if (Bytes.empty())
       return ReadState::Incomplete;
   }
--- a/packages/net/http_parser_internal.h
+++ b/packages/net/http_parser_internal.h
@@ -56,6 +56,10 @@
   /// @param Parser the parser that a callback received.
   /// @return the reader that owns it.
   static HttpResponseReader &self(http_parser *Parser);
+  /// Parses bytes up to the end of a line of a chunked body, if they have one,
+  /// or of the response.
+  /// @return the number of bytes parsed.
+  size_t parsePart(std::string_view Bytes);
   /// @return the state after a call of http_parser_execute().
   ReadState currentState();
   /// Prepares for the next response of the connection.
@@ -71,6 +75,12 @@
   /// Whether the head of the final response was read.
   bool HeadRead = false;
   bool Done = false;
+  /// Whether the last byte parsed ends a line of a chunked body.
+  bool AtChunkLineEnd = false;
+  /// Whether such a line did not end with CR LF.
+  bool BadChunkLine = false;
+  /// The last byte parsed.
+  char LastByte = 0;
   uint64_t ContentLength = 0;
   /// Bytes of the interim responses so far.
   size_t InterimBytes = 0;
--- a/tests/net/response_head_test.cpp
+++ b/tests/net/response_head_test.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// The HTTP client with responses whose heads are not valid.
+/// The HTTP client with responses whose heads or chunks are not valid.
 
 #include "base/text_func.h"
 #include "net_fixture.h"
@@ -169,3 +169,42 @@
                       "2\r\nok\r\n0\r\n\r\n",
                200);
 }
+
+namespace {
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\n"
+                                "transfer-encoding: chunked\r\n\r\n";
+
+/// Expects that a call fails at a chunked body, whether it arrives at once or
+/// slowly.
+void expectInvalidChunks(const std::string &Chunks) {
+  for (const bool Slowly : {false, true}) {
+    HeadFixture Net;
+    if (Slowly)
+      Net.sendSlowly(ChunkedHead + Chunks);
+    else
+      Net.Server.send(0, ChunkedHead + Chunks);
+    cr_expect(Net.ends() && Net.Failed, "%s", Chunks.c_str());
+    cr_expect_eq(Net.Cause, ErrorKind::BadInput, "%s", Chunks.c_str());
+  }
+}
+
+} // namespace
+
+// Guards against a body that loses bytes: those in the place of a line end were
+// skipped.
+Test(responseChunks, invalidLineEnd_fails) {
+  for (const char *Chunks :
+       {"2\r\nokXY0\r\n\r\n", "2\r\nok\rY0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+        "2\rXok\r\n0\r\n\r\n", "2;a\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n",
+        "2\r\nok\r\n0\r\n\rX", "2\r\nok\r\n0\r\na: b\r\n\rX"})
+    expectInvalidChunks(Chunks);
+}
+
+Test(responseChunks, validChunks_areAccepted) {
+  for (const char *Chunks :
+       {"2\r\nok\r\n0\r\n\r\n", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        "2;a=b\r\nok\r\n0\r\n\r\n", "02\r\nok\r\n000\r\n\r\n",
+        "2\r\nok\r\n0\r\na: b\r\nc: d\r\n\r\n"})
+    expectStatus(ChunkedHead + Chunks, 200);
+}
