--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -27,8 +27,8 @@
 constexpr Millis StopAcceptTime{3'200};
 /// Time after SIGTERM from which a request is served only if its deadline is
 /// before the end of the process. Callers must expect an earlier one to be cut.
-/// In a short grace period, at most a part of it.
 constexpr Millis StopServeAllTime{2'900};
+/// Limit on that time as a part of the grace period.
 constexpr int64_t StopServeAllPercent = 37;
 /// The process ends this long before the end of the grace period even if it is
 /// not idle.
--- a/packages/net/http_client_base.h
+++ b/packages/net/http_client_base.h
@@ -72,9 +72,11 @@
   /// @param Call ignored if it is not paused.
   void resume(HttpCallId Call);
 
-  /// Collects the body for Finished, under the limits of collected bodies, in
-  /// place of passing its parts to Chunk. A caller that expects a stream can so
-  /// handle an answer that is none. Only within the call's Head callback.
+  /// Collects the response's body for Finished, under the limits of collected
+  /// bodies, in place of passing its parts to Chunk: for a response that is not
+  /// the stream expected.
+  /// @param Call ignored if it has finished.
+  /// @pre the call's Head callback is running.
   void collect(HttpCallId Call);
 
   /// Closes all idle connections to a target: if one no longer answers, the
--- a/packages/net/response_head_internal.h
+++ b/packages/net/response_head_internal.h
@@ -28,14 +28,15 @@
     StatusLine, ///< The version and the status.
     Text,       ///< The reason or a field's value.
     LineEnd,    ///< The line feed after one of these.
-    LineStart,  ///< A field's name, or the empty line.
+    LineStart,  ///< A field's name or the empty line; never a folded line.
     Name,
     HeadEnd, ///< The line feed of the empty line.
     Body,
   };
 
   bool addByte(char Byte);
-  /// Each handles a byte of one part; a field line has no continuation lines.
+  /// Each handles the next byte in one part of the head.
+  /// @return whether the byte may stand there.
   bool addToStatusLine(char Byte);
   bool addToText(char Byte);
   bool addToName(char Byte);
