Codechange: [Tests] Responses are sent at once or byte by byte in one place

Change: HeadFixture::send(); the file is named after what it tests, HttpResponseReader. Cases and assertions are unchanged.

--- a/tests/net/response_head_test.cpp
+++ b/tests/net/response_reader_test.cpp
@@ -52,10 +52,12 @@
     });
   }
 
-  /// Sends bytes one by one, each read by itself.
-  void sendSlowly(std::string_view Bytes) {
-    for (size_t At = 0; At < Bytes.size() && !this->Failed; ++At) {
-      this->Server.send(0, Bytes.substr(At, 1));
+  /// Sends the response.
+  /// @param Slowly whether it is sent byte by byte, each read by itself.
+  void send(std::string_view Bytes, bool Slowly) {
+    const size_t Step = Slowly ? 1 : Bytes.size();
+    for (size_t At = 0; At < Bytes.size() && !this->Failed; At += Step) {
+      this->Server.send(0, Bytes.substr(At, Step));
       this->Events.runOnce(Millis{1});
     }
   }
@@ -65,10 +67,7 @@
 void expectInvalid(const std::string &Bytes) {
   for (const bool Slowly : {false, true}) {
     HeadFixture Net;
-    if (Slowly)
-      Net.sendSlowly(Bytes);
-    else
-      Net.Server.send(0, Bytes);
+    Net.send(Bytes, Slowly);
     cr_expect(Net.ends() && Net.Failed, "%s", Bytes.c_str());
     cr_expect_eq(Net.Cause, ErrorKind::BadInput, "%s", Bytes.c_str());
     cr_expect(Net.Heads.empty(), "%s", Bytes.c_str());
@@ -79,10 +78,7 @@
 void expectStatus(const std::string &Bytes, int Status) {
   for (const bool Slowly : {false, true}) {
     HeadFixture Net;
-    if (Slowly)
-      Net.sendSlowly(Bytes);
-    else
-      Net.Server.send(0, Bytes);
+    Net.send(Bytes, Slowly);
     cr_expect(Net.ends(), "%s", Bytes.c_str());
     cr_expect_eq(Net.Answer.Status, Status, "%s", Bytes.c_str());
     cr_expect(Net.Heads == std::vector<int>{Status}, "%s", Bytes.c_str());
@@ -180,10 +176,7 @@
 void expectInvalidChunks(const std::string &Chunks) {
   for (const bool Slowly : {false, true}) {
     HeadFixture Net;
-    if (Slowly)
-      Net.sendSlowly(ChunkedHead + Chunks);
-    else
-      Net.Server.send(0, ChunkedHead + Chunks);
+    Net.send(ChunkedHead + Chunks, Slowly);
     cr_expect(Net.ends() && Net.Failed, "%s", Chunks.c_str());
     cr_expect_eq(Net.Cause, ErrorKind::BadInput, "%s", Chunks.c_str());
   }
