Fix: [Gateway] A process learns of crashing requests from those it is linked to

Cause: what is known of such requests was in the memory of each process. A report went out once, when an endpoint broke; whoever was not linked then (a process started, added, killed, cut off or paused) never learned of it.

Change: SuspectTask sends all that is known when a link comes up, in both directions, and each change at once; loaders pass on what they learn. Told alone, the tables would hold sound requests back: loaders never forgot one that succeeded, gateways did so each for itself. So a success is shared, too: it raises the request's number of acquittals, and breaks under a lower number no longer count, in whatever order messages come. Endpoints that break at the same time count once: only one that is sent the request after the break before shows that the request is the cause.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -280,7 +280,8 @@
     // The request still runs while its stream is open. The head of another
     // answer is sent when it has ended.
     if (Current.Head.Status == 0 || Current.Streams)
-      Active->Callbacks.OnConnectionBroken(Current.lifetime());
+      Active->Callbacks.OnConnectionBroken(
+          BrokenAttempt{Current.lifetime(), Current.SentAt, steadyNow()});
   }
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptOutcome::NotSent
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -29,6 +29,13 @@
   platform::EngineRequest Request;
 };
 
+/// An attempt whose connection broke while the endpoint had the request.
+struct BrokenAttempt {
+  EndpointLifetime Endpoint;
+  Millis SentAt;
+  Millis BrokenAt;
+};
+
 /// Callbacks of one request. The last call is exactly one of OnAnswer,
 /// OnRefusal and OnStreamEnd.
 struct ForwardCallbacks {
@@ -41,7 +48,7 @@
   std::function<void(int Status)> OnServerError;
   /// The connection closed while the endpoint had the request: before any
   /// answer, or within a stream. Optional.
-  std::function<void(const EndpointLifetime &)> OnConnectionBroken;
+  std::function<void(const BrokenAttempt &)> OnConnectionBroken;
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
   std::function<bool()> MaySend;
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -68,11 +68,10 @@
               },
               [](const wire::WeightsAnnounce &) {},
               [this](const wire::CrashReport &Report) {
-                for (const int64_t Digest : Report.Digests)
-                  this->Suspects.add(RequestDigest{Digest},
-                                     brokenLifetime(Report), steadyNow());
+                this->Suspects.onReport(Report);
               },
-              [this](const HostId &) {
+              [this](const HostId &Peer) {
+                this->Suspects.onLinkUp(Peer);
                 const std::map<std::string, int64_t> Known =
                     this->RequiredVersions;
                 this->RequiredVersions.clear();
@@ -89,7 +88,11 @@
               {},
               [this](const HostId &Peer, const wire::DutyHolderPush &Holder) {
                 this->Usage.onHolder(Peer, Holder);
+              },
+              [this](const HostId &Peer, const wire::SuspectsPush &Push) {
+                this->Suspects.onPush(Peer, Push);
               }}),
+      Suspects(Peers, Counts, SuspectRelay::None),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -296,21 +299,6 @@
   this->Peers.broadcast(Message);
 }
 
-void Gateway::reportBroken(RequestDigest Digest,
-                           const EndpointLifetime &Endpoint) {
-  const Millis Now = steadyNow();
-  this->Suspects.forgetOld(Now);
-  if (!this->Suspects.add(Digest, Endpoint, Now))
-    return;
-  wire::CrashReport Report;
-  Report.Endpoint = Endpoint.Id.Value;
-  Report.CrashId = Endpoint.StartedAtMs;
-  Report.Digests = {Digest.Value};
-  wire::PeerMessage Message;
-  Message.__set_CrashReportMsg(Report);
-  this->Peers.broadcast(Message);
-}
-
 void Gateway::beginStop() {
   if (this->StopRequestedAt > Millis{0})
     return;
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -5,13 +5,13 @@
 #define CAMPHORNOTCH_GATEWAY_GATEWAY_BASE_H
 
 #include "base/settings_type.h"
-#include "core/gateway/suspect_table_base.h"
 #include "gateway/batch_task_base.h"
 #include "gateway/caller_access_base.h"
 #include "gateway/directory_task_base.h"
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "gateway/suspect_task_base.h"
 #include "gateway/usage_task_base.h"
 #include "gateway/work_tracker_base.h"
 #include "net/client_limits_base.h"
@@ -87,9 +87,6 @@
   /// @return whether this gateway chooses engines by their loads: it owns
   ///   partitions or forwarded a request to an engine lately.
   bool wantsLoad() const;
-  /// Reports to all gateways that a connection broke while an endpoint
-  /// processed the request.
-  void reportBroken(RequestDigest Digest, const EndpointLifetime &Endpoint);
   /// @return why this gateway does not accept callers; empty: it does.
   std::string_view whyNotReady() const;
   /// @return when the process ends after SIGTERM, even if it is not idle.
@@ -122,11 +119,11 @@
   RouteTable Routes;
   CallerAccess Access;
   EndpointPool Pool;
-  /// Requests during which connections to endpoints broke.
-  SuspectTable Suspects;
   /// Counts the requests of client accounts.
   UsageTask Usage;
   PeerTask Peers;
+  /// Requests during which connections to endpoints broke.
+  SuspectTask Suspects;
   /// Link addresses of the connected loaders.
   std::set<HttpTarget> Loaders;
   /// Newest version that submitted work needs, by model.
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -204,7 +204,7 @@
   const Millis Now = steadyNow();
   const RequestDigest Digest =
       digestOf(Request.Authority, Request.Target, Request.Body);
-  if (this->Suspects.isQuarantined(Digest, Now)) {
+  if (this->Suspects.isQuarantined(Digest)) {
     this->Counts.countRefusal(RefusalReason::Quarantined);
     this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
     return;
@@ -245,9 +245,9 @@
     this->onForwarded(*Forwarded, Status, Cause);
   };
   ForwardCallbacks Callbacks;
-  Callbacks.OnConnectionBroken = [this,
-                                  Digest](const EndpointLifetime &Endpoint) {
-    this->reportBroken(Digest, Endpoint);
+  Callbacks.OnConnectionBroken = [this, Digest](const BrokenAttempt &Broken) {
+    this->Suspects.onBroken(Digest, Broken.Endpoint, Broken.BrokenAt,
+                            Broken.BrokenAt - Broken.SentAt);
   };
   Callbacks.OnForecast = [Forwarded](const WorkForecast &Forecast) {
     Forwarded->Forecast = Forecast;
@@ -256,7 +256,7 @@
                         Digest](const HttpResponse &Response) {
     Log(Response.Status, "endpoint");
     if (Response.Status < StatusFirstFailure)
-      this->Suspects.succeeded(Digest);
+      this->Suspects.onSucceeded(Digest);
     Exchange->answer(Response);
   };
   Callbacks.OnRefusal = [Exchange, Log, Forwarded](const EndRequest &End) {
@@ -281,7 +281,7 @@
   Callbacks.OnStreamEnd = [this, Exchange, Log, Digest](bool Complete) {
     Log(StatusOk, Complete ? "stream ended" : StreamCutOff);
     if (Complete) {
-      this->Suspects.succeeded(Digest);
+      this->Suspects.onSucceeded(Digest);
       Exchange->finish();
     } else {
       Exchange->abort();
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -46,9 +46,10 @@
                 this->Controller.versionRequired(Demand.Model, Demand.Version);
               },
               [this](const wire::CrashReport &Report) {
-                this->forwardReport(Report);
+                this->Suspects.onReport(Report);
               },
               [this](const HostId &Peer) {
+                this->Suspects.onLinkUp(Peer);
                 if (this->LastReport.Sequence >= 0)
                   this->Peers.send(Peer, this->stateMessage());
               },
@@ -67,7 +68,11 @@
               [this](const wire::UsageCountsPush &Counts) {
                 this->Duties.onCounts(Counts);
               },
-              {}}),
+              {},
+              [this](const HostId &Peer, const wire::SuspectsPush &Push) {
+                this->Suspects.onPush(Peer, Push);
+              }}),
+      Suspects(Peers, Counts, SuspectRelay::AllPeers),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -150,19 +155,6 @@
   this->Controller.versionAnnounced(*Model, Version.value(), steadyNow());
 }
 
-void Loader::forwardReport(const wire::CrashReport &Report) {
-  bool IsNew = false;
-  for (const int64_t Digest : Report.Digests)
-    IsNew |= this->Suspects.add(RequestDigest{Digest}, brokenLifetime(Report),
-                                steadyNow());
-  this->Suspects.forgetOld(steadyNow());
-  if (!IsNew)
-    return;
-  wire::PeerMessage Message;
-  Message.__set_CrashReportMsg(Report);
-  this->Peers.broadcast(Message);
-}
-
 void Loader::requestFencingNumber() {
   const std::string Host = this->Settings.Common.Host;
   this->Store.append(PartitionId{FencingTopic, 0}, std::span(&Host, 1),
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -5,7 +5,6 @@
 #define CAMPHORNOTCH_GATEWAY_LOADER_BASE_H
 
 #include "base/settings_type.h"
-#include "core/gateway/suspect_table_base.h"
 #include "core/loads/engine_pace_base.h"
 #include "core/loads/load_controller_base.h"
 #include "core/loads/state_push_base.h"
@@ -13,6 +12,7 @@
 #include "gateway/duty_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "gateway/suspect_task_base.h"
 #include "net/http_server_base.h"
 #include "net/metrics_base.h"
 
@@ -35,10 +35,6 @@
   /// @param Record a value that an operator or trainer published.
   void onPublished(const KeyedRecord &Record);
   DutyTaskCallbacks dutyCallbacks();
-  /// Forwards a gateway's report to the other gateways, once.
-  /// @param Report a connection that broke while an endpoint processed a
-  ///   request.
-  void forwardReport(const wire::CrashReport &Report);
   /// Requests a fencing number from the store until one is given.
   void requestFencingNumber();
   /// Requests the engine's report, and repeats this after each answer or
@@ -64,11 +60,11 @@
   EndpointPool Pool;
   /// Which gateways get the engine's state.
   StatePush Pushes;
-  /// Reports that were forwarded.
-  SuspectTable Suspects;
   /// Holds duties for the operator.
   DutyTask Duties;
   PeerTask Peers;
+  /// Requests during which connections to endpoints broke.
+  SuspectTask Suspects;
   /// Follows the topic of published values.
   KeyedFollower Published;
   /// Follows the registered endpoints.
--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -134,6 +134,8 @@
     this->Callbacks.OnVersionNeeded(Message.WeightsAnnounceMsg);
   if (Message.__isset.CrashReportMsg)
     this->Callbacks.OnEndpointBroken(Message.CrashReportMsg);
+  if (Message.__isset.SuspectsMsg && this->Callbacks.OnSuspects)
+    this->Callbacks.OnSuspects(Peer, Message.SuspectsMsg);
   if (Message.__isset.UsageCountsMsg && this->Callbacks.OnUsageCounts)
     this->Callbacks.OnUsageCounts(Message.UsageCountsMsg);
   if (Message.__isset.DutyHolderMsg && this->Callbacks.OnDutyHolder)
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -32,7 +32,7 @@
   std::function<void(const wire::EngineStatePush &)> OnEngineState;
   /// A gateway sent the model version that its work needs.
   std::function<void(const wire::WeightsAnnounce &)> OnVersionNeeded;
-  /// A peer reported that a request crashed an endpoint.
+  /// A peer of an earlier version reported that a request crashed an endpoint.
   std::function<void(const wire::CrashReport &)> OnEndpointBroken;
   /// A link to a peer was established.
   std::function<void(const HostId &)> OnLinkUp;
@@ -52,6 +52,8 @@
   /// The holder of a duty announced itself. Optional.
   std::function<void(const HostId &, const wire::DutyHolderPush &)>
       OnDutyHolder;
+  /// A peer sent what it knows of requests that break endpoints. Optional.
+  std::function<void(const HostId &, const wire::SuspectsPush &)> OnSuspects;
 };
 
 /// Owns the links of a gateway or loader.
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -253,6 +253,28 @@
   4: optional bool Alone,  // nothing else was running
 }
 
+/** One lifetime of an endpoint. */
+struct SuspectEndpoint {
+  1: string Id,
+  2: i64 StartedAtMs,
+}
+
+/** What a process knows of a request that broke endpoints. */
+struct SuspectState {
+  1: i64 Digest,
+  2: i64 Acquittals,       // successes that showed that breaks were not its fault
+  3: i32 Breaks,           // endpoints broken one after another since then
+  4: i64 AgeMs,            // since the last break or acquittal
+  5: i64 KeptMs,           // for how much longer others may need it
+  6: list<SuspectEndpoint> Endpoints,
+}
+
+/** Between gateways and loaders: changes, and all that is known once a link is
+ *  established. */
+struct SuspectsPush {
+  1: list<SuspectState> Suspects,
+}
+
 /** Entry to agent: its host leaves (or no longer does), by the host list or
  *  an operator's order. */
 struct LeaveOrder {
@@ -382,6 +404,7 @@
   26: optional StoreCallReply StoreReplyMsg,
   27: optional UsageCountsPush UsageCountsMsg,
   28: optional DutyHolderPush DutyHolderMsg,
+  29: optional SuspectsPush SuspectsMsg,
 }
 
 /* ---- Records of the log -------------------------------------------------- */
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -58,7 +58,7 @@
     Callbacks.OnRefusal = [this](const EndRequest &End) {
       this->Refused = End;
     };
-    Callbacks.OnConnectionBroken = [this](const EndpointLifetime &) {
+    Callbacks.OnConnectionBroken = [this](const BrokenAttempt &) {
       ++this->BrokenReports;
     };
     Callbacks.OnStreamStart = [](const HttpResponse &) {};
