Fix: [Gateway] Quarantined requests outlast the end of all processes at once

Seen: a request that crashes engines, held back by all, was passed on again once all gateways and loaders had been started anew at the same time; and gateways that are linked to no loader (all of them killed, cut off, or no engine registered) told each other nothing.

Cause: what a process learns of such requests from those it is linked to is lost if none of them is left.

Change: SuspectLog appends to the topic "suspects" a request that a gateway quarantines, and the success of one that has records; while a gateway is linked to none, each break. An append is repeated until it is acknowledged.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -93,6 +93,10 @@
                 this->Suspects.onPush(Peer, Push);
               }}),
       Suspects(Peers, Counts, SuspectRelay::None),
+      SuspectRecords(Events, Store,
+                     [this](const wire::SuspectState &State) {
+                       this->Suspects.onRecord(State);
+                     }),
       Published(Events, Store, std::string(platform::OperatorTopic),
                 loggingCallbacks("published values",
                                  [this](const KeyedRecord &Record) {
@@ -115,6 +119,7 @@
       RequestSeconds(Counts.histogram("request_seconds",
                                       "Time of callers' requests, in seconds.",
                                       RequestBounds)) {
+  this->Suspects.keepIn(this->SuspectRecords);
   this->Http.setLimits(this->Limits);
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
                               platform::RawStoreCallback Reply) {
@@ -174,6 +179,7 @@
                              logSettingsChanged);
   this->Published.begin();
   this->Directory.begin();
+  this->SuspectRecords.begin();
   this->Batches.begin(
       Address{this->Settings.ListenPeers.Ip, this->PeerServer->port()});
   logLine(LogLevel::Info, "gateway started",
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -124,6 +124,8 @@
   PeerTask Peers;
   /// Requests during which connections to endpoints broke.
   SuspectTask Suspects;
+  /// Keeps them beyond the end of all processes.
+  SuspectLog SuspectRecords;
   /// Link addresses of the connected loaders.
   std::set<HttpTarget> Loaders;
   /// Newest version that submitted work needs, by model.
--- a/packages/gateway/suspect_task_base.cpp
+++ b/packages/gateway/suspect_task_base.cpp
@@ -50,6 +50,7 @@
   this->Breaks.Increment();
   this->logChange(Digest, Endpoint.Id.Value);
   this->announce(Digest);
+  this->keep(Digest);
 }
 
 void SuspectTask::onSucceeded(RequestDigest Digest) {
@@ -58,6 +59,7 @@
   this->Acquittals.Increment();
   this->logChange(Digest, "success");
   this->announce(Digest);
+  this->keep(Digest);
 }
 
 void SuspectTask::onReport(const wire::CrashReport &Report) {
@@ -94,6 +96,14 @@
       this->Peers.send(Each, Message);
 }
 
+void SuspectTask::onRecord(const wire::SuspectState &State) {
+  const RequestDigest Digest{State.Digest};
+  if (this->Table.merge(State, steadyNow()) != SuspectNews::Learned)
+    return;
+  this->logChange(Digest, "store");
+  this->announce(Digest);
+}
+
 void SuspectTask::onLinkUp(const HostId &Peer) {
   std::vector<wire::SuspectState> States =
       this->Table.states(MaxStatesPerLink, steadyNow());
@@ -107,6 +117,17 @@
     this->Peers.broadcast(messageOf({*std::move(State)}));
 }
 
+void SuspectTask::keep(RequestDigest Digest) {
+  if (this->Log == nullptr)
+    return;
+  if (!this->isQuarantined(Digest) && this->Peers.hasPeers() &&
+      !this->Log->has(Digest.Value))
+    return;
+  if (const std::optional<wire::SuspectState> State =
+          this->Table.state(Digest, steadyNow()))
+    this->Log->append(*State);
+}
+
 void SuspectTask::logChange(RequestDigest Digest,
                             std::string_view Source) const {
   const Millis Now = steadyNow();
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -407,6 +407,14 @@
   29: optional SuspectsPush SuspectsMsg,
 }
 
+/* ---- Records of the topic of suspects ----------------------------------- */
+
+/** What a gateway knew of a request that broke endpoints. */
+struct SuspectRecord {
+  1: SuspectState State,
+  2: i64 AppendedAtMs,     // Unix time, from which State's times count
+}
+
 /* ---- Records of the log -------------------------------------------------- */
 
 /** A published rule file; accepted only if BaseOffset is the offset of the
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -123,6 +123,14 @@
   return decode<wire::DutyRecord>(Bytes);
 }
 
+std::string encodeSuspect(const wire::SuspectRecord &Record) {
+  return encode(Record);
+}
+
+Result<wire::SuspectRecord> decodeSuspect(std::string_view Bytes) {
+  return decode<wire::SuspectRecord>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -69,6 +69,12 @@
 /// @return the record, or what is wrong with it.
 Result<wire::DutyRecord> decodeDuty(std::string_view Bytes);
 
+/// Encodes a record of the topic of suspects.
+std::string encodeSuspect(const wire::SuspectRecord &Record);
+
+/// @return the record, or what is wrong with it.
+Result<wire::SuspectRecord> decodeSuspect(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
--- a/tests/gateway_tasks/suspect_task_test.cpp
+++ b/tests/gateway_tasks/suspect_task_test.cpp
@@ -4,6 +4,7 @@
 
 #include "base/clock_func.h"
 #include "gateway/suspect_task_base.h"
+#include "standins/store/store_server.h"
 #include "tests/net/net_fixture.h"
 
 #include <algorithm>
@@ -30,8 +31,10 @@
   SuspectTask Suspects;
   HttpTarget LinkTarget;
 
-  SuspectHost(Loop &Events, const std::string &Name, SuspectRelay Relay)
-      : Settings(settingsOf(Name)), Http(Events), Store(Events, Http, NoStore),
+  SuspectHost(Loop &Events, const std::string &Name, SuspectRelay Relay,
+              HttpTarget StoreAt = NoStore)
+      : Settings(settingsOf(Name)), Http(Events),
+        Store(Events, Http, std::move(StoreAt)),
         Peers(Events, this->Settings, Store, Values, this->callbacks()),
         Suspects(Peers, Counts, Relay), LinkTarget{
                                             "127.0.0.1",
@@ -87,6 +90,20 @@
   }
 };
 
+/// A gateway that keeps what it knows in the store.
+struct StoringHost : SuspectHost {
+  SuspectLog Log;
+
+  StoringHost(Loop &Events, const HttpTarget &StoreAt, const std::string &Name)
+      : SuspectHost(Events, Name, SuspectRelay::None, StoreAt),
+        Log(Events, this->Store, [this](const wire::SuspectState &State) {
+          this->Suspects.onRecord(State);
+        }) {
+    this->Suspects.keepIn(this->Log);
+    this->Log.begin();
+  }
+};
+
 /// Gateways and loaders by name, all of them linked.
 struct SuspectNet {
   Loop Events;
@@ -254,3 +271,92 @@
     cr_assert(Net.allKnow(Round + 1, 0));
   }
 }
+
+namespace {
+
+/// Gateways that share a store, with no link to each other.
+struct UnlinkedNet {
+  Loop Events;
+  standin::StandinStoreServer Store{this->Events, 2};
+  std::map<std::string, std::unique_ptr<StoringHost>> Gateways;
+
+  StoringHost &start(const std::string &Name) {
+    this->Gateways.erase(Name);
+    auto &Made = this->Gateways[Name];
+    Made =
+        std::make_unique<StoringHost>(this->Events, this->Store.target(), Name);
+    return *Made;
+  }
+
+  /// Starts all gateways anew, at once.
+  void restartAll() {
+    this->Gateways.clear();
+    for (const char *Name : {"gateway-1", "gateway-2"})
+      this->start(Name);
+  }
+
+  /// @return whether all gateways get to know that many acquittals and breaks.
+  bool allKnow(int64_t Acquittals, int Breaks) {
+    return turnUntil(this->Events, [&] {
+      return std::ranges::all_of(this->Gateways, [&](const auto &Each) {
+        return Each.second->knows(Acquittals, Breaks);
+      });
+    });
+  }
+};
+
+} // namespace
+
+// Guards against a request that is passed on again once all processes were
+// started anew at the same time, and against gateways that are linked to none.
+Test(suspects, allProcessesRestartedAtOnce_theStoreStillKnows) {
+  UnlinkedNet Net;
+  Net.restartAll();
+  Net.Gateways.at("gateway-1")->breaks("a");
+  cr_assert(Net.allKnow(0, 1));
+  Net.Gateways.at("gateway-2")->breaks("b");
+  cr_assert(Net.allKnow(0, 2));
+  Net.Gateways.at("gateway-1")->breaks("c");
+  cr_assert(Net.allKnow(0, 3));
+  Net.restartAll();
+  cr_assert(Net.allKnow(0, 3));
+  cr_assert(Net.Gateways.at("gateway-2")->holdsBack());
+}
+
+// Guards against a sound request that is held back after such a start, by
+// records from before its success.
+Test(suspects, successAfterRecords_isRecordedToo) {
+  UnlinkedNet Net;
+  Net.restartAll();
+  Net.Gateways.at("gateway-1")->breaksThree();
+  cr_assert(Net.allKnow(0, 3));
+  Net.Gateways.at("gateway-2")->Suspects.onSucceeded(Poison);
+  cr_assert(Net.allKnow(1, 0));
+  Net.restartAll();
+  cr_assert(Net.allKnow(1, 0));
+}
+
+// Guards against a quarantine that is never stored because the store was away
+// when it began.
+Test(suspects, storeAwayWhenTheRequestBreaks_isRecordedLater) {
+  UnlinkedNet Net;
+  Net.restartAll();
+  Net.Store.Busy = true;
+  Net.Gateways.at("gateway-1")->breaksThree();
+  cr_assert(Net.Gateways.at("gateway-1")->holdsBack());
+  cr_assert_not(Net.Gateways.at("gateway-2")->holdsBack());
+  Net.Store.Busy = false;
+  cr_assert(Net.allKnow(0, 3));
+}
+
+// Guards against records of another writer, and records that were trimmed.
+Test(suspects, oddOrExpiredRecords_theOthersAreRead) {
+  UnlinkedNet Net;
+  const std::vector<std::string> Odd{"", "garbage", std::string(70, '\xff')};
+  Net.Store.state().append("suspects", 0, Odd, std::nullopt);
+  Net.Store.state().dropHistory("suspects", 0);
+  Net.Store.state().append("suspects", 0, Odd, std::nullopt);
+  Net.restartAll();
+  Net.Gateways.at("gateway-1")->breaksThree();
+  cr_assert(Net.allKnow(0, 3));
+}
