Fix: [Gateway] Endpoints that crash within an answer count for its request

Cause: a break within the body of a plain answer was not counted, since an endpoint that shortens its answers and goes on breaks off bodies, too. An answer rejected by its head was not looked at: its connection was closed before the endpoint ended.

Change: CrashCheck opens a connection to the endpoint after such an answer, without sending anything. If it is refused, or the endpoint registers another lifetime within 10 s, the endpoint has crashed and counts for the request. Breaks before the head and within streams count as before.

Without the check endpointThatCrashesWithinItsAnswer fails; with one that takes each endpoint for crashed, endpointThatBreaksOffItsAnswerAndGoesOn does.

--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -50,7 +50,12 @@
 
 ForwardTask::ForwardTask(Loop &Events, HttpClient &Http, EndpointPool &Pool,
                          Metrics &Counts)
-    : Events(Events), Http(Http), Pool(Pool), Counts(Counts) {}
+    : Events(Events), Http(Http), Pool(Pool), Counts(Counts),
+      Crashes(Events, Pool) {}
+
+BrokenAttempt ForwardTask::Attempt::broken() const {
+  return BrokenAttempt{this->lifetime(), this->SentAt, steadyNow()};
+}
 
 ForwardId ForwardTask::start(ForwardJob Job, ForwardCallbacks Callbacks) {
   const ForwardId Id{++this->LastId};
@@ -270,18 +275,18 @@
 void ForwardTask::onFailed(ForwardId Id, uint64_t Number,
                            const HttpFailure &Failure) {
   const ActiveRequest *Active = this->find(Id);
-  const bool Sent = Active != nullptr && Active->Attempts.contains(Number) &&
-                    !Failure.NotSent;
-  // Only a closed connection is blamed on the request: an endpoint that sends
-  // bytes other than an answer is faulty itself.
-  const bool Closed = Failure.Cause.Kind == ErrorKind::Unavailable;
-  if (Sent && Closed && Active->Callbacks.OnConnectionBroken) {
+  if (Active != nullptr && Active->Attempts.contains(Number) &&
+      !Failure.NotSent) {
     const Attempt &Current = Active->Attempts.at(Number);
-    // The request still runs while its stream is open. The head of another
-    // answer is sent when it has ended.
-    if (Current.Head.Status == 0 || Current.Streams)
-      Active->Callbacks.OnConnectionBroken(
-          BrokenAttempt{Current.lifetime(), Current.SentAt, steadyNow()});
+    const bool Closed = Failure.Cause.Kind == ErrorKind::Unavailable;
+    // An endpoint that spoils its answers breaks off bodies, too: that alone
+    // does not show that it crashed.
+    if (Closed && (Current.Head.Status == 0 || Current.Streams)) {
+      if (Active->Callbacks.OnConnectionBroken)
+        Active->Callbacks.OnConnectionBroken(Current.broken());
+    } else if (!Current.Head.NotRun) {
+      this->checkForCrash(*Active, Current.broken());
+    }
   }
   this->endAttempt(Id, Number,
                    Failure.NotSent ? AttemptOutcome::NotSent
@@ -289,9 +294,22 @@
                    WorkOutcome::ConnectionBroken, Failure.Cause.Message);
 }
 
+void ForwardTask::checkForCrash(const ActiveRequest &Active,
+                                const BrokenAttempt &Broken) {
+  if (Active.Callbacks.OnConnectionBroken)
+    this->Crashes.begin(
+        Broken.Endpoint,
+        [Broken, OnCrashed = Active.Callbacks.OnConnectionBroken] {
+          OnCrashed(Broken);
+        });
+}
+
 void ForwardTask::abortAttempt(ForwardId Id, uint64_t Number,
                                std::string_view Cause) {
-  this->Http.cancel(this->find(Id)->Attempts.at(Number).Call);
+  const ActiveRequest &Active = *this->find(Id);
+  const Attempt &Current = Active.Attempts.at(Number);
+  this->Http.cancel(Current.Call);
+  this->checkForCrash(Active, Current.broken());
   this->endAttempt(Id, Number, AttemptOutcome::Failed,
                    WorkOutcome::ConnectionBroken, Cause);
 }
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -6,6 +6,7 @@
 #define CAMPHORNOTCH_GATEWAY_FORWARD_TASK_BASE_H
 
 #include "core/gateway/forward_plan_base.h"
+#include "gateway/crash_check_base.h"
 #include "net/http_client_base.h"
 #include "net/metrics_base.h"
 #include "platform/engine_func.h"
@@ -46,8 +47,10 @@
   /// An endpoint answered with a status of 500 or more and the request may be
   /// retried. Optional.
   std::function<void(int Status)> OnServerError;
-  /// The connection closed while the endpoint had the request: before any
-  /// answer, or within a stream. Optional.
+  /// The endpoint crashed, or may have, while it had the request: its
+  /// connection closed before any answer or within a stream, or it broke off or
+  /// spoiled another answer and was gone afterwards. May be called after the
+  /// last call, and more than once. Optional.
   std::function<void(const BrokenAttempt &)> OnConnectionBroken;
   /// @return whether an attempt may be sent now; if not, the request waits
   ///   until it may or its deadline passes. Optional: always.
@@ -84,6 +87,9 @@
   /// whether they may have run, or as a stream that is cut off.
   void endAll();
 
+  /// Call after each change of the pool of endpoints.
+  void poolChanged() { this->Crashes.poolChanged(); }
+
   /// @return whether the request is in progress; it may end before start()
   ///   returns.
   bool isRunning(ForwardId Id) const { return this->Requests.contains(Id); }
@@ -120,6 +126,8 @@
     EndpointLifetime lifetime() const {
       return EndpointLifetime{this->Endpoint, this->StartedAtMs};
     }
+    /// @return what is reported of it if its connection breaks now.
+    BrokenAttempt broken() const;
   };
 
   struct ActiveRequest {
@@ -149,6 +157,8 @@
   static bool resumes(Attempt &Current);
   void onFinished(ForwardId Id, uint64_t Number, HttpResponse Response);
   void onFailed(ForwardId Id, uint64_t Number, const HttpFailure &Failure);
+  /// Reports an attempt that broke, if its endpoint turns out to have crashed.
+  void checkForCrash(const ActiveRequest &Active, const BrokenAttempt &Broken);
   /// Aborts an attempt whose answer may not be passed on or may never end, then
   /// continues with the plan.
   /// @param Number an attempt that is in progress.
@@ -173,6 +183,7 @@
   HttpClient &Http;
   EndpointPool &Pool;
   Metrics &Counts;
+  CrashCheck Crashes;
   /// Requests in progress.
   std::map<ForwardId, std::unique_ptr<ActiveRequest>> Requests;
   /// The last id assigned.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -105,6 +105,7 @@
       Directory(Events, Store, Pool,
                 [this] {
                   this->connectLoaders();
+                  this->Forward.poolChanged();
                   this->Batches.wake();
                 }),
       Forward(Events, Http, Pool, Counts),
--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -339,6 +339,93 @@
   cr_expect_eq(Net.BrokenReports, 0);
 }
 
+namespace {
+
+/// An answer that an endpoint begins.
+struct BegunAnswer {
+  /// The header line that says where the body ends; empty: none.
+  std::string Framing;
+  /// What is sent of the body.
+  std::string Body;
+};
+
+/// Answers that break off at different moments, by each framing.
+const std::vector<BegunAnswer> BegunAnswers{
+    {"content-length: 9\r\n", ""},
+    {"content-length: 9\r\n", "12345678"},
+    {"transfer-encoding: chunked\r\n", ""},
+    {"transfer-encoding: chunked\r\n", "4\r\nab"},
+    {"transfer-encoding: chunked\r\n", "2\r\nab\r\n"},
+    {"transfer-encoding: chunked\r\n", "2\r\nab\r\n0\r\n"},
+    {"", ""},
+    {"", "ab"}};
+
+/// Begins an answer to the fixture's request and waits until it has arrived.
+void begin(ForwardFixture &Net, const BegunAnswer &Answer) {
+  cr_assert(Net.arrives());
+  Net.Server.send(0, concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                            Answer.Framing, "\r\n", Answer.Body));
+  int Turns = 0;
+  turnUntil(Net.Events, [&] { return ++Turns > 5; });
+}
+
+} // namespace
+
+// Guards against a request that crashes endpoints for ever because the head of
+// an answer was out before (review/10).
+Test(forward, endpointThatCrashesWithinItsAnswer_isReportedForTheRequest) {
+  for (const RouteKind Kind :
+       {RouteKind::Idempotent, RouteKind::AtMostOnce, RouteKind::Stream})
+    for (const BegunAnswer &Answer : BegunAnswers)
+      for (const bool Reset : {false, true}) {
+        ForwardFixture Net(Kind);
+        begin(Net, Answer);
+        Net.Server.stopListening();
+        if (Reset)
+          Net.Server.reset(0);
+        else
+          Net.Server.end(0);
+        cr_assert(Net.ends());
+        cr_assert(turnUntil(Net.Events, [&] { return Net.BrokenReports > 0; }),
+                  "%d %s%s", static_cast<int>(Kind), Answer.Framing.c_str(),
+                  Answer.Body.c_str());
+        cr_expect_eq(Net.BrokenReports, 1);
+      }
+}
+
+// Guards against sound requests that are blamed for an endpoint which breaks
+// off its answers and goes on.
+Test(forward, endpointThatBreaksOffItsAnswerAndGoesOn_isNotReported) {
+  for (const RouteKind Kind : {RouteKind::Idempotent, RouteKind::AtMostOnce})
+    for (const BegunAnswer &Answer : BegunAnswers) {
+      ForwardFixture Net(Kind);
+      begin(Net, Answer);
+      Net.Server.end(0);
+      cr_assert(Net.ends());
+      // The connection of the check comes and goes.
+      cr_assert(turnUntil(Net.Events, [&] {
+        return Net.Server.poll() == 2 && Net.Server.closed(1);
+      }));
+      cr_expect_eq(Net.BrokenReports, 0);
+    }
+}
+
+// Guards against an endpoint that is back before it is checked.
+Test(forward, endpointBackInANewLifetime_isReportedForTheRequest) {
+  ForwardFixture Net(RouteKind::AtMostOnce);
+  begin(Net, BegunAnswers[1]);
+  Net.Server.end(0);
+  cr_assert(Net.ends());
+  cr_assert(turnUntil(Net.Events, [&] {
+    return Net.Server.poll() == 2 && Net.Server.closed(1);
+  }));
+  Net.Forward.poolChanged();
+  cr_assert_eq(Net.BrokenReports, 0);
+  Net.addEndpoint("i-1", Net.Server, 2);
+  Net.Forward.poolChanged();
+  cr_assert_eq(Net.BrokenReports, 1);
+}
+
 Test(forward, eventThatNeverEnds_isAbortedAndTheStreamResumed) {
   ForwardFixture Net(RouteKind::Stream, 3);
   cr_assert(Net.arrives());
--- a/tests/gateway_tasks/gateway_test.cpp
+++ b/tests/gateway_tasks/gateway_test.cpp
@@ -189,6 +189,57 @@
   cr_assert_eq(After, Before);
 }
 
+// Guards against sound requests that are held back because their endpoints
+// crashed for another reason: equal requests are under way at three that end at
+// the same time, before or within their answers.
+Test(gateway, soundRequestsWhoseEndpointsCrashAtOnce_areServedAfterwards) {
+  const std::string Begun =
+      "HTTP/1.1 200 OK\r\nx-camphornotch-request-id: r2\r\n"
+      "x-camphornotch-response-signature: sig\r\ncontent-length: 9\r\n\r\nab";
+  for (const std::string &Sent : {std::string(), Begun}) {
+    WholeGateway Net;
+    Net.configure(ConfigText);
+    std::vector<ScriptedServer> Endpoints(3);
+    int Number = 0;
+    for (const ScriptedServer &Each : Endpoints)
+      Net.registerEndpoint("i-" + std::to_string(++Number + 1),
+                           Each.target().Port);
+    std::vector<std::unique_ptr<PlainSocket>> Callers;
+    cr_assert(turnUntil(Net.Events, [&] {
+      constexpr size_t MaxCallers = 60;
+      if (Callers.size() < MaxCallers) {
+        Callers.push_back(
+            std::make_unique<PlainSocket>(Net.Tested->callerTarget().Port));
+        Callers.back()->send("GET /a/x HTTP/1.1\r\nhost: h\r\n"
+                             "x-camphornotch-request-id: r2\r\n\r\n");
+      }
+      return std::ranges::all_of(Endpoints, [](ScriptedServer &Each) {
+        return Each.hasRequests(0, 1);
+      });
+    }));
+    for (ScriptedServer &Each : Endpoints)
+      for (size_t Index = 0; Index < Each.poll(); ++Index)
+        Each.send(Index, Sent);
+    int Turns = 0;
+    turnUntil(Net.Events, [&] { return ++Turns > 5; });
+    for (ScriptedServer &Each : Endpoints) {
+      Each.stopListening();
+      for (size_t Index = 0; Index < Each.poll(); ++Index)
+        Each.reset(Index);
+    }
+    cr_assert(turnUntil(Net.Events, [&] {
+      return std::ranges::all_of(
+          Callers, [](const auto &Each) { return !Each->received().empty(); });
+    }));
+    FakeEngine Sound(Net.Events);
+    Net.registerEndpoint("i-9", Sound.where().Port);
+    cr_assert(turnUntil(Net.Events, [&] {
+      return Net.ask("GET", "/a/other", {}).Status == 200;
+    }));
+    cr_expect_eq(Net.ask("GET", "/a/x", {}).Status, 200);
+  }
+}
+
 // Guards against a list of endpoints that is no longer followed, or a process
 // that ends, because of one entry of another writer.
 Test(gateway, oddEntryAmongTheEndpoints_theOthersAreFollowed) {
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -50,6 +50,12 @@
   ScriptedServer(const ScriptedServer &) = delete;
   ScriptedServer &operator=(const ScriptedServer &) = delete;
 
+  /// Refuses connections from now on, like a process that has ended.
+  void stopListening() {
+    close(this->Listener);
+    this->Listener = -1;
+  }
+
   /// @return the address to connect to.
   const HttpTarget &target() const { return this->Target; }
 
