Codechange: [Gateway] Generated headers are included as elsewhere

Cause: named by its path, the generated header is linted as one of ours. Change: two includes. Result: scripts/check-lint passes for the files changed in this issue.

--- a/packages/core/gateway/suspect_table_base.h
+++ b/packages/core/gateway/suspect_table_base.h
@@ -6,8 +6,8 @@
 
 #include "base/id_type.h"
 #include "base/millis_type.h"
+#include "camphornotch_types.h"
 #include "core/gateway/endpoint_pool_type.h"
-#include "wire/generated/camphornotch_types.h"
 
 #include <cstdint>
 #include <map>
--- a/packages/gateway/suspect_log_base.h
+++ b/packages/gateway/suspect_log_base.h
@@ -4,9 +4,9 @@
 #ifndef CAMPHORNOTCH_GATEWAY_SUSPECT_LOG_BASE_H
 #define CAMPHORNOTCH_GATEWAY_SUSPECT_LOG_BASE_H
 
+#include "camphornotch_types.h"
 #include "net/loop_base.h"
 #include "platform/store_client_base.h"
-#include "wire/generated/camphornotch_types.h"
 
 #include <functional>
 #include <map>
