--- a/packages/gateway/suspect_task_base.h
+++ b/packages/gateway/suspect_task_base.h
@@ -78,7 +78,7 @@
   prometheus::Counter &Breaks;
   /// Requests that this process saw succeed after breaks.
   prometheus::Counter &Acquittals;
-  /// Requests quarantined, by its own breaks or those of others.
+  /// Changes that left a request quarantined, by own breaks or those of others.
   prometheus::Counter &Quarantines;
 };
 
