Fix: [Daemon] SIGHUP in the first milliseconds ends no process

Callers saw: a gateway or loader that was told of changed settings just after its start was gone until the next start. Cause: the default action of SIGHUP holds until Loop::handleSignals, which came 7 ms after the start on an idle machine and up to 36 ms beside 15 others; 5 to 8 ms of it went into loading and initializing 30 libraries. Change: camphornotchd is a launcher that needs the C library only. It ignores SIGHUP and then loads the daemon, which is a shared library now. The first half millisecond, in which the kernel and the loader of the C library work, cannot be covered by a program.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -1,6 +1,7 @@
 /// @file
-/// Entry point of the daemon.
+/// The daemon itself; main.cpp loads it.
 
+#include "daemon/daemon_main.h"
 #include "base/command_line_func.h"
 #include "base/log_func.h"
 #include "base/settings_func.h"
@@ -38,10 +39,7 @@
 
 } // namespace
 
-/// @param Count how many arguments.
-/// @param Arguments the command line.
-/// @return the exit code.
-int main(int Count, char **Arguments) {
+int camphornotchMain(int Count, char **Arguments) {
   const CommandLineResult Parsed = parseDaemonCommandLine(Count, Arguments);
   if (const auto *Exit = std::get_if<ExitNow>(&Parsed))
     return Exit->Code;
