Fix: [Base] Log lines never wait for the reader of the output

Callers saw: no answer any more from any gateway, for as long as nobody read its standard output; the process did not end either. Cause: the console appender writes to a blocking descriptor on the loop. A pipe takes 64 KiB, about 200 lines. Change: LogOutput writes what the descriptor takes now: at most PIPE_BUF bytes to a pipe that polls as writable, without a wait to a socket. Up to 1 MiB waits in memory; whole lines beyond it are dropped and counted (metric log_lines_dropped). O_NONBLOCK is not set, since others share the descriptor. Evidence: soak_output_not_read failed before (no answer for 90 s) and holds now, each gateway ready and serving within 0.3 s after the lines; logOutput/* hold for pipes and sockets.

--- a/packages/base/log_func.cpp
+++ b/packages/base/log_func.cpp
@@ -4,16 +4,19 @@
 #include "base/log_func.h"
 
 #include "base/clock_func.h"
+#include "base/log_output_base.h"
 
 #include <algorithm>
 #include <array>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
+#include <unistd.h>
 #include <utility>
 
 namespace camphornotch {
@@ -72,6 +75,36 @@
   return Level >= LogLevel::Warn ? Severe : Plain;
 }
 
+/// Limit on the bytes of log lines that wait for a reader of the output.
+constexpr size_t MaxWaitingBytes = size_t{1} << 20;
+
+/// @return the standard output, for log lines.
+LogOutput &standardOutput() {
+  static LogOutput Output(STDOUT_FILENO, MaxWaitingBytes);
+  return Output;
+}
+
+/// Appends to standardOutput().
+class OutputAppender : public log4cxx::AppenderSkeleton {
+public:
+  explicit OutputAppender(const log4cxx::LayoutPtr &Layout) {
+    // The constructor that takes a layout leaves it unset in log4cxx 1.0.
+    this->setLayout(Layout);
+  }
+  void close() override { standardOutput().flush(); }
+  bool requiresLayout() const override { return true; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr &Event,
+              log4cxx::helpers::Pool &Pool) override {
+    log4cxx::LogString Line;
+    this->getLayout()->format(Line, Event, Pool);
+    std::string Bytes;
+    log4cxx::helpers::Transcoder::encodeUTF8(Line, Bytes);
+    standardOutput().write(Bytes);
+  }
+};
+
 log4cxx::LoggerPtr processLogger() {
   static const log4cxx::LoggerPtr Logger =
       log4cxx::Logger::getLogger("camphornotch");
@@ -108,8 +141,7 @@
   Layout->setLocationInfo(false);
   if (!File.empty())
     return std::make_shared<log4cxx::FileAppender>(Layout, File, true);
-  return std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemOut());
+  return std::make_shared<OutputAppender>(Layout);
 }
 
 } // namespace
@@ -122,6 +154,10 @@
   Root->setLevel(toLevel(levelByName(Settings.LogLevel)));
 }
 
+void flushLog() { standardOutput().flush(); }
+
+int64_t logLinesDropped() { return standardOutput().dropped(); }
+
 void logLine(LogLevel Level, std::string_view Message,
              std::initializer_list<LogField> Fields) {
   logLine(Level, Message, std::span(Fields.begin(), Fields.size()));
--- a/packages/base/log_func.h
+++ b/packages/base/log_func.h
@@ -27,6 +27,14 @@
 /// settings. Each line has the host and role of the settings.
 void setupLogging(const CommonSettings &Settings);
 
+/// Writes lines that a slow reader of the standard output left waiting, as far
+/// as that takes no wait.
+void flushLog();
+
+/// @return the number of lines dropped so far since nobody read the standard
+///   output.
+int64_t logLinesDropped();
+
 /// Writes one line, as the overload below does.
 /// @param Fields the values; some of them may depend on the line.
 void logLine(LogLevel Level, std::string_view Message,
--- a/packages/gateway/gateway_probes.cpp
+++ b/packages/gateway/gateway_probes.cpp
@@ -41,6 +41,7 @@
   };
   if (this->Limits != nullptr)
     setLimitGauges(this->Counts, this->Limits->controller());
+  setLogGauge(this->Counts);
   Set("items_waiting", "Items that wait for an engine.",
       static_cast<double>(Items.waiting()));
   Set("items_running", "Items at engines or being scored.",
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -111,6 +111,7 @@
                          [this](const std::shared_ptr<HttpExchange> &Exchange) {
                            HttpResponse Response;
                            Response.ContentType = "text/plain";
+                           setLogGauge(this->Counts);
                            Response.Body = this->Counts.text();
                            Exchange->answer(Response);
                          });
--- a/packages/net/loop_base.cpp
+++ b/packages/net/loop_base.cpp
@@ -4,6 +4,7 @@
 #include "net/loop_base.h"
 
 #include "base/clock_func.h"
+#include "base/log_func.h"
 #include "net/h2o_internal.h"
 
 #include <algorithm>
@@ -243,6 +244,7 @@
   h2o_evloop_run(this->Inner->H2oLoop, static_cast<int32_t>(Wait.Count));
   this->Inner->runTimers();
   this->Inner->runDeferred();
+  flushLog();
 }
 
 void Loop::stop() {
--- a/packages/net/metrics_base.cpp
+++ b/packages/net/metrics_base.cpp
@@ -3,6 +3,7 @@
 
 #include "net/metrics_base.h"
 
+#include "base/log_func.h"
 #include "base/table/refusal_reasons.h"
 #include "base/table/retry_reasons.h"
 
@@ -74,4 +75,11 @@
   return prometheus::TextSerializer().Serialize(this->Registry->Collect());
 }
 
+void setLogGauge(Metrics &Counts) {
+  Counts
+      .gauge("log_lines_dropped",
+             "Log lines dropped since nobody read the standard output.")
+      .Set(static_cast<double>(logLinesDropped()));
+}
+
 } // namespace camphornotch
--- a/packages/net/metrics_base.h
+++ b/packages/net/metrics_base.h
@@ -58,6 +58,9 @@
   std::vector<prometheus::Counter *> Retries;
 };
 
+/// Sets the gauge of log lines that were dropped.
+void setLogGauge(Metrics &Counts);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_NET_METRICS_BASE_H
