Fix: [Daemon] An output without a reader ends no process

Callers saw: no process stayed up; each ended 80 to 100 ms after each start. Cause: SIGPIPE was ignored by Loop::handleSignals only, and the first line is written before, when the limits on clients are set up.

--- a/packages/daemon/launcher/main.cpp
+++ b/packages/daemon/launcher/main.cpp
@@ -22,6 +22,8 @@
 int main(int Count, char **Arguments) {
   // The settings are read later, so that a change until then is seen anyway.
   std::signal(SIGHUP, SIG_IGN);
+  // The reader of the output may be gone before the first line.
+  std::signal(SIGPIPE, SIG_IGN);
   void *Library = dlopen("libcamphornotchd.so", RTLD_NOW);
   void *Symbol =
       Library == nullptr ? nullptr : dlsym(Library, "camphornotchMain");
