Fix: [Daemon] Closed standard descriptors are not given to sockets

Callers saw nothing yet; found by reading. Cause: of a process that starts with descriptors 0 to 2 closed, the loop's own descriptors and the first sockets get these numbers, and log lines go to them. Change: the launcher opens /dev/null until none of the three is free. Evidence: soak_output_closed now looks at the three descriptors; with the launcher before it they are sockets or descriptors of the loop.

--- a/packages/daemon/launcher/main.cpp
+++ b/packages/daemon/launcher/main.cpp
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <cstdio>
 #include <dlfcn.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace {
 
@@ -14,6 +16,16 @@
 /// The type of camphornotchMain in daemon/daemon_main.h.
 using DaemonMain = int (*)(int, char **);
 
+/// Opens the standard descriptors that are closed. Otherwise the first sockets
+/// would get their numbers, and log lines.
+void openStandardDescriptors() {
+  for (int Fd = open("/dev/null", O_RDWR); Fd >= 0; Fd = dup(Fd))
+    if (Fd > STDERR_FILENO) {
+      close(Fd);
+      return;
+    }
+}
+
 } // namespace
 
 /// @param Count how many arguments.
@@ -24,6 +36,7 @@
   std::signal(SIGHUP, SIG_IGN);
   // The reader of the output may be gone before the first line.
   std::signal(SIGPIPE, SIG_IGN);
+  openStandardDescriptors();
   void *Library = dlopen("libcamphornotchd.so", RTLD_NOW);
   void *Symbol =
       Library == nullptr ? nullptr : dlsym(Library, "camphornotchMain");
--- a/tests/soak/lives.py
+++ b/tests/soak/lives.py
@@ -4,6 +4,7 @@
 to hosts.faults.
 """
 import asyncio
+import os
 import signal
 import time
 
@@ -195,7 +196,13 @@
 
 
 async def output_closed(hosts, _):
-    return await requests_beside_output(hosts, "closed")
+    text = await requests_beside_output(hosts, "closed")
+    for node in hosts.nodes:
+        for number in range(3):
+            target = os.readlink(f"/proc/{hosts.processes[node].pid}/fd/{number}")
+            if target != "/dev/null":
+                hosts.faults.append(f"FAULT {node}: descriptor {number}, an output, is {target}")
+    return text
 
 
 async def requests_beside_output(hosts, output):
