Fix: [Daemon] A process waits for the addresses of the one before

Callers saw: processes that ended with code 3 again and again, until the one before had drained (up to the grace period), and then waited for one more start. Cause: an address in use was taken for a wrong setting. A gateway listens for 3.2 s after SIGTERM and ends up to 7.5 s after it. Agents and entries keep code 3, which guards an endpoint against a second agent.

--- a/packages/net/listen_func.cpp
+++ b/packages/net/listen_func.cpp
@@ -3,8 +3,11 @@
 
 #include "net/listen_internal.h"
 
+#include "net/listen_func.h"
+
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <cstring>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -32,6 +35,19 @@
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
 }
 
+bool isAddressTaken(const HttpTarget &Target) {
+  const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  const sockaddr_in Address = socketAddress(Target);
+  const bool Failed = bind(Fd, reinterpret_cast<const sockaddr *>(&Address),
+                           sizeof(Address)) != 0;
+  // An address that the host does not have yet comes up like a port.
+  const bool Taken = Failed && (errno == EADDRINUSE || errno == EADDRNOTAVAIL);
+  close(Fd);
+  return Taken;
+}
+
 Result<ListeningSocket> listenOn(const HttpTarget &Target) {
   ListeningSocket Socket;
   Socket.Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
