Fix: [Daemon] The limit on descriptors is raised to the settings'

Callers saw: no answer while 400 idle connections were open, although the settings allow 4,100. Cause: limits on clients follow [limits] file_descriptors, but nothing raised the soft limit that the process was started with (often 1,024). Change: the daemon raises it to the settings' number, or as far as the hard limit allows; the limits on clients then follow that, and a line says so.

--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -337,6 +337,11 @@
       Settings);
 }
 
+CommonSettings &commonSettings(DaemonSettings &Settings) {
+  return std::visit([](auto &Role) -> CommonSettings & { return Role.Common; },
+                    Settings);
+}
+
 std::string renderFaults(const std::vector<Error> &Faults) {
   std::string Lines;
   for (const Error &Fault : Faults)
--- a/packages/base/settings_func.h
+++ b/packages/base/settings_func.h
@@ -19,6 +19,7 @@
 
 /// @return the settings that all roles have.
 const CommonSettings &commonSettings(const DaemonSettings &Settings);
+CommonSettings &commonSettings(DaemonSettings &Settings);
 
 /// @return the table of settings as a Markdown page (docs/settings.md).
 std::string renderSettingsPage();
--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -3,8 +3,10 @@
 
 #include "daemon/daemon_main.h"
 #include "base/command_line_func.h"
+#include "base/descriptor_limit_func.h"
 #include "base/log_func.h"
 #include "base/settings_func.h"
+#include "base/text_func.h"
 #include "daemon/run_func.h"
 
 #include <variant>
@@ -40,10 +42,17 @@
 } // namespace
 
 int camphornotchMain(int Count, char **Arguments) {
-  const CommandLineResult Parsed = parseDaemonCommandLine(Count, Arguments);
+  CommandLineResult Parsed = parseDaemonCommandLine(Count, Arguments);
   if (const auto *Exit = std::get_if<ExitNow>(&Parsed))
     return Exit->Code;
-  const auto &Settings = std::get<DaemonSettings>(Parsed);
-  setupLogging(commonSettings(Settings));
+  auto &Settings = std::get<DaemonSettings>(Parsed);
+  CommonSettings &Common = commonSettings(Settings);
+  setupLogging(Common);
+  const int64_t Wanted = Common.FileDescriptors;
+  Common.FileDescriptors = raiseDescriptorLimit(Wanted);
+  if (Common.FileDescriptors < Wanted)
+    logLine(LogLevel::Warn, "the host allows fewer descriptors than [limits]",
+            {{"file_descriptors", concat(Wanted)},
+             {"allowed", concat(Common.FileDescriptors)}});
   return std::visit(RoleRunner{}, Settings);
 }
