Fix: [Daemon] The settings file is the one that CAMPHORNOTCH_CONFIG names

Callers saw: no process started (code 2 at each start) where the settings file was not at the one path that the deploy file's command named. Cause: the command named /etc/camphornotch/node.yaml; the platform says in CAMPHORNOTCH_CONFIG where the file is, which nothing read. Several processes on one machine cannot share one path.

--- a/packages/base/command_line_func.cpp
+++ b/packages/base/command_line_func.cpp
@@ -6,13 +6,16 @@
 #include "base/settings_func.h"
 #include "base/text_func.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <optional>
 #include <sstream>
 
-DEFINE_string(config, "", "settings file (INI)");
+DEFINE_string(config, "",
+              "settings file (INI); default: the one that the environment "
+              "variable CAMPHORNOTCH_CONFIG names");
 DEFINE_string(set, "",
               "overrides of settings: section.name=value, comma-separated");
 DEFINE_bool(check_settings, false,
@@ -41,7 +44,7 @@
 }
 
 void printHelp() {
-  std::cout << "camphornotchd --config FILE [--set section.name=value,...]\n"
+  std::cout << "camphornotchd [--config FILE] [--set section.name=value,...]\n"
                "Runs an entry or an agent, as [process] role says.\n\n";
   for (const char *Name : FlagNames)
     std::cout << gflags::DescribeOneFlag(
@@ -67,6 +70,9 @@
 /// Reads and checks the settings from the file and overrides that the flags
 /// give.
 CommandLineResult loadSettings() {
+  if (const char *Path = std::getenv("CAMPHORNOTCH_CONFIG");
+      FLAGS_config.empty() && Path != nullptr)
+    FLAGS_config = Path;
   if (FLAGS_config.empty())
     return usageError("no settings file given", "add --config FILE");
   const std::optional<std::string> Text = readFile(FLAGS_config);
