Add: [Pool] The software version of endpoints, and a soak of two versions

Cause: engines of several software versions may serve one service side by side, and a stream may go on only at the version that began it. Nothing read the version of an entry. Change: EndpointRecord::Software, a query for one version, records for progress, leftovers and origins of streams. tests/soak/versions.py: engines that write their version into each event; streams and items beside crashes, restarts, a release, moves, and clients that take their streams up at any gateway. Result: nothing uses it yet.

--- a/packages/core/gateway/endpoint_pool_base.cpp
+++ b/packages/core/gateway/endpoint_pool_base.cpp
@@ -66,9 +66,9 @@
     return true;
   }
   EndpointRecord &Known = Found->second.Record;
-  const bool Changed = Known.Draining != Record.Draining ||
-                       Known.Versions != Record.Versions ||
-                       Known.Service != Record.Service;
+  const bool Changed =
+      Known.Draining != Record.Draining || Known.Versions != Record.Versions ||
+      Known.Software != Record.Software || Known.Service != Record.Service;
   const bool Reindexed = Known.Service != Record.Service;
   if (Reindexed)
     this->Index.remove(Found->second);
@@ -173,7 +173,8 @@
                               const EndpointQuery &Query, Millis Now) {
   const EndpointRecord &Record = State.Record;
   if (Record.Service != Query.Service || Record.Draining || State.Leaving ||
-      Query.ExcludedEndpoints.contains(Record.Id))
+      Query.ExcludedEndpoints.contains(Record.Id) ||
+      (Query.Software.has_value() && *Query.Software != Record.Software))
     return false;
   if (Query.Model.empty())
     return true;
@@ -277,6 +278,14 @@
   return Best;
 }
 
+bool EndpointPool::serves(const EndpointQuery &Query, Millis Now) const {
+  const ServiceEndpoints *Service = this->Index.find(Query.Service);
+  return Service != nullptr &&
+         std::ranges::any_of(Service->All, [&](const EndpointState *State) {
+           return EndpointPool::isEligible(*State, Query, Now);
+         });
+}
+
 void EndpointPool::workStarted(const EndpointId &Id) {
   const auto Found = this->Endpoints.find(Id);
   if (Found == this->Endpoints.end())
@@ -378,6 +387,12 @@
   return Found == this->Endpoints.end() ? nullptr : &Found->second;
 }
 
+bool EndpointPool::keepsSoftware(const EndpointId &Id,
+                                 std::string_view Software) const {
+  const EndpointState *State = this->find(Id);
+  return State == nullptr || State->Record.Software == Software;
+}
+
 NetworkDistance EndpointPool::distanceTo(const std::string &DataCentre) const {
   if (DataCentre == this->Locations.LocalDataCentre)
     return NetworkDistance::SameDataCentre;
--- a/packages/core/gateway/endpoint_pool_base.h
+++ b/packages/core/gateway/endpoint_pool_base.h
@@ -35,6 +35,8 @@
   int64_t MinFreeSlots = 0;
   /// The work of the request, for RemainingWorkChoice.
   ExpectedWork Work{};
+  /// The version of the endpoint's software; absent: any.
+  std::optional<std::string> Software{};
 };
 
 /// State of the endpoints and choice among them; deterministic, without I/O.
@@ -111,6 +113,10 @@
   ///   (RemainingWorkChoice).
   bool usesForecasts() const;
 
+  /// @return whether an endpoint that takes work serves the query, whatever its
+  ///   load.
+  bool serves(const EndpointQuery &Query, Millis Now) const;
+
   /// @return when an endpoint would finish a request that is sent now.
   WorkForecast forecast(const EndpointState &State, const ExpectedWork &Work,
                         Millis Now) const;
@@ -123,6 +129,12 @@
 
   const EndpointState *find(const EndpointId &Id) const;
 
+  /// @param Id an endpoint that work was sent to.
+  /// @param Software the version of its software then.
+  /// @return false if it has registered with another one since, so that either
+  ///   may have done the work.
+  bool keepsSoftware(const EndpointId &Id, std::string_view Software) const;
+
   const std::map<EndpointId, EndpointState> &all() const {
     return this->Endpoints;
   }
--- a/packages/core/gateway/endpoint_pool_type.h
+++ b/packages/core/gateway/endpoint_pool_type.h
@@ -43,6 +43,9 @@
   bool Draining = false;
   /// Remaining time of slow operation after its start.
   Millis ColdRemaining{0};
+  /// Version of its software. Only endpoints of the same one can go on with a
+  /// stream that it began.
+  std::string Software;
   /// Empty for plain services.
   ModelVersions Versions;
 
--- a/packages/wire/camphornotch.thrift
+++ b/packages/wire/camphornotch.thrift
@@ -625,6 +625,7 @@
   3: i64 Run,              // one number a chain of events
   4: i64 From,             // events of the chain before these
   5: list<TextEvent> Events,
+  6: optional string Software, // version of the engines that made the chain
 }
 
 /** The outcome of an item; the first record of an item stands. */
@@ -656,6 +657,7 @@
   1: string Item,
   2: bool Whole,           // the text is complete
   3: list<TextEvent> Events,
+  4: optional string Software, // version of the engines that made the text
 }
 
 /** Texts that an ended submission leaves behind. */
@@ -664,6 +666,13 @@
   2: list<LeftoverText> Texts,
 }
 
+/** Which engines began a caller's stream: only they can go on with it. */
+struct StreamOriginRecord {
+  1: string RequestId,     // the request that brought the first event
+  2: string Service,
+  3: string Software,      // version of the engine's software
+}
+
 /* ---- Records of duties ---------------------------------------------------- */
 
 /** Claims a duty; its offset plus one is the holder's fencing number. */
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -98,6 +98,13 @@
   cr_assert_eq(Decoded.value().Versions.size(), 1U);
 }
 
+Test(decodeEndpoint, versionOfTheSoftware_isKeptApartFromWeights) {
+  Json Entry = Json::parse(endpointText("ready"));
+  Entry["version"] = "v7";
+  cr_expect_str_eq(decodeEndpoint("i", Entry.dump()).value().Software.c_str(),
+                   "v7");
+}
+
 // Guards against use of an entry that no engine wrote.
 Test(decodeEndpoint, memberMissingOrMistyped_isAnError) {
   const std::string Good = endpointText("ready");
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -12,10 +12,12 @@
 import tempfile
 
 import lives
+import versions
 from hosts import Hosts
 from standins import Record
 
 CASE_LIMIT_S = 90
+CASES = lives.CASES + versions.CASES
 
 
 async def play(case, options):
@@ -52,10 +54,10 @@
     parser.add_argument("--list", action="store_true", help="print the names of the cases")
     options = parser.parse_args()
     if options.list:
-        print(";".join(case.__name__ for case in lives.CASES))
+        print(";".join(case.__name__ for case in CASES))
         return
     names = [name for name in options.case.split(",") if name]
-    cases = [case for case in lives.CASES if not names or case.__name__ in names]
+    cases = [case for case in CASES if not names or case.__name__ in names]
     held = [asyncio.run(play(case, options)) for case in cases]
     print(f"process soak: seed={options.seed} {sum(held)} passed, {len(held) - sum(held)} failed")
     sys.exit(0 if all(held) and held else 1)
