Fix: [Gateway] A stream goes on at the software that began it

Cause: a broken stream went to any endpoint of the service. Change: the first events that are passed on fix the version for the rest of the request. If the endpoint has registered with another version since the attempt was sent, either may have made the events: nothing goes on then, and the caller gets the stream cut.

--- a/packages/core/gateway/forward_plan_base.cpp
+++ b/packages/core/gateway/forward_plan_base.cpp
@@ -7,6 +7,7 @@
 #include "core/gateway/route_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphornotch {
 
@@ -102,13 +103,14 @@
                ? this->giveUp(Now)
                : EndRequest{StatusGatewayTimeout, "deadline", Millis{0}};
   const bool Exhausted =
+      this->Unresumable ||
       this->AttemptCount >= this->Params.MatchedRoute.Attempts ||
       (this->MayHaveRun && !mayRepeat(this->Params.MatchedRoute));
   if (this->Running.empty() && Exhausted)
     return this->giveUp(Now);
   EndpointQuery Query{
-      this->Params.Service, this->Params.Model, 0, this->Tried, 0,
-      this->Params.Work};
+      this->Params.Service, this->Params.Model,   0, this->Tried, 0,
+      this->Params.Work,    this->Params.Software};
   // Another attempt draws other candidates.
   Query.Work.Draw += static_cast<uint64_t>(this->AttemptCount + this->Refusals);
   const Millis Objective = this->Params.MatchedRoute.Objective;
@@ -144,6 +146,11 @@
   return AwaitAttempt{Wake};
 }
 
+void ForwardPlan::streamBegan(std::optional<std::string> Software) {
+  this->Unresumable = !Software.has_value();
+  this->Params.Software = std::move(Software);
+}
+
 EndRequest ForwardPlan::stop() const {
   const bool NotRun = this->Running.empty() && !this->MayHaveRun;
   return EndRequest{NotRun ? StatusUnavailable : StatusBadGateway, "stopping",
--- a/packages/core/gateway/forward_plan_base.h
+++ b/packages/core/gateway/forward_plan_base.h
@@ -69,6 +69,9 @@
   Millis Deadline;
   /// The work that it is expected to cause.
   ExpectedWork Work{};
+  /// The version of software that began the stream which the request goes on
+  /// with; absent: it begins anew.
+  std::optional<std::string> Software{};
 };
 
 /// Attempts of one request; deterministic, without I/O. A request that may be
@@ -90,6 +93,11 @@
   /// Notes how an attempt ended that gave no final answer.
   void attemptEnded(const EndpointId &Endpoint, AttemptOutcome Outcome);
 
+  /// Notes that the caller has events of a stream: only endpoints of the same
+  /// software go on with it.
+  /// @param Software the version; absent: not known, so that none goes on.
+  void streamBegan(std::optional<std::string> Software);
+
   /// @return whether the request may have run.
   bool mayHaveRun() const { return this->MayHaveRun; }
 
@@ -128,6 +136,8 @@
   bool MayHaveRun = false;
   /// Whether an endpoint's own failure is at hand.
   bool HasEndpointFailure = false;
+  /// Whether no endpoint can go on with the stream.
+  bool Unresumable = false;
   /// No attempt before this time.
   Millis NotBefore{0};
 };
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -143,6 +143,7 @@
   Attempt Current;
   Current.Endpoint = Endpoint;
   Current.StartedAtMs = State->Record.StartedAtMs;
+  Current.Software = State->Record.Software;
   Current.SentAt = Now;
   Current.Call = this->Http.start(std::move(Call), std::move(Callbacks));
   Active.Attempts.emplace(Number, std::move(Current));
@@ -194,12 +195,33 @@
   return First.has_value() && First.value().Id == Expected;
 }
 
+void ForwardTask::noteEvents(ActiveRequest &Active, const Attempt &Current) {
+  if (std::exchange(Active.HasEvents, true))
+    return;
+  // The events of earlier tries decide where the caller went on with a stream.
+  if (Active.Plan.params().Software.has_value())
+    return;
+  if (!this->Pool.keepsSoftware(Current.Endpoint, Current.Software)) {
+    Active.Plan.streamBegan(std::nullopt);
+    return;
+  }
+  Active.Plan.streamBegan(Current.Software);
+  if (Active.Callbacks.OnStreamBegan)
+    Active.Callbacks.OnStreamBegan(Current.Software);
+}
+
 void ForwardTask::onChunk(ForwardId Id, uint64_t Number,
                           std::string_view Part) {
   ActiveRequest *Active = this->find(Id);
   if (Active == nullptr || !Active->Attempts.contains(Number))
     return;
   Attempt &Current = Active->Attempts.at(Number);
+  if (Active->HasEvents &&
+      !this->Pool.keepsSoftware(Current.Endpoint, Current.Software)) {
+    Active->Plan.streamBegan(std::nullopt);
+    this->abortAttempt(Id, Number, "the endpoint's software has changed");
+    return;
+  }
   Current.Buffer += Part;
   if (Current.ResumesAfter > 0 && !this->resumes(Current)) {
     this->abortAttempt(Id, Number, "the stream does not go on where it ended");
@@ -222,6 +244,7 @@
                 .substr(LastStart + EventEnd.size()));
   if (Last.has_value() && Last.value().Id > 0)
     Active->Request.ReceivedEvents = Last.value().Id;
+  this->noteEvents(*Active, Current);
   Active->Callbacks.OnStreamEvents(CompleteEvents);
 }
 
@@ -327,6 +350,9 @@
     Active->Callbacks.OnAttemptNotRun(Number);
   const Millis Now = steadyNow();
   this->Pool.workEnded(Current.Endpoint, Work, Millis{0}, Now);
+  if (Active->HasEvents &&
+      !this->Pool.keepsSoftware(Current.Endpoint, Current.Software))
+    Active->Plan.streamBegan(std::nullopt);
   Active->Plan.attemptEnded(Current.Endpoint, End);
   logLine(LogLevel::Info, "attempt gave no final answer",
           {{"request_id", Active->Request.RequestId},
--- a/packages/gateway/forward_task_base.h
+++ b/packages/gateway/forward_task_base.h
@@ -61,6 +61,10 @@
   std::function<void(uint64_t Number)> OnAttemptNotRun;
   /// The request is sent to its first endpoint, by this forecast. Optional.
   std::function<void(const WorkForecast &)> OnForecast;
+  /// The first events of a stream that began anew are about to be passed on.
+  /// Optional.
+  /// @param Software version of the endpoint's software.
+  std::function<void(const std::string &Software)> OnStreamBegan;
   /// The head of a stream arrived.
   std::function<void(HttpResponse)> OnStreamStart;
   /// Complete events of a stream arrived.
@@ -111,6 +115,8 @@
     EndpointId Endpoint;
     /// When the endpoint's lifetime began that it was sent to.
     int64_t StartedAtMs = 0;
+    /// Version of the endpoint's software when it was sent.
+    std::string Software;
     HttpCallId Call;
     Millis SentAt;
     /// Decoded head of the answer; status 0 before it arrives.
@@ -143,6 +149,8 @@
     /// succeeds.
     HttpResponse Failure;
     bool Streaming = false;
+    /// Whether the caller has events of the stream.
+    bool HasEvents = false;
     /// Runs advance() at the time that the plan asked for.
     TimerId PlanTimer;
   };
@@ -155,6 +163,8 @@
   /// Checks the first event of a resumed stream once it is complete.
   /// @return false if it does not follow the last one that the caller has.
   static bool resumes(Attempt &Current);
+  /// Notes that events of an attempt are about to be passed on.
+  void noteEvents(ActiveRequest &Active, const Attempt &Current);
   void onFinished(ForwardId Id, uint64_t Number, HttpResponse Response);
   void onFailed(ForwardId Id, uint64_t Number, const HttpFailure &Failure);
   /// Reports an attempt that broke, if its endpoint turns out to have crashed.
--- a/tests/gateway/forward_plan_test.cpp
+++ b/tests/gateway/forward_plan_test.cpp
@@ -4,6 +4,9 @@
 #include "core/gateway/forward_plan_base.h"
 
 #include <criterion/criterion.h>
+#include <optional>
+#include <set>
+#include <string>
 
 using namespace camphornotch;
 
@@ -27,9 +30,10 @@
     this->Params.Deadline = this->Now + Millis{1000};
   }
 
-  void add(const std::string &Name) {
+  void add(const std::string &Name, const std::string &Software = "") {
     EndpointRecord Record;
     Record.Id = EndpointId{Name};
+    Record.Software = Software;
     Record.Service = "s";
     Record.DataCentre = "dc";
     Record.Slots = 4;
@@ -187,3 +191,38 @@
   cr_assert(!Second.empty());
   cr_assert(First != Second);
 }
+
+// Guards against streams that go on at an endpoint of another software.
+Test(forwardPlan, streamThatBroke_goesOnAtTheSameSoftwareOnly) {
+  PlanFixture Net;
+  Net.add("a", "v1");
+  Net.add("b", "v2");
+  Net.add("c", "v1");
+  Net.Params.MatchedRoute.Kind = RouteKind::Stream;
+  Net.Params.MatchedRoute.Resumable = true;
+  Net.Params.MatchedRoute.Attempts = 3;
+  Net.Params.Software = "v1";
+  ForwardPlan Plan(Net.Params);
+  std::set<std::string> Sent;
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    const std::string Endpoint = Net.send(Plan);
+    Sent.insert(Endpoint);
+    Plan.attemptEnded(EndpointId{Endpoint}, AttemptOutcome::Failed);
+  }
+  cr_expect(Sent == (std::set<std::string>{"a", "c"}));
+  Net.Now = Net.Params.Deadline - Millis{10};
+  cr_expect_str_eq(Net.send(Plan).c_str(), "");
+}
+
+Test(forwardPlan, streamOfUnknownSoftware_goesOnNowhere) {
+  PlanFixture Net;
+  Net.Params.MatchedRoute.Kind = RouteKind::Stream;
+  Net.Params.MatchedRoute.Resumable = true;
+  ForwardPlan Plan(Net.Params);
+  const std::string First = Net.send(Plan);
+  Plan.streamBegan(std::nullopt);
+  Plan.attemptEnded(EndpointId{First}, AttemptOutcome::Failed);
+  const ForwardStep Step = Plan.next(Net.Pool, Net.Now);
+  cr_assert(std::holds_alternative<EndRequest>(Step));
+  cr_expect_eq(std::get<EndRequest>(Step).Status, 502);
+}
