Fix: [Gateway] A stream that its caller takes up goes on at its software

Cause: a gateway knows nothing of a stream that another one began, or that it began before a restart; it sent the rest to any endpoint. Resumes was not read. Not known, or no longer routed: 503 with Retry-After, not run. Without Resumes a stream goes on only if all endpoints have one version.

--- a/packages/core/gateway/route_func.cpp
+++ b/packages/core/gateway/route_func.cpp
@@ -47,4 +47,9 @@
          (Wanted.Kind == RouteKind::Stream && Wanted.Resumable);
 }
 
+bool hasService(const Route &Wanted, std::string_view Service) {
+  return std::ranges::find(Wanted.Services, Service, &ServiceShare::Service) !=
+         Wanted.Services.end();
+}
+
 } // namespace camphornotch
--- a/packages/core/gateway/route_func.h
+++ b/packages/core/gateway/route_func.h
@@ -25,6 +25,9 @@
 /// @return whether a request may be sent again after it may have run.
 bool mayRepeat(const Route &Wanted);
 
+/// @return whether the service has a share of the route's requests.
+bool hasService(const Route &Wanted, std::string_view Service);
+
 } // namespace camphornotch
 
 #endif // CAMPHORNOTCH_CORE_GATEWAY_ROUTE_FUNC_H
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -109,6 +109,8 @@
                   this->Batches.wake();
                 }),
       Forward(Events, Http, Pool, Counts),
+      Origins(Events, Store, this->Settings.Common.Host,
+              this->Settings.Partitions),
       Batches(
           BatchTaskDependencies{Events, Http, Store, Pool, Forward, Counts},
           this->Settings,
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -11,6 +11,7 @@
 #include "gateway/forward_task_base.h"
 #include "gateway/peer_task_base.h"
 #include "gateway/published_values_base.h"
+#include "gateway/stream_origins_base.h"
 #include "gateway/suspect_task_base.h"
 #include "gateway/usage_task_base.h"
 #include "gateway/work_tracker_base.h"
@@ -61,9 +62,24 @@
   /// @return the account's name; nothing if the configuration has no accounts.
   std::optional<std::string>
   accountIfUsed(const std::string &AccountName) const;
+  /// Forwards a request, or takes up the stream that it goes on with.
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
                const platform::RoutedRequest &Routed, const Route &MatchedRoute,
                const std::string &AccountName);
+  /// Looks up what began a caller's stream, and goes on with it there.
+  void takeUpStream(const std::shared_ptr<HttpExchange> &Exchange,
+                    const platform::RoutedRequest &Routed,
+                    const Route &MatchedRoute, const std::string &AccountName);
+  /// @return the only service and software that a stream of the route can have
+  ///   begun at, by the endpoints of now; nothing if there are several.
+  std::optional<StreamOrigin> soleOrigin(const Route &MatchedRoute) const;
+  /// @param Origin where the stream began that it goes on with; null: it begins
+  ///   anew.
+  /// @param ArrivedAt when the request arrived.
+  void send(const std::shared_ptr<HttpExchange> &Exchange,
+            const platform::RoutedRequest &Routed, const Route &MatchedRoute,
+            const std::string &AccountName, const StreamOrigin *Origin,
+            Millis ArrivedAt);
   /// The end of a forwarded request, for its log line.
   struct ForwardedRequest;
   /// Logs the answer to a forwarded request, and learns from it.
@@ -137,6 +153,8 @@
   /// Follows the registered endpoints.
   DirectoryTask Directory;
   ForwardTask Forward;
+  /// What began the streams of callers.
+  StreamOrigins Origins;
   BatchTask Batches;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ProbeServer;
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -27,6 +27,9 @@
 /// Retry-After while the gateway has no configuration or has not read the
 /// endpoints. Both are read within a second of its start.
 constexpr Millis StartingRetryAfter{500};
+/// Retry-After for a stream of which nothing is known here yet: its record
+/// reaches the store within that time.
+constexpr Millis UnknownStreamRetryAfter{300};
 /// Cause in the log of a stream that could not be completed.
 constexpr std::string_view StreamCutOff = "stream cut off";
 
@@ -201,7 +204,6 @@
                       const Route &MatchedRoute,
                       const std::string &AccountName) {
   const HttpRequest &Request = Exchange->request();
-  const Millis Now = steadyNow();
   const RequestDigest Digest =
       digestOf(Request.Authority, Request.Target, Request.Body);
   if (this->Suspects.isQuarantined(Digest)) {
@@ -212,6 +214,73 @@
     this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
     return;
   }
+  if (MatchedRoute.Kind == RouteKind::Stream && Routed.ReceivedEvents > 0)
+    this->takeUpStream(Exchange, Routed, MatchedRoute, AccountName);
+  else
+    this->send(Exchange, Routed, MatchedRoute, AccountName, nullptr,
+               steadyNow());
+}
+
+std::optional<StreamOrigin>
+Gateway::soleOrigin(const Route &MatchedRoute) const {
+  std::optional<StreamOrigin> Sole;
+  for (const auto &[Id, State] : this->Pool.all()) {
+    const EndpointRecord &Record = State.Record;
+    if (!hasService(MatchedRoute, Record.Service))
+      continue;
+    if (Sole.has_value() &&
+        (Sole->Service != Record.Service || Sole->Software != Record.Software))
+      return std::nullopt;
+    Sole = StreamOrigin{Record.Service, Record.Software};
+  }
+  return Sole;
+}
+
+void Gateway::takeUpStream(const std::shared_ptr<HttpExchange> &Exchange,
+                           const platform::RoutedRequest &Routed,
+                           const Route &MatchedRoute,
+                           const std::string &AccountName) {
+  const auto IsGone = std::make_shared<bool>(false);
+  Exchange->onGone([IsGone] { *IsGone = true; });
+  const auto GoOn = [this, Exchange, Routed, MatchedRoute, AccountName, IsGone,
+                     ArrivedAt = steadyNow()](const StreamOrigin *Origin) {
+    if (*IsGone)
+      return;
+    const bool Routable =
+        Origin != nullptr && hasService(MatchedRoute, Origin->Service);
+    logLine(LogLevel::Info, "stream taken up",
+            {{"request_id", Routed.RequestId},
+             {"resumes", Routed.Resumes},
+             {"events_had", concat(Routed.ReceivedEvents)},
+             {"service", Origin == nullptr ? "" : Origin->Service},
+             {"software", Origin == nullptr ? "" : Origin->Software},
+             {"took_ms", concat((steadyNow() - ArrivedAt).Count)}});
+    if (Routable) {
+      this->send(Exchange, Routed, MatchedRoute, AccountName, Origin,
+                 ArrivedAt);
+      return;
+    }
+    this->Counts.countRefusal(RefusalReason::NoEndpoint);
+    this->refuse(Exchange, StatusUnavailable,
+                 Origin == nullptr ? "stream not known" : "service not routed",
+                 UnknownStreamRetryAfter);
+  };
+  if (!Routed.Resumes.empty()) {
+    this->Origins.find(Routed.Resumes, GoOn);
+    return;
+  }
+  const std::optional<StreamOrigin> Sole = this->soleOrigin(MatchedRoute);
+  GoOn(Sole.has_value() ? &*Sole : nullptr);
+}
+
+void Gateway::send(const std::shared_ptr<HttpExchange> &Exchange,
+                   const platform::RoutedRequest &Routed,
+                   const Route &MatchedRoute, const std::string &AccountName,
+                   const StreamOrigin *Origin, Millis ArrivedAt) {
+  const HttpRequest &Request = Exchange->request();
+  const Millis Now = ArrivedAt;
+  const RequestDigest Digest =
+      digestOf(Request.Authority, Request.Target, Request.Body);
   Millis TimeLeft =
       Routed.TimeLeft == Never ? DefaultTimeLeft : Routed.TimeLeft;
   if (MatchedRoute.Timeout > Millis{0})
@@ -223,6 +292,10 @@
   ForwardJob Job;
   Job.Params.MatchedRoute = MatchedRoute;
   Job.Params.Service = drawService(MatchedRoute, this->Random());
+  if (Origin != nullptr) {
+    Job.Params.Service = Origin->Service;
+    Job.Params.Software = Origin->Software;
+  }
   const ServiceInfo *Service = findService(this->Routes, Job.Params.Service);
   if (Service != nullptr && Service->Engine.has_value())
     this->EngineUsedAt = Now;
@@ -269,6 +342,12 @@
     Exchange->answer(
         platform::encodeRefusal(End.Status, End.Reason, End.RetryAfter));
   };
+  if (MatchedRoute.Kind == RouteKind::Stream && MatchedRoute.Resumable)
+    Callbacks.OnStreamBegan =
+        [this, Id = Routed.RequestId,
+         Service = Job.Params.Service](const std::string &Software) {
+          this->Origins.add(Id, StreamOrigin{Service, Software});
+        };
   Callbacks.OnStreamStart = [Exchange](HttpResponse Head) {
     Exchange->start(std::move(Head));
   };
--- a/packages/wire/codec_func.cpp
+++ b/packages/wire/codec_func.cpp
@@ -131,6 +131,14 @@
   return decode<wire::SuspectRecord>(Bytes);
 }
 
+std::string encodeStreamOrigin(const wire::StreamOriginRecord &Record) {
+  return encode(Record);
+}
+
+Result<wire::StreamOriginRecord> decodeStreamOrigin(std::string_view Bytes) {
+  return decode<wire::StreamOriginRecord>(Bytes);
+}
+
 Result<std::optional<std::string_view>> takeFrame(std::string_view Bytes) {
   if (Bytes.size() < FrameHeaderBytes)
     return std::optional<std::string_view>{};
--- a/packages/wire/codec_func.h
+++ b/packages/wire/codec_func.h
@@ -75,6 +75,12 @@
 /// @return the record, or what is wrong with it.
 Result<wire::SuspectRecord> decodeSuspect(std::string_view Bytes);
 
+/// Encodes a record of the topic of streams.
+std::string encodeStreamOrigin(const wire::StreamOriginRecord &Record);
+
+/// @return the record, or what is wrong with it.
+Result<wire::StreamOriginRecord> decodeStreamOrigin(std::string_view Bytes);
+
 /// Looks for one whole frame at the start of received bytes.
 /// @param Bytes what has been received and not yet consumed.
 /// @return the message's bytes, nothing if more are needed, or an error if
