Fix: [Batch] The text of an item is made by one software version

Cause: an item went on with its text at any engine; its progress in the store and the leftovers of a step did not say what made them. Change: runs, progress records and leftover texts carry the version. An item waits up to 0.6 s for room at an engine of its version, if one serves; at any other its text is discarded and begins anew, since no caller has any of it. Moves go to engines of the same version only. A text is also discarded if its engine registers with another version during the run. Records without a version (of gateways before this change) match none.

--- a/packages/core/batch/batch_type.h
+++ b/packages/core/batch/batch_type.h
@@ -35,6 +35,8 @@
   /// Identifies the chain.
   int64_t RunId = 0;
   std::vector<wire::TextEvent> Events;
+  /// Version of software of the engines that made them.
+  std::string Software;
 };
 
 /// State of one submission, computed from the records of its partition.
--- a/packages/core/batch/item_scheduler_base.cpp
+++ b/packages/core/batch/item_scheduler_base.cpp
@@ -31,6 +31,9 @@
 constexpr Millis FailureDelay{100};
 /// Delay in which an engine may load newer weights.
 constexpr Millis VersionTooOldDelay{60};
+/// Longest wait for an engine that can go on with a text: that of an engine's
+/// queue. Beginning anew costs less than a longer one.
+constexpr Millis SameSoftwareWait{600};
 /// Delay of an item whose submission may have ended.
 constexpr Millis HeldDelay{200};
 
@@ -239,6 +242,12 @@
                                                    Millis Now) {
   EndpointQuery Query{Item.Service,           Item.Model, Item.MinVersion,
                       Item.ExcludedEndpoints, 1,          Work};
+  if (Now < Item.SoftwareUntil) {
+    EndpointQuery Same{Item.Service, Item.Model, Item.MinVersion};
+    Same.Software = Item.Software;
+    if (Pool.serves(Same, Now))
+      Query.Software = Item.Software;
+  }
   const EndpointState *Chosen = Pool.choose(Query, Now);
   if (Chosen != nullptr || Query.ExcludedEndpoints.empty())
     return Chosen;
@@ -262,7 +271,9 @@
     Loads = this->accountLoads();
   // If no endpoint has room for an item, none has for others that need the
   // same service, model and version.
-  std::set<std::tuple<std::string, std::string, int64_t>> Unplaceable;
+  std::set<
+      std::tuple<std::string, std::string, int64_t, std::optional<std::string>>>
+      Unplaceable;
   std::vector<ItemStart> Starts;
   for (ScheduledItem *Turn : Waiting) {
     ScheduledItem *Item = Turns.has_value() ? &Turns->next(*Turn) : Turn;
@@ -270,7 +281,9 @@
     if (Turns.has_value() && Quota != this->Quotas.end() &&
         Loads[Item->Account].Running >= Quota->second)
       continue;
-    const auto Needs = std::tuple(Item->Service, Item->Model, Item->MinVersion);
+    const auto Needs =
+        std::tuple(Item->Service, Item->Model, Item->MinVersion,
+                   Now < Item->SoftwareUntil ? Item->Software : std::nullopt);
     if (Unplaceable.contains(Needs))
       continue;
     const ExpectedWork Work = Pool.usesForecasts() && this->WorkOf
@@ -296,6 +309,17 @@
   return Starts;
 }
 
+void ItemScheduler::setSoftware(const ItemKey &Key,
+                                std::optional<std::string> Software,
+                                Millis Now) {
+  const auto Found = this->Items.find(Key);
+  if (Found == this->Items.end())
+    return;
+  Found->second.SoftwareUntil =
+      Software.has_value() ? Now + SameSoftwareWait : Millis{0};
+  Found->second.Software = std::move(Software);
+}
+
 void ItemScheduler::requeue(const ItemKey &Key, RequeueReason Reason,
                             const EndpointId &Endpoint, Millis Now) {
   const auto Found = this->Items.find(Key);
--- a/packages/core/batch/item_scheduler_base.h
+++ b/packages/core/batch/item_scheduler_base.h
@@ -95,6 +95,13 @@
   /// broken connections.
   void noteProgress(const ItemKey &Key);
 
+  /// Sets which software made the text of an item. For a short time, it waits
+  /// for an engine of the same one; after that any will do, where the text
+  /// begins anew.
+  /// @param Software the version; absent: it has no text.
+  void setSoftware(const ItemKey &Key, std::optional<std::string> Software,
+                   Millis Now);
+
   /// @return the item, or null.
   const ScheduledItem *find(const ItemKey &Key) const;
 
--- a/packages/core/batch/item_scheduler_type.h
+++ b/packages/core/batch/item_scheduler_type.h
@@ -8,6 +8,7 @@
 #include "core/gateway/work_forecast_type.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <variant>
@@ -58,6 +59,11 @@
   Millis NotBefore{0};
   /// The endpoint of its last attempt, avoided while another one has room.
   std::set<EndpointId> ExcludedEndpoints;
+  /// Version of software of the engines that made its text so far, which no
+  /// other can go on with; absent: no text.
+  std::optional<std::string> Software;
+  /// Until then it waits for room at one of these engines.
+  Millis SoftwareUntil{0};
   /// Consecutive broken connections while it ran.
   int64_t Breaks = 0;
   /// Answers with status 500 so far.
--- a/packages/core/batch/leftover_table_base.cpp
+++ b/packages/core/batch/leftover_table_base.cpp
@@ -33,7 +33,8 @@
     return Decoded.error();
   for (wire::LeftoverText &Each : Decoded.value().Texts) {
     const int64_t Oldest = oldestVersion(Each.Events);
-    StoredText Received{Each.Whole, std::move(Each.Events), Now};
+    StoredText Received{Each.Whole, std::move(Each.Events),
+                        std::move(Each.Software), Now};
     StoredText &Stored = this->Texts[ItemId{Each.Item}][Oldest];
     Stored.SeenAt = Now;
     // A shorter text never replaces a longer one.
--- a/packages/core/batch/leftover_table_base.h
+++ b/packages/core/batch/leftover_table_base.h
@@ -19,6 +19,8 @@
 struct StoredText {
   bool Complete = false;
   std::vector<wire::TextEvent> Events;
+  /// Version of software of the engines that made it.
+  std::string Software;
   /// When this process received it.
   Millis SeenAt{0};
 };
--- a/packages/core/batch/partition_fold_base.cpp
+++ b/packages/core/batch/partition_fold_base.cpp
@@ -90,7 +90,8 @@
   }
   // Only a longer chain that starts with the first event replaces a chain.
   if (From == 0 && Record.Events.size() > Chain.Events.size())
-    Chain = EventChain{Record.Run, std::move(Record.Events)};
+    Chain = EventChain{Record.Run, std::move(Record.Events),
+                       std::move(Record.Software)};
 }
 
 void PartitionFold::skipTo(int64_t Offset) {
--- a/packages/core/batch/run_move_func.cpp
+++ b/packages/core/batch/run_move_func.cpp
@@ -20,17 +20,19 @@
     const bool First = Open > 0 && !isBeyondWanted(*Run.Item);
     return std::tuple(!First, First ? Open : 0);
   });
-  using RunKind =
-      std::tuple<EndpointId, std::string_view, std::string_view, int64_t>;
+  using RunKind = std::tuple<EndpointId, std::string_view, std::string_view,
+                             int64_t, std::optional<std::string>>;
   // Runs of the same kind for which no faster engine exists; each kind is
   // looked up once.
   std::set<RunKind> Unmovable;
   for (const MovableRun &Run : Runs) {
     const ScheduledItem &Item = *Run.Item;
-    const RunKind Kind(Run.Endpoint, Item.Service, Item.Model, Item.MinVersion);
+    const RunKind Kind(Run.Endpoint, Item.Service, Item.Model, Item.MinVersion,
+                       Item.Software);
     if (Unmovable.contains(Kind))
       continue;
-    const EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion};
+    EndpointQuery Query{Item.Service, Item.Model, Item.MinVersion};
+    Query.Software = Item.Software;
     if (Pool.findFaster(Run.Endpoint, Query, Now) != nullptr)
       return Item.Key;
     Unmovable.insert(Kind);
--- a/packages/gateway/item_leftovers.cpp
+++ b/packages/gateway/item_leftovers.cpp
@@ -28,6 +28,7 @@
   Run &Active = this->Runs[Key];
   Active.RunId = static_cast<int64_t>(this->Random() >> 1) | 1;
   Active.Events = Text.Events;
+  Active.Software = Text.Software;
   Active.Complete = Text.Complete;
   logLine(LogLevel::Info, "item continues from an earlier submission",
           {{"request_id", Key.Item.Value},
@@ -61,10 +62,13 @@
     Text.Item = LeftoverId;
     Text.Whole = Done != this->Finished.end() ||
                  (Running != this->Runs.end() && Running->second.Complete);
-    if (Done != this->Finished.end())
+    if (Done != this->Finished.end()) {
       Text.Events = Done->second.Events;
-    else if (Running != this->Runs.end())
+      Text.__set_Software(Done->second.Software);
+    } else if (Running != this->Runs.end()) {
       Text.Events = Running->second.Events;
+      Text.__set_Software(Running->second.Software);
+    }
     Record.Texts.push_back(std::move(Text));
     if (std::optional<wire::LeftoverText> SecondText =
             this->Reruns.leftover(Key)) {
--- a/packages/gateway/item_task_base.cpp
+++ b/packages/gateway/item_task_base.cpp
@@ -64,6 +64,13 @@
     return false;
   }
   this->Scheduler.add(State, this->routeFor(State, *MatchedRoute), Resubmitted);
+  const Millis Now = steadyNow();
+  for (const auto &[Item, Chain] : State.Progress)
+    this->Scheduler.setSoftware(ItemKey{SubmissionId{State.Record.Id}, Item},
+                                Chain.Software, Now);
+  for (const auto &[Key, Active] : this->Runs)
+    if (Key.Submission.Value == State.Record.Id)
+      this->noteSoftware(Key, Active);
   this->scheduleStart();
   return true;
 }
@@ -174,9 +181,22 @@
     const ScheduledItem *Scheduled = this->Scheduler.find(Key);
     // Events of another run may have another version.
     const bool Usable = Scheduled != nullptr && !Scheduled->SingleVersion;
-    if (Usable && Stored != State->Progress.end())
+    if (Usable && Stored != State->Progress.end()) {
       Active.Events = Stored->second.Events;
+      Active.Software = Stored->second.Software;
+    }
+  }
+  if (!Active.Events.empty() && Active.Software != Engine->Record.Software) {
+    logLine(LogLevel::Info, "text begins anew at another software",
+            {{"request_id", Key.Item.Value},
+             {"submission", Key.Submission.Value},
+             {"endpoint", Start.Endpoint.Value},
+             {"events_had", concat(Active.Events.size())},
+             {"software_before", Active.Software},
+             {"software", Engine->Record.Software}});
+    this->discardText(Active);
   }
+  Active.Software = Engine->Record.Software;
   Active.Endpoint = Start.Endpoint;
   Active.EngineStartedAtMs = Engine->Record.StartedAtMs;
   Active.LastEventAt = steadyNow();
@@ -264,6 +284,13 @@
          Active.Events.front().Version != Active.Version;
 }
 
+void ItemTask::noteSoftware(const ItemKey &Key, const Run &Active) {
+  this->Scheduler.setSoftware(
+      Key,
+      Active.Events.empty() ? std::nullopt : std::optional(Active.Software),
+      steadyNow());
+}
+
 void ItemTask::discardText(Run &Active) {
   Active.Events.clear();
   Active.SavedEvents = 0;
@@ -274,6 +301,10 @@
                            platform::EngineEvent &Event) {
   if (Event.Id != static_cast<int64_t>(Active.Events.size()) + 1)
     return false;
+  if (!this->Pool.keepsSoftware(Active.Endpoint, Active.Software)) {
+    this->discardText(Active);
+    return false;
+  }
   const ScheduledItem *Scheduled = this->Scheduler.find(Key);
   if (Event.Version >= 0) {
     Active.Version = Event.Version;
@@ -295,6 +326,8 @@
   Stored.Data = std::move(Event.Data);
   Stored.Version = Active.Version;
   Active.Events.push_back(std::move(Stored));
+  if (Active.Events.size() == Active.EventsAtStart + 1)
+    this->noteSoftware(Key, Active);
   this->Scheduler.noteProgress(Key);
   if (Active.Events.size() - Active.SavedEvents >= EventsPerSave)
     this->saveProgress(Key, Active);
@@ -367,6 +400,9 @@
     this->Http.closeIdle(HttpTarget{Engine->Record.ListenAddress.Ip,
                                     Engine->Record.ListenAddress.Port});
   this->Pool.workEnded(Active->Endpoint, End, Millis{0}, Now);
+  if (!this->Pool.keepsSoftware(Active->Endpoint, Active->Software))
+    this->discardText(*Active);
+  this->noteSoftware(Key, *Active);
   this->Scheduler.requeue(Key, Why, Active->Endpoint, Now);
   this->scheduleStart();
 }
@@ -388,7 +424,8 @@
       Versions.insert(Active->Events[Index].Version);
     }
     Record.Versions.assign(Versions.begin(), Versions.end());
-    this->Finished[Key] = FinishedText{Active->Events, steadyNow()};
+    this->Finished[Key] =
+        FinishedText{Active->Events, Active->Software, steadyNow()};
   }
   logLine(LogLevel::Info, "item has a result",
           {{"request_id", Key.Item.Value},
@@ -410,6 +447,7 @@
   Record.Item = Key.Item.Value;
   Record.Run = Active.RunId;
   Record.From = static_cast<int64_t>(Active.SavedEvents);
+  Record.__set_Software(Active.Software);
   Record.Events.assign(Active.Events.begin() +
                            static_cast<std::ptrdiff_t>(Active.SavedEvents),
                        Active.Events.end());
--- a/packages/gateway/item_task_base.h
+++ b/packages/gateway/item_task_base.h
@@ -102,6 +102,8 @@
     std::vector<wire::TextEvent> Events;
     /// Number of events already recorded as progress.
     size_t SavedEvents = 0;
+    /// Version of software of the engines that made the text, or make it now.
+    std::string Software;
     EndpointId Endpoint;
     /// When the engine's lifetime began that the call was sent to.
     int64_t EngineStartedAtMs = 0;
@@ -132,6 +134,7 @@
   /// Text of an item that has its result.
   struct FinishedText {
     std::vector<wire::TextEvent> Events;
+    std::string Software;
     Millis At{0};
   };
 
@@ -154,6 +157,8 @@
   ///   version or size limits.
   bool appendEvent(const ItemKey &Key, Run &Active,
                    platform::EngineEvent &Event);
+  /// Tells the scheduler which engines can go on with an item's text.
+  void noteSoftware(const ItemKey &Key, const Run &Active);
   /// Discards a text that cannot become a result, so that the item starts
   /// again.
   void discardText(Run &Active);
--- a/packages/gateway/second_run_base.cpp
+++ b/packages/gateway/second_run_base.cpp
@@ -51,6 +51,7 @@
   Run &Active = this->Runs[Key];
   Active.Endpoint = Engine->Record.Id;
   Active.EngineStartedAtMs = Engine->Record.StartedAtMs;
+  Active.Software = Engine->Record.Software;
   Active.Size = TextSize(Field->Tokens);
   logLine(LogLevel::Info, "item runs a second time under newer weights",
           {{"request_id", Key.Item.Value},
@@ -102,7 +103,8 @@
   const bool Good = Active.Stream.add(Part, [&](platform::EngineEvent &Event) {
     if (Event.Id != static_cast<int64_t>(Active.Events.size()) + 1)
       return false;
-    if (!Active.Size.add(Event.Data)) {
+    if (!Active.Size.add(Event.Data) ||
+        !this->Pool.keepsSoftware(Active.Endpoint, Active.Software)) {
       Active.Events.clear();
       return false;
     }
@@ -171,6 +173,7 @@
   Text.Item = Key.Item.Value;
   Text.Whole = Found->second.Complete;
   Text.Events = Found->second.Events;
+  Text.__set_Software(Found->second.Software);
   return Text;
 }
 
--- a/packages/gateway/second_run_base.h
+++ b/packages/gateway/second_run_base.h
@@ -62,6 +62,8 @@
     /// Parser of the answer's events.
     EventStream Stream;
     std::vector<wire::TextEvent> Events;
+    /// Version of the engine's software.
+    std::string Software;
     /// Version of the weights that generates the next event; -1: not known.
     int64_t Version = -1;
     /// When the last event arrived, or the call started.
--- a/tests/batch/item_scheduler_test.cpp
+++ b/tests/batch/item_scheduler_test.cpp
@@ -348,3 +348,35 @@
   LeftoverTable Table;
   cr_assert(Table.apply("\xff\xff\xff", seconds(1)).has_error());
 }
+
+// Guards against texts that go on at an engine of another software, and against
+// items that wait for one that stays full.
+Test(itemScheduler, textOfOneSoftware_waitsForItAShortTimeOnly) {
+  SchedulerFixture Net(0, 1);
+  for (const std::string Version : {"v1", "v2"}) {
+    EndpointRecord Record;
+    Record.Id = EndpointId{"engine-" + Version};
+    Record.Service = "s";
+    Record.DataCentre = "dc";
+    Record.Software = Version;
+    Record.Versions["m"] = 5;
+    Net.Pool.put(std::move(Record));
+  }
+  Net.submit("one", {10});
+  const ItemKey Key{SubmissionId{"one"}, ItemId{"i0"}};
+  Net.Scheduler.setSoftware(Key, "v1", Net.Now);
+  Net.Pool.workStarted(EndpointId{"engine-v1"});
+  cr_expect(Net.plan().empty());
+  Net.Now = Net.Now + Millis{601};
+  const std::vector<ItemStart> Starts = Net.Scheduler.plan(Net.Pool, Net.Now);
+  cr_assert_eq(Starts.size(), 1U);
+  cr_expect_str_eq(Starts[0].Endpoint.Value.c_str(), "engine-v2");
+}
+
+Test(itemScheduler, textWhoseSoftwareIsGone_startsAtOnce) {
+  SchedulerFixture Net(1, 1);
+  Net.submit("one", {10});
+  Net.Scheduler.setSoftware(ItemKey{SubmissionId{"one"}, ItemId{"i0"}}, "gone",
+                            Net.Now);
+  cr_expect_eq(Net.plan().size(), 1U);
+}
