Fix: [Gateway] A stream taken up at an endpoint that has changed is cut

Cause: read as a newcomer: the first events of a stream that a caller took up were passed on although the endpoint had registered with another version since the attempt was sent; routes that are not resumable were asked for an origin, too; the digest of each request was computed twice; and two tests compared pointers into strings that were gone. Change: the check holds from the first byte on; AdmittedRequest carries what is known of a request; the line 'endpoint changed' has the software version.

--- a/packages/gateway/directory_task_base.cpp
+++ b/packages/gateway/directory_task_base.cpp
@@ -59,12 +59,14 @@
     this->RemovalTimers.erase(Removal);
   }
   const std::string State = Decoded.value().Draining ? "draining" : "ready";
+  const std::string Software = Decoded.value().Software;
   if (!this->Pool.put(std::move(Decoded.value())))
     return;
   this->Pool.noteChange(EndpointId{Record.Key}, steadyNow());
   logLine(LogLevel::Info, "endpoint changed",
           {{"endpoint", Record.Key},
            {"state", State},
+           {"software", Software},
            {"offset", concat(Record.Offset)}});
   this->OnChanged();
 }
--- a/packages/gateway/forward_task_base.cpp
+++ b/packages/gateway/forward_task_base.cpp
@@ -216,7 +216,7 @@
   if (Active == nullptr || !Active->Attempts.contains(Number))
     return;
   Attempt &Current = Active->Attempts.at(Number);
-  if (Active->HasEvents &&
+  if (Active->Plan.params().Software.has_value() &&
       !this->Pool.keepsSoftware(Current.Endpoint, Current.Software)) {
     Active->Plan.streamBegan(std::nullopt);
     this->abortAttempt(Id, Number, "the endpoint's software has changed");
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -66,20 +66,24 @@
   void forward(const std::shared_ptr<HttpExchange> &Exchange,
                const platform::RoutedRequest &Routed, const Route &MatchedRoute,
                const std::string &AccountName);
+  /// A request that has passed all checks.
+  struct AdmittedRequest {
+    std::shared_ptr<HttpExchange> Exchange;
+    platform::RoutedRequest Routed;
+    Route MatchedRoute;
+    std::string AccountName;
+    RequestDigest Digest;
+    Millis ArrivedAt;
+  };
   /// Looks up what began a caller's stream, and goes on with it there.
-  void takeUpStream(const std::shared_ptr<HttpExchange> &Exchange,
-                    const platform::RoutedRequest &Routed,
-                    const Route &MatchedRoute, const std::string &AccountName);
+  void takeUpStream(const AdmittedRequest &Admitted);
   /// @return the only service and software that a stream of the route can have
   ///   begun at, by the endpoints of now; nothing if there are several.
   std::optional<StreamOrigin> soleOrigin(const Route &MatchedRoute) const;
+  /// Sends a request to an endpoint and returns the answer.
   /// @param Origin where the stream began that it goes on with; null: it begins
   ///   anew.
-  /// @param ArrivedAt when the request arrived.
-  void send(const std::shared_ptr<HttpExchange> &Exchange,
-            const platform::RoutedRequest &Routed, const Route &MatchedRoute,
-            const std::string &AccountName, const StreamOrigin *Origin,
-            Millis ArrivedAt);
+  void send(const AdmittedRequest &Admitted, const StreamOrigin *Origin);
   /// The end of a forwarded request, for its log line.
   struct ForwardedRequest;
   /// Logs the answer to a forwarded request, and learns from it.
--- a/packages/gateway/gateway_requests.cpp
+++ b/packages/gateway/gateway_requests.cpp
@@ -214,11 +214,14 @@
     this->refuse(Exchange, StatusBadGateway, "quarantined", Millis{0});
     return;
   }
-  if (MatchedRoute.Kind == RouteKind::Stream && Routed.ReceivedEvents > 0)
-    this->takeUpStream(Exchange, Routed, MatchedRoute, AccountName);
+  const AdmittedRequest Admitted{Exchange,    Routed, MatchedRoute,
+                                 AccountName, Digest, steadyNow()};
+  const bool GoesOn = MatchedRoute.Kind == RouteKind::Stream &&
+                      MatchedRoute.Resumable && Routed.ReceivedEvents > 0;
+  if (GoesOn)
+    this->takeUpStream(Admitted);
   else
-    this->send(Exchange, Routed, MatchedRoute, AccountName, nullptr,
-               steadyNow());
+    this->send(Admitted, nullptr);
 }
 
 std::optional<StreamOrigin>
@@ -236,56 +239,53 @@
   return Sole;
 }
 
-void Gateway::takeUpStream(const std::shared_ptr<HttpExchange> &Exchange,
-                           const platform::RoutedRequest &Routed,
-                           const Route &MatchedRoute,
-                           const std::string &AccountName) {
+void Gateway::takeUpStream(const AdmittedRequest &Admitted) {
   const auto IsGone = std::make_shared<bool>(false);
-  Exchange->onGone([IsGone] { *IsGone = true; });
-  const auto GoOn = [this, Exchange, Routed, MatchedRoute, AccountName, IsGone,
-                     ArrivedAt = steadyNow()](const StreamOrigin *Origin) {
+  Admitted.Exchange->onGone([IsGone] { *IsGone = true; });
+  const auto GoOn = [this, Admitted, IsGone](const StreamOrigin *Origin) {
     if (*IsGone)
       return;
-    const bool Routable =
-        Origin != nullptr && hasService(MatchedRoute, Origin->Service);
+    const platform::RoutedRequest &Routed = Admitted.Routed;
     logLine(LogLevel::Info, "stream taken up",
             {{"request_id", Routed.RequestId},
              {"resumes", Routed.Resumes},
              {"events_had", concat(Routed.ReceivedEvents)},
              {"service", Origin == nullptr ? "" : Origin->Service},
              {"software", Origin == nullptr ? "" : Origin->Software},
-             {"took_ms", concat((steadyNow() - ArrivedAt).Count)}});
-    if (Routable) {
-      this->send(Exchange, Routed, MatchedRoute, AccountName, Origin,
-                 ArrivedAt);
+             {"took_ms", concat((steadyNow() - Admitted.ArrivedAt).Count)}});
+    if (Origin != nullptr &&
+        hasService(Admitted.MatchedRoute, Origin->Service)) {
+      this->send(Admitted, Origin);
       return;
     }
     this->Counts.countRefusal(RefusalReason::NoEndpoint);
-    this->refuse(Exchange, StatusUnavailable,
+    this->refuse(Admitted.Exchange, StatusUnavailable,
                  Origin == nullptr ? "stream not known" : "service not routed",
                  UnknownStreamRetryAfter);
   };
-  if (!Routed.Resumes.empty()) {
-    this->Origins.find(Routed.Resumes, GoOn);
+  if (!Admitted.Routed.Resumes.empty()) {
+    this->Origins.find(Admitted.Routed.Resumes, GoOn);
     return;
   }
-  const std::optional<StreamOrigin> Sole = this->soleOrigin(MatchedRoute);
+  const std::optional<StreamOrigin> Sole =
+      this->soleOrigin(Admitted.MatchedRoute);
   GoOn(Sole.has_value() ? &*Sole : nullptr);
 }
 
-void Gateway::send(const std::shared_ptr<HttpExchange> &Exchange,
-                   const platform::RoutedRequest &Routed,
-                   const Route &MatchedRoute, const std::string &AccountName,
-                   const StreamOrigin *Origin, Millis ArrivedAt) {
+void Gateway::send(const AdmittedRequest &Admitted,
+                   const StreamOrigin *Origin) {
+  const std::shared_ptr<HttpExchange> &Exchange = Admitted.Exchange;
+  const platform::RoutedRequest &Routed = Admitted.Routed;
+  const Route &MatchedRoute = Admitted.MatchedRoute;
+  const std::string &AccountName = Admitted.AccountName;
+  const RequestDigest Digest = Admitted.Digest;
+  const Millis ArrivedAt = Admitted.ArrivedAt;
   const HttpRequest &Request = Exchange->request();
-  const Millis Now = ArrivedAt;
-  const RequestDigest Digest =
-      digestOf(Request.Authority, Request.Target, Request.Body);
   Millis TimeLeft =
       Routed.TimeLeft == Never ? DefaultTimeLeft : Routed.TimeLeft;
   if (MatchedRoute.Timeout > Millis{0})
     TimeLeft = std::min(TimeLeft, MatchedRoute.Timeout);
-  if (!this->mayStart(Now + TimeLeft)) {
+  if (!this->mayStart(ArrivedAt + TimeLeft)) {
     this->refuseStopping(Exchange);
     return;
   }
@@ -298,9 +298,9 @@
   }
   const ServiceInfo *Service = findService(this->Routes, Job.Params.Service);
   if (Service != nullptr && Service->Engine.has_value())
-    this->EngineUsedAt = Now;
-  Job.Params.ArrivedAt = Now;
-  Job.Params.Deadline = Now + TimeLeft - AnswerMargin;
+    this->EngineUsedAt = steadyNow();
+  Job.Params.ArrivedAt = ArrivedAt;
+  Job.Params.Deadline = ArrivedAt + TimeLeft - AnswerMargin;
   Job.Request.Method = Request.Method;
   Job.Request.Path = Request.Target;
   Job.Request.Host = Request.Authority;
@@ -315,8 +315,8 @@
   if (this->Pool.usesForecasts())
     Job.Params.Work = this->RequestWork.expect({MatchedRoute.Name, 0, 0});
   const auto Forwarded = std::make_shared<ForwardedRequest>(ForwardedRequest{
-      Now, Routed.RequestId, Job.Params.Service, AccountName, MatchedRoute.Name,
-      this->Routes.Version, Job.Params.Work, std::nullopt});
+      ArrivedAt, Routed.RequestId, Job.Params.Service, AccountName,
+      MatchedRoute.Name, this->Routes.Version, Job.Params.Work, std::nullopt});
   const auto Log = [this, Forwarded](int Status, std::string_view Cause) {
     this->onForwarded(*Forwarded, Status, Cause);
   };
--- a/tests/gateway/forward_plan_test.cpp
+++ b/tests/gateway/forward_plan_test.cpp
@@ -211,7 +211,7 @@
   }
   cr_expect(Sent == (std::set<std::string>{"a", "c"}));
   Net.Now = Net.Params.Deadline - Millis{10};
-  cr_expect_str_eq(Net.send(Plan).c_str(), "");
+  cr_expect(Net.send(Plan).empty());
 }
 
 Test(forwardPlan, streamOfUnknownSoftware_goesOnNowhere) {
--- a/tests/gateway_tasks/stream_origins_test.cpp
+++ b/tests/gateway_tasks/stream_origins_test.cpp
@@ -47,15 +47,15 @@
   One->add("r1", StreamOrigin{"s", "v1"});
   One->add("r1", StreamOrigin{"s", "v2"});
   Other->add("r2", StreamOrigin{"s", "v2"});
-  cr_expect_str_eq(Net.find(*One, "r1").c_str(), "v1");
-  cr_expect_str_eq(Net.find(*Other, "r1").c_str(), "v1");
-  cr_expect_str_eq(Net.find(*One, "r2").c_str(), "v2");
-  cr_expect_str_eq(Net.find(*Net.table("new"), "r2").c_str(), "v2");
+  cr_expect(Net.find(*One, "r1") == "v1");
+  cr_expect(Net.find(*Other, "r1") == "v1");
+  cr_expect(Net.find(*One, "r2") == "v2");
+  cr_expect(Net.find(*Net.table("new"), "r2") == "v2");
 }
 
 // Guards against streams that go on by a guess.
 Test(streamOrigins, streamThatNobodyRecorded_isNotKnown) {
   OriginNet Net;
   const auto Table = Net.table("one");
-  cr_expect_str_eq(Net.find(*Table, "never").c_str(), "?");
+  cr_expect(Net.find(*Table, "never") == "?");
 }
