--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -165,28 +165,27 @@
     await hosts.recovered(time.monotonic())
 
 
-async def streams_beside_crashes(hosts, luck):
-    """Engines crash, one every 0.4 s; each answer and each stream is checked."""
+async def streams_beside(hosts, luck, trouble, seconds=8, cut=True):
+    """Streams, taken up by their clients if cut, beside trouble(streams)."""
     await begin(hosts)
     streams = Streams(hosts, luck)
-    await asyncio.gather(streams.run(10, cut=False), crash_engines(hosts, luck, 10, 0.4))
+    await asyncio.gather(streams.run(seconds, cut), trouble(streams))
     return streams.report()
 
 
+async def streams_beside_crashes(hosts, luck):
+    """Engines crash, one every 0.4 s; each answer and each stream is checked."""
+    return await streams_beside(hosts, luck, lambda _: crash_engines(hosts, luck, 10, 0.4), seconds=10, cut=False)
+
+
 async def streams_taken_up(hosts, luck):
     """Clients leave their first try and go on at any gateway."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
-    await streams.run(10, cut=True)
-    return streams.report()
+    return await streams_beside(hosts, luck, lambda _: asyncio.sleep(0), seconds=10)
 
 
 async def streams_across_gateways_killed(hosts, luck):
     """Gateways are killed in turn under streams; new ones take these up."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
-
-    async def trouble():
+    async def trouble(streams):
         for node in hosts.gateways:
             streams.dead.add(node)
             await hosts.kill_all([node])
@@ -194,30 +193,22 @@
             await hosts.until(lambda node=node: hosts.is_ready(node), time.monotonic(), 5)
             streams.dead.discard(node)
             await asyncio.sleep(0.8)
-    await asyncio.gather(streams.run(8, cut=True), trouble())
-    return streams.report()
+    return await streams_beside(hosts, luck, trouble)
 
 
 async def streams_across_gateways_all_killed(hosts, luck):
     """All gateways and loaders are killed at once under streams."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
-
-    async def trouble():
+    async def trouble(_):
         for _ in range(2):
             await asyncio.sleep(2.5)
             await hosts.kill_all()
             await hosts.start_all()
-    await asyncio.gather(streams.run(8, cut=True), trouble())
-    return streams.report()
+    return await streams_beside(hosts, luck, trouble)
 
 
 async def streams_across_a_release(hosts, luck):
     """The engines of the older version are replaced one after the other."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
-
-    async def release():
+    async def release(_):
         for engine in [each for each in hosts.engines if each.software == VERSIONS[0]]:
             await asyncio.sleep(1.0)
             engine.crash_for_s = 0.3
@@ -225,14 +216,11 @@
             engine.software = VERSIONS[1]
             engine.name += "n"
             await engine.crash()
-    await asyncio.gather(streams.run(8, cut=True), release())
-    return streams.report()
+    return await streams_beside(hosts, luck, release)
 
 
 async def streams_beside_a_refusing_store(hosts, luck):
     """The store refuses one call of every seven."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
     sound = hosts.store.listener.handler
 
     async def refuse_some(request):
@@ -240,11 +228,24 @@
             request.channel.answer(503, {})
             return
         await sound(request)
-    for channel in hosts.store.listener.channels:
-        channel.handler = refuse_some
-    hosts.store.listener.handler = refuse_some
-    await streams.run(8, cut=True)
-    return streams.report()
+
+    async def trouble(_):
+        for channel in hosts.store.listener.channels:
+            channel.handler = refuse_some
+        hosts.store.listener.handler = refuse_some
+    return await streams_beside(hosts, luck, trouble)
+
+
+async def engine_back_with_another_version(hosts, luck):
+    """Engines come back under their ids, with the other version."""
+    async def trouble(_):
+        for _ in range(12):
+            engine = luck.choice(hosts.engines)
+            engine.software = VERSIONS[1 - VERSIONS.index(engine.software)]
+            engine.crash_for_s = 0.2
+            await engine.crash()
+            await asyncio.sleep(0.5)
+    return await streams_beside(hosts, luck, trouble, seconds=9, cut=False)
 
 
 async def submit(hosts, node, name, items):
@@ -335,22 +336,6 @@
     return await items_beside(hosts, luck, trouble())
 
 
-async def engine_back_with_another_version(hosts, luck):
-    """Engines come back under their ids, with the other version."""
-    await begin(hosts)
-    streams = Streams(hosts, luck)
-
-    async def trouble():
-        for _ in range(12):
-            engine = luck.choice(hosts.engines)
-            engine.software = VERSIONS[1 - VERSIONS.index(engine.software)]
-            engine.crash_for_s = 0.2
-            await engine.crash()
-            await asyncio.sleep(0.5)
-    await asyncio.gather(streams.run(9, cut=False), trouble())
-    return streams.report()
-
-
 CASES = [
     streams_beside_crashes, streams_taken_up, streams_across_gateways_killed, streams_across_gateways_all_killed,
     streams_across_a_release, streams_beside_a_refusing_store, items_beside_crashes, items_across_owners,
