--- a/tests/gateway_tasks/forward_task_test.cpp
+++ b/tests/gateway_tasks/forward_task_test.cpp
@@ -9,6 +9,7 @@
 #include "tests/net/scripted_server.h"
 
 #include <criterion/criterion.h>
+#include <optional>
 
 using namespace camphornotch;
 
@@ -36,7 +37,9 @@
 
   /// @param Kind the kind of the route.
   /// @param Attempts the limit of endpoints to try.
-  explicit ForwardFixture(RouteKind Kind, int64_t Attempts = 1) {
+  /// @param Software the version that began the stream; absent: it begins anew.
+  explicit ForwardFixture(RouteKind Kind, int64_t Attempts = 1,
+                          std::optional<std::string> Software = {}) {
     this->Answer.Status = 0;
     this->addEndpoint("i-1", this->Server);
     ForwardJob Job;
@@ -45,6 +48,7 @@
     Job.Params.MatchedRoute.Resumable = true;
     Job.Params.MatchedRoute.Objective = Millis{200};
     Job.Params.Service = "s";
+    Job.Params.Software = std::move(Software);
     Job.Params.ArrivedAt = steadyNow();
     Job.Params.Deadline = steadyNow() + Millis{1'500};
     Job.Request.Path = "/a/b?c=d";
@@ -73,8 +77,9 @@
 
   /// Registers an endpoint for the request's service.
   void addEndpoint(const std::string &Id, const ScriptedServer &Endpoint,
-                   int64_t StartedAtMs = 1) {
+                   int64_t StartedAtMs = 1, const std::string &Software = "") {
     EndpointRecord Record;
+    Record.Software = Software;
     Record.Id = EndpointId{Id};
     Record.StartedAtMs = StartedAtMs;
     Record.Service = "s";
@@ -556,6 +561,19 @@
   }
 }
 
+// Guards against events of another software version in a stream that a caller
+// took up.
+Test(forward, streamTakenUpAtAnEndpointThatChanged_getsNoEvent) {
+  ForwardFixture Net(RouteKind::Stream, 2, "");
+  cr_assert(Net.arrives());
+  Net.addEndpoint("i-1", Net.Server, 2, "v2");
+  Net.Server.send(0, concat("HTTP/1.1 200 OK\r\n", IdLine, ReceiptLine,
+                            "content-length: 999\r\n\r\nid: 1\ndata: a\n\n"));
+  cr_assert(Net.ends());
+  cr_expect_eq(Net.StreamEnd, 'b');
+  cr_expect_str_eq(Net.Stream.c_str(), "");
+}
+
 // Guards against a success with an empty or short body: the endpoint closed
 // the connection within the head of its answer.
 Test(forward, answerCutWithinItsHead_isNeverPassedOn) {
