Add: [Tests] Streams at a gateway that is cut off from the store

Cause: the cases had restarted gateways and a store that refuses calls, but no gateway without a way to the store.

--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -11,7 +11,7 @@
 import time
 
 from hosts import HOST, ROLLOUT_PATH, STREAM_PATH, call
-from standins import Engine
+from standins import Engine, Listener
 
 VERSIONS = ("v1", "v2")
 # Streams that may hold events of two versions: an engine that comes back under
@@ -236,6 +236,19 @@
     return await streams_beside(hosts, luck, trouble)
 
 
+async def streams_at_a_cut_off_gateway(hosts, luck):
+    """One gateway loses its way to the store; loaders relay for it."""
+    cut_off = hosts.settings[hosts.gateways[0]][1]
+    own_way = Listener(hosts.ip(), hosts.port, hosts.store.handle)
+    await own_way.up()
+    cut_off["platform"]["address"] = f"{own_way.ip}:{own_way.port}"
+
+    async def cut(_):
+        await asyncio.sleep(1.0)
+        own_way.down()
+    return await streams_beside(hosts, luck, cut)
+
+
 async def engine_back_with_another_version(hosts, luck):
     """Engines come back under their ids, with the other version."""
     async def trouble(_):
@@ -338,5 +351,6 @@
 
 CASES = [
     streams_beside_crashes, streams_taken_up, streams_across_gateways_killed, streams_across_gateways_all_killed,
-    streams_across_a_release, streams_beside_a_refusing_store, items_beside_crashes, items_across_owners,
+    streams_across_a_release, streams_beside_a_refusing_store,
+    streams_at_a_cut_off_gateway, items_beside_crashes, items_across_owners,
     items_that_move, engine_back_with_another_version]
