Add: [Tests] The share served later than the bound on recovery

Cause: the soak measured the first request served, not the share afterwards. Change: served_later() in four cases in which all processes end or stand still.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -22,6 +22,7 @@
 STREAM_PATH = "/review/"
 ROLLOUT_PATH = "/rollouts/"
 RECOVERY_S = 12.0
+MIN_SERVED_SHARE = 0.25
 GRACE_S = 8.0
 RESTART_PAUSE_S = 0.3
 MAX_RESTARTS = 40
@@ -284,6 +285,16 @@
             slowest[kind] = max(slowest[kind], within if spent is None else spent)
         return " ".join(f"{kind} {spent:.2f}" for kind, spent in slowest.items())
 
+    async def served_later(self, begin):
+        """Measures the requests sent later than RECOVERY_S after begin.
+        @return the share served, for the report."""
+        await asyncio.sleep(max(0.0, begin + RECOVERY_S - time.monotonic()))
+        answers = await asyncio.gather(*(self.serves(node) for node in self.gateways for _ in range(8)))
+        share = sum(answers) / len(answers)
+        if share < MIN_SERVED_SHARE:
+            self.faults.append(f"RECOVER {share:.2f} of the requests served after {RECOVERY_S:.0f} s")
+        return f"later {share:.2f} of {len(answers)}"
+
     def check_memory(self):
         for node in self.nodes:
             process = self.processes.get(node)
--- a/tests/soak/lives.py
+++ b/tests/soak/lives.py
@@ -140,7 +140,8 @@
     await asyncio.sleep(luck.uniform(3.0, 8.0))
     for node in hosts.nodes:
         hosts.signal(node, signal.SIGCONT)
-    return await hosts.recovered(now())
+    begin = now()
+    return f"{await hosts.recovered(begin)} {await hosts.served_later(begin)}"
 
 
 async def stopped_at_once(hosts, _):
@@ -153,7 +154,8 @@
         if code != 0:
             hosts.faults.append(f"FAULT {node}: code {code} after SIGTERM")
     await hosts.start_all()
-    return await hosts.recovered(now())
+    begin = now()
+    return f"{await hosts.recovered(begin)} {await hosts.served_later(begin)}"
 
 
 async def killed_at_once(hosts, luck):
@@ -167,7 +169,9 @@
         await hosts.kill_all()
         await asyncio.gather(*requests)
         await hosts.start_all()
-        texts.append(await hosts.recovered(now()))
+        begin = now()
+        texts.append(await hosts.recovered(begin))
+    texts.append(await hosts.served_later(begin))
     return "; ".join(texts)
 
 
@@ -180,7 +184,8 @@
     await hosts.start_all()
     await asyncio.sleep(STORE_AWAY_S)
     await hosts.store.listener.up()
-    return await hosts.recovered(now())
+    begin = now()
+    return f"{await hosts.recovered(begin)} {await hosts.served_later(begin)}"
 
 
 async def output_not_read(hosts, _):
