--- a/tests/deploy/deploy_build.py
+++ b/tests/deploy/deploy_build.py
@@ -151,6 +151,9 @@
         check.failures.add("the build failed:\n" + output[-2000:])
         return check.failures
     check.add_files("compiled or linked", compiled_files(tree / "target"), own)
+    # Other compilers than the tests' have other warnings.
+    if "-Werror" in (tree / "target" / "build.ninja").read_text():
+        check.failures.add("warnings end the build: -Werror")
     for path in set(tree.rglob("*")) - before:
         if not path.is_relative_to(tree / "target"):
             check.failures.add(f"written outside target/: {path.name}")
