Change: [Tests] deploy_build accepts no program that only a library brings

Cause: liblog4cxx-dev depends on libapr1-dev, which depends on Python. Change: programs have to come from the declared packages that are no -dev packages, with their dependencies, or from an essential package.

--- a/tests/deploy/deploy_build.py
+++ b/tests/deploy/deploy_build.py
@@ -1,8 +1,9 @@
 """Builds by the line of deploy/system.toml in a fresh folder and shows that it
 needs its `packages` alone: python3 deploy_build.py [--source FOLDER].
 
-Each program that is run or sought and each file that is read has to come from
-these packages, from what they depend on, or from a minimal Debian system.
+Each program that is run or sought and each file that is used has to come from
+these packages, from what they depend on, or from an essential package; a
+program not from what a library (-dev) brings.
 """
 
 import argparse
@@ -59,41 +60,45 @@
     return None
 
 
-class Check:
-    """The files of one build, held against the packages that it declares."""
+class BuildCheck:
+    """Holds the files that a build uses against the packages it declares."""
 
     def __init__(self, declared):
         packages = debian.Packages()
+        self.owners = debian.owners()
         self.allowed, missing = packages.with_dependencies(declared)
         if missing:
             raise Failure("not installed here: " + " ".join(sorted(missing)))
-        self.owners = debian.owners()
+        # A library's dependencies may bring an interpreter; a build that runs
+        # it has not declared it.
+        self.allowed_for_programs, _ = packages.with_dependencies(
+            [name for name in declared if not name.endswith("-dev")])
         self.programs = {program_name(path)
                          for path, names in self.owners.items()
-                         if names & self.allowed}
+                         if names & self.allowed_for_programs}
         self.failures = set()
 
     def is_declared(self, path):
         """Whether a file comes from the packages, by any of its links."""
-        for step in (debian.real_path(path), os.path.realpath(path)):
-            if self.owners.get(step, set()) & self.allowed:
-                return True
-        return False
+        allowed = (self.allowed_for_programs if program_name(path)
+                   else self.allowed)
+        return any(self.owners.get(link, set()) & allowed
+                   for link in (debian.real_path(path), os.path.realpath(path)))
 
-    def add(self, trace, own_folders, known_programs):
+    def check_trace(self, trace, own_folders, known_programs):
         """Judges what a command asked for.
 
         own_folders: folders whose files are its own. known_programs: names
         that may be sought although no package has them.
         """
-        self.add_files("run", trace.run, own_folders)
-        self.add_files("found", trace.found, own_folders)
+        self.check_files("run", trace.run, own_folders)
+        self.check_files("found", trace.found, own_folders)
         names = {program_name(path) for path in trace.sought
                  if not path.startswith(own_folders)}
         for name in names - known_programs - self.programs - {None}:
             self.failures.add(f"sought: program {name}")
 
-    def add_files(self, kind, paths, own_folders):
+    def check_files(self, kind, paths, own_folders):
         """Judges files that a build uses."""
         for path in paths:
             real = os.path.realpath(path)
@@ -139,18 +144,19 @@
     copy_source(source, tree)
     deploy = tomllib.loads((tree / "deploy" / "system.toml").read_text())
     before = {path for path in tree.rglob("*")}
-    check = Check(deploy["packages"])
+    check = BuildCheck(deploy["packages"])
     environment = {"PATH": SEARCH_PATH, "HOME": str(home), "LANG": "C.UTF-8",
                    "TMPDIR": str(home)}
     own = (f"{work}/",)
     known = sought_by_cmake(work, environment)
     status, output, trace = traced.run_traced(
         ["sh", "-c", deploy["build"]], tree, environment, work / "records")
-    check.add(trace, own, known)
+    check.check_trace(trace, own, known)
     if status != 0:
         check.failures.add("the build failed:\n" + output[-2000:])
         return check.failures
-    check.add_files("compiled or linked", compiled_files(tree / "target"), own)
+    check.check_files("compiled or linked", compiled_files(tree / "target"),
+                      own)
     # Other compilers than the tests' have other warnings.
     if "-Werror" in (tree / "target" / "build.ninja").read_text():
         check.failures.add("warnings end the build: -Werror")
@@ -162,7 +168,7 @@
         status, output, trace = traced.run_traced(
             [tree / program, "--help"], tree, environment,
             work / f"records-{pathlib.Path(program).name}")
-        check.add(trace, own, known)
+        check.check_trace(trace, own, known)
         if status != 0:
             check.failures.add(f"{program} --help ends with {status}:\n"
                                + output[-2000:])
