--- a/packages/net/http_func.cpp
+++ b/packages/net/http_func.cpp
@@ -4,6 +4,7 @@
 #include "net/http_client_base.h"
 #include "net/http_type.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <charconv>
@@ -78,6 +79,24 @@
   return {};
 }
 
+std::string percentEncode(std::string_view Bytes) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  constexpr std::string_view UnreservedMarks = "-._~";
+  std::string Encoded;
+  for (const char Each : Bytes) {
+    const auto Byte = static_cast<unsigned char>(Each);
+    if (absl::ascii_isalnum(Byte) ||
+        UnreservedMarks.find(Each) != std::string_view::npos) {
+      Encoded.push_back(Each);
+      continue;
+    }
+    Encoded.push_back('%');
+    Encoded.push_back(Digits[Byte >> 4]);
+    Encoded.push_back(Digits[Byte & 0xf]);
+  }
+  return Encoded;
+}
+
 Result<HttpTarget> parseTarget(std::string_view Text) {
   const size_t Colon = Text.rfind(':');
   HttpTarget Target;
--- a/packages/net/http_type.h
+++ b/packages/net/http_type.h
@@ -50,6 +50,9 @@
 /// @return the parameter's decoded value; empty if it is absent.
 std::string queryParameter(std::string_view Query, std::string_view Name);
 
+/// @return the bytes as the value of a query parameter or a segment of a path.
+std::string percentEncode(std::string_view Bytes);
+
 struct HttpResponse {
   int Status = 200;
   std::string ContentType = "application/json";
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -199,17 +199,29 @@
 
 void StandinStoreServer::onNewest(
     const std::shared_ptr<HttpExchange> &Exchange) {
-  const std::string Topic = queryParameter(Exchange->request().Query, "topic");
+  const std::string &Query = Exchange->request().Query;
+  const std::string Topic = queryParameter(Query, "topic");
+  const bool HasCursor = Query.find("&after=") != std::string::npos;
+  const std::string AfterKey = queryParameter(Query, "after");
+  ++this->NewestReads;
+  if (HasCursor && this->RefusedCursors.contains(AfterKey)) {
+    reply(Exchange, 400, "{}");
+    return;
+  }
+  const auto Newest = this->State.newest(Topic);
+  auto Next = HasCursor ? Newest.upper_bound(AfterKey) : Newest.begin();
+  if (HasCursor && this->LostCursors.contains(AfterKey))
+    Next = Newest.begin();
   nlohmann::json Items = nlohmann::json::array();
-  for (const auto &[Key, Record] : this->State.newest(Topic))
-    Items.push_back({{"key", Key},
-                     {"value", absl::Base64Escape(Record.first)},
-                     {"offset", Record.second}});
+  for (; Next != Newest.end() && Items.size() < this->NewestPageRecords; ++Next)
+    Items.push_back({{"key", Next->first},
+                     {"value", absl::Base64Escape(Next->second.first)},
+                     {"offset", Next->second.second}});
+  const nlohmann::json Body{{"items", Items},
+                            {"has_more", Next != Newest.end()},
+                            {"end", this->State.partition(Topic, 0).end()}};
   reply(Exchange, 200,
-        nlohmann::json{{"items", Items},
-                       {"has_more", false},
-                       {"end", this->State.partition(Topic, 0).end()}}
-            .dump());
+        Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void StandinStoreServer::onMember(const std::shared_ptr<HttpExchange> &Exchange,
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -9,6 +9,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphornotch::standin {
@@ -61,6 +63,14 @@
   int64_t ReadBytesPerSecond = 0;
   /// How many reads of each topic were received.
   std::map<std::string, int64_t> ReadsByTopic;
+  /// Most records of a page of the newest ones.
+  size_t NewestPageRecords = 500;
+  /// How many pages of newest records were asked for.
+  int64_t NewestReads = 0;
+  /// Keys after which a page gets 400.
+  std::set<std::string> RefusedCursors;
+  /// Keys after which the first page comes again.
+  std::set<std::string> LostCursors;
   /// A read that would wait longer than this for bandwidth gets 503.
   Millis ReadQueueMost{2'000};
 
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -6,10 +6,69 @@
 #include "standins/store/store_server.h"
 #include "tests/net/net_fixture.h"
 
+#include <algorithm>
+#include <array>
 #include <criterion/criterion.h>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace camphornotch;
 
+namespace {
+
+constexpr std::string_view Topic = "keyed.servers";
+
+/// Names that another writer may give its entries.
+const std::vector<std::string> OddKeys{
+    "&b",  "+b",    "#b",   "%41",   "%b",
+    "b c", "b\r\n", "b?=/", "b\x7f", std::string(255, 'b')};
+
+/// A store with short pages, and a follower of its registry.
+struct PagedFixture {
+  explicit PagedFixture(const std::string &OddKey, size_t PageRecords = 2) {
+    this->Server.NewestPageRecords = PageRecords;
+    for (const std::string &Key : {std::string("!1"), OddKey, std::string("c1"),
+                                   std::string("c2"), std::string("c3")})
+      this->Server.put(std::string(Topic), Key, "v");
+  }
+
+  /// @return whether all sound keys were read, and the pass has ended.
+  bool readsSoundKeys() {
+    this->Tested.begin();
+    return turnUntil(this->Events, [this] {
+      return std::ranges::all_of(
+          std::array{"!1", "c1", "c2", "c3"},
+          [this](const char *Key) { return this->Present.contains(Key); });
+    });
+  }
+
+  Loop Events;
+  standin::StandinStoreServer Server{Events, 1};
+  HttpClient Http{Events};
+  platform::StoreClient Store{Events, Http, this->Server.target()};
+  std::set<std::string> Present;
+  KeyedFollower Tested{
+      Events, Store, std::string(Topic),
+      KeyedFollowerCallbacks{
+          [](const KeyedRecord &) {},
+          [this](const std::set<std::string> &Keys) { this->Present = Keys; },
+          [](const Error &) {}, [] {}}};
+};
+
+} // namespace
+
+// Guards against an entry of another writer whose name, put into a query as it
+// is, hides all entries after it.
+Test(keyedFollower, oddKeyAtTheEndOfAPage_othersAreRead) {
+  for (const std::string &OddKey : OddKeys) {
+    PagedFixture Fixture(OddKey);
+    cr_expect(Fixture.readsSoundKeys(), "%s", OddKey.c_str());
+    constexpr int64_t MaxPages = 6;
+    cr_expect_leq(Fixture.Server.NewestReads, MaxPages, "%s", OddKey.c_str());
+  }
+}
+
 // Guards against a process that was suspended and takes its configuration for
 // the newest one until its next read fails.
 Test(keyedFollower, answerFromBeforeASuspension_isNoneThatCounts) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -5,6 +5,7 @@
 #include "net_fixture.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 #include <vector>
 
 using namespace camphornotch;
@@ -45,6 +46,17 @@
                "d e");
 }
 
+// Guards against a value of a query that ends the query, or the request line.
+Test(percentEncode, anyBytes_areOneValueOfAQuery) {
+  const bool Holds = rc::check([](const std::string &Bytes) {
+    const std::string Query = "a=1&b=" + percentEncode(Bytes) + "&c=2";
+    RC_ASSERT(Query.find_first_of(" \r\n#+?") == std::string::npos);
+    RC_ASSERT(queryParameter(Query, "b") == Bytes);
+    RC_ASSERT(queryParameter(Query, "c") == "2");
+  });
+  cr_assert(Holds);
+}
+
 Test(http, manyRequests_overKeptConnections_allAnswered) {
   HttpFixture Net;
   Net.Handler = echo;
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -11,13 +11,14 @@
 import sys
 import tempfile
 
+import entries
 import lives
 import versions
 from hosts import Hosts
 from standins import Record
 
 CASE_LIMIT_S = 90
-CASES = lives.CASES + versions.CASES
+CASES = lives.CASES + versions.CASES + entries.CASES
 
 
 async def play(case, options):
