Fix: [Gateway] A page of newest records that does not advance ends no pass

Callers saw: nothing is served as long as an entry stands whose name the store does not find again, refuses, or takes for no name (an empty one). Cause: the pass went on after the last key of each page without a look at what came. A page that leads back was read again without a pause; a failed one began the pass anew. Change: KeyedPass takes a page without a new key, or two failures at one cursor, as a sign of a cursor that does not work and steps back over the page that it came from, with a pause and a log line each. Where no cursor leads on, the pass ends with an error line, the log of the topic is followed, and no endpoint counts as gone. Records that cannot be decoded are counted in a log line. Why it works: each page has a new key, or halves the way back; both end.

--- a/packages/core/store/store_type.h
+++ b/packages/core/store/store_type.h
@@ -68,6 +68,10 @@
 /// The newest record of each of several keys of a keyed topic.
 struct KeyedPage {
   std::vector<KeyedRecord> Records;
+  /// The keys after which another page can begin, in the order of the page.
+  std::vector<std::string> Cursors;
+  /// Number of records that could not be decoded.
+  int64_t Skipped = 0;
   /// Whether records of later keys follow on another page.
   bool HasMore = false;
   /// The offset that the next appended record will get.
--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -49,14 +49,17 @@
     : Events(Events), Store(Store), Topic(std::move(Topic)),
       Callbacks(std::move(Callbacks)) {}
 
-void KeyedFollower::begin() { this->readNewest(""); }
+void KeyedFollower::begin() { this->beginPass(); }
+
+void KeyedFollower::beginPass() {
+  this->EarlierKeys.insert(this->Pass.keys().begin(), this->Pass.keys().end());
+  this->Pass = KeyedPass{};
+  this->NextOffset = -1;
+  this->NewestRead = false;
+  this->readNewest(std::nullopt);
+}
 
-void KeyedFollower::readNewest(const std::string &AfterKey) {
-  if (AfterKey.empty()) {
-    this->Keys.clear();
-    this->NextOffset = -1;
-    this->NewestRead = false;
-  }
+void KeyedFollower::readNewest(const std::optional<std::string> &AfterKey) {
   this->Store.readNewest(this->Topic, AfterKey,
                          [this](const StoreResult<KeyedPage> &Page) {
                            if (Page.has_value())
@@ -71,16 +74,37 @@
   // The pages are no snapshot: records after the first page are read again.
   if (this->NextOffset < 0)
     this->NextOffset = Page.EndOffset;
-  for (const KeyedRecord &Record : Page.Records) {
-    this->Keys.insert(Record.Key);
+  if (Page.Skipped > 0)
+    logLine(LogLevel::Warn, "unreadable records of a keyed topic skipped",
+            {{"topic", this->Topic}, {"records", concat(Page.Skipped)}});
+  for (const KeyedRecord &Record : Page.Records)
     this->Callbacks.OnRecord(Record);
+  const PassStep Step = this->Pass.onPage(Page);
+  if (const auto *End = std::get_if<PassEnd>(&Step)) {
+    this->onPassEnd(*End);
+    return;
   }
-  if (Page.HasMore && !Page.Records.empty()) {
-    this->readNewest(Page.Records.back().Key);
+  const auto &Next = std::get<NextPage>(Step);
+  if (!Next.Repeated) {
+    this->readNewest(Next.AfterKey);
     return;
   }
+  logLine(LogLevel::Warn, "a page of a keyed topic did not advance",
+          {{"topic", this->Topic}, {"next_after", Next.AfterKey}});
+  this->readNewestLater(Next.AfterKey);
+}
+
+void KeyedFollower::onPassEnd(const PassEnd &End) {
   this->NewestRead = true;
-  this->Callbacks.OnComplete(this->Keys);
+  std::set<std::string> Present = this->Pass.keys();
+  if (End.Incomplete) {
+    logLine(LogLevel::Error, "newest records of a keyed topic read in part",
+            {{"topic", this->Topic}, {"keys", concat(Present.size())}});
+    Present.insert(this->EarlierKeys.begin(), this->EarlierKeys.end());
+  } else {
+    this->EarlierKeys.clear();
+  }
+  this->Callbacks.OnComplete(Present);
   this->readNextRecords();
 }
 
@@ -116,20 +140,27 @@
         LogLevel::Info,
         "history of a keyed topic expired; reading the newest records again",
         {{"topic", this->Topic}, {"next", concat(this->NextOffset)}});
-    this->readNewest("");
+    this->beginPass();
     return;
   }
   if (this->Available) {
     this->Available = false;
     this->Callbacks.OnLost(Failure.Cause);
   }
-  const bool Resume = this->NewestRead;
-  this->Events.callAfter(RetryPause, [this, Resume] {
-    if (Resume)
-      this->readNextRecords();
-    else
-      this->readNewest("");
-  });
+  if (this->NewestRead) {
+    this->Events.callAfter(RetryPause, [this] { this->readNextRecords(); });
+    return;
+  }
+  const std::string *Cursor = this->Pass.onFailure();
+  if (Cursor == nullptr)
+    this->Events.callAfter(RetryPause, [this] { this->beginPass(); });
+  else
+    this->readNewestLater(*Cursor);
+}
+
+void KeyedFollower::readNewestLater(const std::string &AfterKey) {
+  this->Events.callAfter(RetryPause,
+                         [this, AfterKey] { this->readNewest(AfterKey); });
 }
 
 bool KeyedFollower::available(Millis Now) const {
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -5,10 +5,12 @@
 #ifndef CAMPHORNOTCH_GATEWAY_KEYED_FOLLOWER_BASE_H
 #define CAMPHORNOTCH_GATEWAY_KEYED_FOLLOWER_BASE_H
 
+#include "core/store/keyed_pass_base.h"
 #include "net/loop_base.h"
 #include "platform/store_client_base.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -18,7 +20,7 @@
 struct KeyedFollowerCallbacks {
   /// A record was read: newer than the last one of its key, or the same again.
   std::function<void(const KeyedRecord &)> OnRecord;
-  /// The newest records of all keys were read; takes the keys that exist.
+  /// The newest records were read; takes the keys that exist.
   std::function<void(const std::set<std::string> &)> OnComplete;
   /// The store stopped answering.
   std::function<void(const Error &)> OnLost;
@@ -46,10 +48,14 @@
   bool available(Millis Now) const;
 
 private:
+  /// Starts a pass over the newest records.
+  void beginPass();
   /// Reads a page of newest records.
-  /// @param AfterKey the last key of the page before; empty: the first page.
-  void readNewest(const std::string &AfterKey);
+  /// @param AfterKey the key after which it begins; absent: the first page.
+  void readNewest(const std::optional<std::string> &AfterKey);
+  void readNewestLater(const std::string &AfterKey);
   void onNewestPage(const KeyedPage &Page);
+  void onPassEnd(const PassEnd &End);
   /// Long-polls the store for the next record.
   void readNextRecords();
   void onRecords(const ReadPage &Page);
@@ -60,8 +66,10 @@
   platform::StoreClient &Store;
   std::string Topic;
   KeyedFollowerCallbacks Callbacks;
-  /// Keys of the newest records read so far.
-  std::set<std::string> Keys;
+  /// The pass over the newest records that runs, otherwise the last one.
+  KeyedPass Pass;
+  /// Keys of earlier passes, which count as present if a pass was incomplete.
+  std::set<std::string> EarlierKeys;
   /// Offset of the next record after the newest ones; -1: not known yet.
   int64_t NextOffset = -1;
   /// Whether the newest records of all keys were read.
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -69,6 +69,40 @@
   }
 }
 
+// Guards against an entry that the store does not find again.
+Test(keyedFollower, cursorThatLeadsBackOrIsRefused_othersAreRead) {
+  for (const bool Refused : {false, true}) {
+    PagedFixture Fixture("b1");
+    (Refused ? Fixture.Server.RefusedCursors
+             : Fixture.Server.LostCursors) = {"b1"};
+    cr_expect(Fixture.readsSoundKeys());
+    constexpr int64_t MaxPages = 8;
+    cr_expect_leq(Fixture.Server.NewestReads, MaxPages);
+  }
+}
+
+// Guards against a loop without end where no cursor leads on.
+Test(keyedFollower, everyCursorLeadsBack_newRecordsAreStillRead) {
+  PagedFixture Fixture("b1");
+  Fixture.Server.LostCursors = {"!1", "b1"};
+  Fixture.Tested.begin();
+  cr_assert(turnUntil(Fixture.Events, [&Fixture] {
+    return Fixture.Tested.available(steadyNow()) &&
+           Fixture.Server.ReadsByTopic[std::string(Topic)] > 0;
+  }));
+  constexpr int64_t MaxPages = 4;
+  cr_assert_leq(Fixture.Server.NewestReads, MaxPages);
+  cr_assert(Fixture.Present.contains("!1"));
+}
+
+// Guards against a key that counts as none.
+Test(keyedFollower, emptyKeyAtTheEndOfAPage_othersAreRead) {
+  PagedFixture Fixture("", 1);
+  cr_expect(Fixture.readsSoundKeys());
+  constexpr int64_t MaxPages = 5;
+  cr_expect_leq(Fixture.Server.NewestReads, MaxPages);
+}
+
 // Guards against a process that was suspended and takes its configuration for
 // the newest one until its next read fails.
 Test(keyedFollower, answerFromBeforeASuspension_isNoneThatCounts) {
