Fix: [Platform] A key that is no text hides no other key of its page

Callers saw: nothing is served as long as such an entry stands (bytes that are no UTF-8, half a surrogate pair, a raw control character). Cause: the answer of the store is one JSON text. One string that JSON cannot hold made the page unreadable, and the pass began anew every 150 ms.

--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -6,6 +6,7 @@
 #include "base/clock_func.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
 #include <nlohmann/json.hpp>
 
 namespace camphornotch::standin {
@@ -220,8 +221,12 @@
   const nlohmann::json Body{{"items", Items},
                             {"has_more", Next != Newest.end()},
                             {"end", this->State.partition(Topic, 0).end()}};
-  reply(Exchange, 200,
-        Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  constexpr std::string_view Replacement = "\xef\xbf\xbd";
+  std::string Text =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (this->SendsRawKeys)
+    Text = absl::StrReplaceAll(Text, {{Replacement.data(), "\xff"}});
+  reply(Exchange, 200, Text);
 }
 
 void StandinStoreServer::onMember(const std::shared_ptr<HttpExchange> &Exchange,
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -67,6 +67,8 @@
   size_t NewestPageRecords = 500;
   /// How many pages of newest records were asked for.
   int64_t NewestReads = 0;
+  /// Whether bytes of keys that are no UTF-8 are sent as 0xff and not replaced.
+  bool SendsRawKeys = false;
   /// Keys after which a page gets 400.
   std::set<std::string> RefusedCursors;
   /// Keys after which the first page comes again.
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -95,6 +95,17 @@
   cr_assert(Fixture.Present.contains("!1"));
 }
 
+// Guards against a key that makes its whole page unreadable.
+Test(keyedFollower, keyThatIsNoText_othersAreRead) {
+  for (const bool SendsRawKeys : {false, true}) {
+    PagedFixture Fixture("b\xff");
+    Fixture.Server.SendsRawKeys = SendsRawKeys;
+    cr_expect(Fixture.readsSoundKeys());
+    constexpr int64_t MaxPages = 6;
+    cr_expect_leq(Fixture.Server.NewestReads, MaxPages);
+  }
+}
+
 // Guards against a key that counts as none.
 Test(keyedFollower, emptyKeyAtTheEndOfAPage_othersAreRead) {
   PagedFixture Fixture("", 1);
--- /dev/null
+++ b/tests/platform/keyed_page_test.cpp
@@ -0,0 +1,62 @@
+/// @file
+/// Tests of decoding pages of newest records that other writers wrote to.
+
+#include "platform/operator_func.h"
+#include "platform/store_codec_internal.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace camphornotch;
+using namespace camphornotch::platform;
+
+namespace {
+
+/// @param Items as JSON.
+Result<KeyedPage> decodePage(const std::string &Items) {
+  return decodeKeyedPage(R"({"items":[)" + Items +
+                         R"(],"has_more":true,"end":9})");
+}
+
+/// @param Key as the inside of a JSON string.
+std::string itemText(const std::string &Key) {
+  return R"({"key":")" + Key + R"(","value":"dg==","offset":1})";
+}
+
+} // namespace
+
+// Guards against a key whose bytes no JSON string can hold, which hides its
+// whole page.
+Test(decodeKeyedPage, keyThatIsNoText_othersAreDecoded) {
+  for (const std::string Odd :
+       {"\xff", "a\x80z", "\xc3", "\xed\xa0\x80", "\xf4\x90\x80\x80",
+        "\xc0\xaf", "\\ud800", "\\udc00x", "\\ud800\\u0041", "a\r\nb",
+        "\\\\\xff"}) {
+    const auto Page =
+        decodePage(itemText("a") + "," + itemText(Odd) + "," + itemText("c"));
+    cr_assert(Page.has_value(), "%s", Odd.c_str());
+    cr_expect_eq(Page.value().Records.size(), 3U, "%s", Odd.c_str());
+    cr_expect(Page.value().Cursors == (std::vector<std::string>{"a", "c"}),
+              "%s", Odd.c_str());
+  }
+}
+
+Test(decodeKeyedPage, keysOfAnyText_areKeptAsTheyAre) {
+  const auto Page = decodePage(itemText("\\ud83d\\ude00") + "," +
+                               itemText("\xf0\x9f\x98\x80 & \\\"+\\\\"));
+  cr_assert(Page.has_value());
+  cr_assert_eq(Page.value().Records.size(), 2U);
+  cr_expect_str_eq(Page.value().Records[0].Key.c_str(), "\xf0\x9f\x98\x80");
+  cr_expect_str_eq(Page.value().Records[1].Key.c_str(),
+                   "\xf0\x9f\x98\x80 & \"+\\");
+}
+
+Test(decodeKeyedPage, itemsOfAnotherForm_areCounted) {
+  const auto Page = decodePage(
+      R"(7,{"key":5,"value":"dg==","offset":1},{"key":"k","offset":1},)"
+      R"({"key":"k","value":"?","offset":1},{"key":"k","value":"dg=="},)" +
+      itemText("a"));
+  cr_assert(Page.has_value());
+  cr_expect_eq(Page.value().Records.size(), 1U);
+  cr_expect_eq(Page.value().Skipped, 5);
+}
