--- a/tests/platform/keyed_page_test.cpp
+++ b/tests/platform/keyed_page_test.cpp
@@ -60,3 +60,14 @@
   cr_expect_eq(Page.value().Records.size(), 1U);
   cr_expect_eq(Page.value().Skipped, 5);
 }
+// A request names its endpoint in a header.
+Test(decodeEndpoint, idThatNoHeaderCanHold_namesNoEndpoint) {
+  const std::string Entry =
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,)"
+      R"("state":"ready"})";
+  for (const std::string Id : {"i-7f3a91c2", "a&b+c#d%e", "a b"})
+    cr_expect(decodeEndpoint(Id, Entry).has_value(), "%s", Id.c_str());
+  for (const std::string Id :
+       {"", " ", "a ", " a", "a\r\nb", "a\tb", "\xff", "\xc3\xa9"})
+    cr_expect(decodeEndpoint(Id, Entry).has_error(), "%s", Id.c_str());
+}
