--- a/tests/platform/keyed_page_test.cpp
+++ b/tests/platform/keyed_page_test.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// Tests of decoding pages of newest records that other writers wrote to.
 
+#include "platform/engine_func.h"
+#include "platform/json_internal.h"
 #include "platform/operator_func.h"
 #include "platform/store_codec_internal.h"
 
@@ -71,3 +73,15 @@
        {"", " ", "a ", " a", "a\r\nb", "a\tb", "\xff", "\xc3\xa9"})
     cr_expect(decodeEndpoint(Id, Entry).has_error(), "%s", Id.c_str());
 }
+
+// Guards against a process that ends at a name of another writer.
+Test(storeCalls, namesThatAreNoText_areSent) {
+  LoadOrder Order;
+  Order.Model = "m\xff";
+  const HttpCall Call =
+      orderCall({"10.0.0.9", 80}, EndpointId{"i"}, Order, {"host\xfe", 1});
+  cr_expect(Json::accept(Call.Body));
+  GroupMember Member;
+  Member.Member = "host\xfe";
+  cr_expect(Json::accept(encodeMember(Member)));
+}
