Fix: [Base] Settings may have lines of any length that the platform writes

Callers saw (FAULT): the system does not start where there are many data centres. Cause: the line that lists data centres and regions is over 198 characters where there are many, more than the buffer of inih, and ended each gateway with code 2. Change: parseIni takes the longest line as a parameter; an entry that does not fit the buffer is added without inih.

--- a/packages/base/ini_func.cpp
+++ b/packages/base/ini_func.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Parsing of INI text with inih. inih reports neither line numbers nor
 /// comments and truncates long lines, so each line is checked before inih gets
-/// it.
+/// it, and entries that are too long for inih are added without it.
 
 #include "base/ini_func.h"
 
@@ -29,6 +29,9 @@
   std::string_view Rest;
   std::string_view FileName;
   IniFile Out;
+  /// The current section.
+  std::string Section;
+  size_t MaxLineBytes = 0;
   /// The number of the current line.
   int Line = 0;
   /// The current line as written.
@@ -105,13 +108,11 @@
 }
 
 /// @param Content the content of a line, not empty.
-/// @param Capacity the size of the line buffer of inih.
 /// @return whether the line is valid; otherwise an error is added.
-bool checkContent(IniCursor &Cursor, std::string_view Content,
-                  size_t Capacity) {
-  if (Content.size() + 2 > Capacity) {
+bool checkContent(IniCursor &Cursor, std::string_view Content) {
+  if (Content.size() > Cursor.MaxLineBytes) {
     addError(
-        Cursor, concat("line over ", Capacity - 2, " characters"),
+        Cursor, concat("line over ", Cursor.MaxLineBytes, " characters"),
         "shorten it, for example with \"*\" patterns; comments don't count");
     return false;
   }
@@ -134,8 +135,23 @@
   return splitLine(Cursor.Text);
 }
 
+void addEntry(IniCursor &Cursor, std::string_view Section,
+              std::string_view Name, std::string_view Value) {
+  Cursor.Out.Entries.push_back(IniEntry{
+      std::string(Section), std::string(Name), std::string(Value),
+      std::string(Cursor.Comment), std::string(Cursor.Text), Cursor.Line});
+}
+
+/// Adds the entry of a valid line that is too long for inih.
+void addLongEntry(IniCursor &Cursor, std::string_view Content) {
+  const size_t Mark = Content.find('=');
+  addEntry(Cursor, Cursor.Section, trimSpace(Content.substr(0, Mark)),
+           trimSpace(Content.substr(Mark + 1)));
+}
+
 /// Reader callback of inih: copies the next line without its comment. An
-/// invalid line is replaced by an empty one.
+/// invalid line, and one that is too long for inih, is replaced by an empty
+/// one.
 /// @param Stream the IniCursor.
 /// @return the buffer; null at the end of the text.
 char *readLine(char *Buffer, int Capacity, void *Stream) {
@@ -147,10 +163,17 @@
   const bool CommentOnly = Parts.HasComment && Parts.Content.empty();
   Cursor.CommentBefore = CommentOnly ? Parts.Comment : std::string_view{};
   size_t Length = 0;
-  if (!Parts.Content.empty() &&
-      checkContent(Cursor, Parts.Content, static_cast<size_t>(Capacity))) {
-    Length = Parts.Content.size();
-    std::memcpy(Buffer, Parts.Content.data(), Length);
+  if (!Parts.Content.empty() && checkContent(Cursor, Parts.Content)) {
+    if (Parts.Content.front() == '[')
+      Cursor.Section =
+          trimSpace(Parts.Content.substr(1, Parts.Content.size() - 2));
+    // The line break and the final zero.
+    if (Parts.Content.size() + 2 > static_cast<size_t>(Capacity)) {
+      addLongEntry(Cursor, Parts.Content);
+    } else {
+      Length = Parts.Content.size();
+      std::memcpy(Buffer, Parts.Content.data(), Length);
+    }
   }
   Buffer[Length] = '\n';
   Buffer[Length + 1] = '\0';
@@ -162,10 +185,7 @@
 /// @return 1: continue parsing.
 int onEntry(void *User, const char *Section, const char *Name,
             const char *Value) {
-  auto &Cursor = *static_cast<IniCursor *>(User);
-  Cursor.Out.Entries.push_back(IniEntry{
-      std::string(trimSpace(Section)), std::string(Name), std::string(Value),
-      std::string(Cursor.Comment), std::string(Cursor.Text), Cursor.Line});
+  addEntry(*static_cast<IniCursor *>(User), trimSpace(Section), Name, Value);
   return 1;
 }
 
@@ -183,8 +203,10 @@
   return concat(FileName, ":", Line, ": ");
 }
 
-IniFile parseIni(std::string_view FileName, std::string_view Text) {
+IniFile parseIni(std::string_view FileName, std::string_view Text,
+                 size_t MaxLineBytes) {
   IniCursor Cursor;
+  Cursor.MaxLineBytes = MaxLineBytes;
   Cursor.Rest = Text;
   Cursor.FileName = FileName;
   ini_parse_stream(readLine, &Cursor, onEntry, &Cursor);
--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Longest line of a settings file: a deployment may have many data centres.
+constexpr size_t MaxSettingsLineBytes = size_t{64} << 10;
+
 /// A value and its origin.
 struct GivenValue {
   /// The value as written.
@@ -179,7 +182,7 @@
 /// Adds the entries of the file to Values and its errors to Faults.
 void addFileValues(std::string_view FileName, std::string_view Text,
                    GivenValues &Values, std::vector<Error> &Faults) {
-  IniFile File = parseIni(FileName, Text);
+  IniFile File = parseIni(FileName, Text, MaxSettingsLineBytes);
   for (Error &Problem : File.Errors) {
     Problem.Kind = ErrorKind::BadSetting;
     Faults.push_back(std::move(Problem));
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -32,6 +32,16 @@
                        Overrides);
 }
 
+/// @param Added lines to add to the settings of a gateway.
+SettingsResult parseGateway(std::string_view Added) {
+  constexpr std::string_view GatewayText =
+      "[process]\nrole=gateway\nhost=g\ndata_centre=d\nregion=r\n"
+      "[listen]\nlinks=127.0.0.1:1\nhttp=127.0.0.1:2\npeers=127.0.0.1:3\n"
+      "[gateway]\nfront=127.0.0.1:4\nstore=127.0.0.1:5\n";
+  return parseSettings("gateway.ini",
+                       std::string(GatewayText) + std::string(Added), "");
+}
+
 /// @return whether an error of the outcome contains Part.
 bool hasFault(const SettingsResult &Outcome, std::string_view Part) {
   return renderFaults(Outcome.error()).find(Part) != std::string::npos;
@@ -110,6 +120,19 @@
                      "write one of entry|agent"));
 }
 
+// Guards against a process that does not start where there are many data
+// centres.
+Test(parseSettings, sixtyDataCentres_areRead) {
+  std::string Regions = "west-0=west";
+  for (int Number = 1; Number < 60; ++Number)
+    Regions += ", west-" + std::to_string(Number) + "=west";
+  const SettingsResult Outcome =
+      parseGateway("[gateway]\nregions = " + Regions + "\n");
+  cr_assert(Outcome.has_value());
+  cr_assert_str_eq(std::get<GatewaySettings>(Outcome.value()).Regions.c_str(),
+                   Regions.c_str());
+}
+
 Test(parseAddress, malformed_text_is_refused) {
   for (const auto *Text : {"", "host:1", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0",
                            "1.2.3.4:65536", "1.2.3:4"})
