Fix: [Base] A value that the platform leaves out does not end a process at its start

Callers saw (FAULT): the system does not start. Cause: the template writes a line for each value, so that one that is left out arrives as an empty one, which was a fault, like a fraction, a word for no limit or a number beyond the range; each ended the process with code 2 and no line in the log. Change: settings of gateways and loaders that the platform fills in say in the table what becomes of a bad value: the nearest number or the default, and one line of the log names all of them. A host without a name is told apart by its address. Why it works: none of these values decides whether a process can serve.

--- a/packages/base/command_line_func.cpp
+++ b/packages/base/command_line_func.cpp
@@ -86,6 +86,8 @@
   }
   if (!FLAGS_check_settings)
     return Parsed.value();
+  for (const std::string &Each : commonSettings(Parsed.value()).Replaced)
+    std::cout << FLAGS_config << ": replaced: " << Each << "\n";
   std::cout << FLAGS_config << ": ok\n";
   return ExitNow{0};
 }
--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -10,6 +10,8 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -39,6 +41,14 @@
   GatewaySettings Gateway;
   LoaderSettings Loader;
 
+  /// Notes that another value is used than the given one.
+  void noteReplaced(const SettingSpec &Spec, std::string_view Given,
+                    std::string_view Used) {
+    this->Common.Replaced.push_back(concat("[", Spec.Section, "] ", Spec.Name,
+                                           ": \"", Given, "\" -> \"", Used,
+                                           "\""));
+  }
+
   /// @return the member that has the type of the argument.
   CommonSettings &groupOf(const CommonSettings *) { return this->Common; }
   EntrySettings &groupOf(const EntrySettings *) { return this->Entry; }
@@ -231,10 +241,50 @@
   return Found == Values.end() ? nullptr : &Found->second;
 }
 
+/// @return whether a bad value of the setting is replaced for the role.
+bool isReplaceable(const SettingSpec &Spec, std::string_view Role) {
+  return Spec.WhenBad == BadValue::Replaced &&
+         (Role == "gateway" || Role == "loader");
+}
+
+/// @return the allowed whole number next to the one that the text is; nothing
+///   if the text is none or says that there is no limit.
+std::optional<int64_t> nearestNumber(const SettingSpec &Spec,
+                                     std::string_view Text) {
+  double Number = 0;
+  if (Spec.Max == 0 || !absl::SimpleAtod(toAbsl(Text), &Number) ||
+      !std::isfinite(Number) || Number <= 0)
+    return std::nullopt;
+  // 0 stands for no limit in settings that allow it.
+  const auto Least = static_cast<double>(std::max<int64_t>(Spec.Min, 1));
+  const auto Most = static_cast<double>(Spec.Max);
+  return static_cast<int64_t>(std::clamp(std::floor(Number), Least, Most));
+}
+
+/// Assigns a value, or what is used in its place.
+void assignOrReplace(const SettingSpec &Spec, const GivenValue &Given,
+                     SettingsDraft &Draft) {
+  if (!assign(Spec, Given, Draft).has_value())
+    return;
+  std::string Used(Spec.Default == NoDefault ? "" : Spec.Default);
+  if (const auto Number = nearestNumber(Spec, Given.Value))
+    Used = concat(*Number);
+  Draft.noteReplaced(Spec, Given.Value, Used);
+  if (Spec.Default != NoDefault)
+    (void)assign(Spec, GivenValue{Used, Given.Place}, Draft);
+}
+
 /// Sets the member of one row to the given value or to its default.
 Fault fillSetting(std::string_view FileName, const SettingSpec &Spec,
                   const GivenValues &Values, SettingsDraft &Draft) {
   const GivenValue *Given = findValue(Values, Spec);
+  if (isReplaceable(Spec, Draft.Common.Role)) {
+    const bool HasDefault = Spec.Default != NoDefault;
+    const std::string Default(HasDefault ? Spec.Default : "");
+    assignOrReplace(Spec, Given != nullptr ? *Given : GivenValue{Default, ""},
+                    Draft);
+    return {};
+  }
   if (Given != nullptr)
     return assign(Spec, *Given, Draft);
   if (Spec.Default == NoDefault)
@@ -268,6 +318,37 @@
   }
 }
 
+/// Replaces a number of seconds that is none, or out of range, by the default.
+void replaceBadSeconds(std::string_view Section, std::string_view Name,
+                       double Least, std::string &Value, SettingsDraft &Draft) {
+  constexpr double Most = 86'400;
+  double Number = 0;
+  if (absl::SimpleAtod(toAbsl(Value), &Number) && Number >= Least &&
+      Number <= Most)
+    return;
+  const SettingSpec &Spec = *findSetting(Section, Name);
+  if (Value == Spec.Default)
+    return;
+  Draft.noteReplaced(Spec, Value, Spec.Default);
+  Value = Spec.Default;
+}
+
+/// Completes the settings of a gateway or loader.
+void completeDraft(SettingsDraft &Draft) {
+  constexpr double LeastGrace = 0.001;
+  CommonSettings &Common = Draft.Common;
+  if (Common.Role != "gateway" && Common.Role != "loader")
+    return;
+  // Members of a group are told apart by their host.
+  if (Common.Host.empty())
+    Common.Host = formatAddress(Common.ListenLinks);
+  replaceBadSeconds("duties", "usage_window_s", 1, Common.UsageWindowSeconds,
+                    Draft);
+  if (Common.Role == "gateway")
+    replaceBadSeconds("gateway", "grace_s", LeastGrace,
+                      Draft.Gateway.GraceSeconds, Draft);
+}
+
 /// Checks the settings against each other; adds errors to Faults.
 void crossCheck(std::string_view FileName, const SettingsDraft &Draft,
                 std::vector<Error> &Faults) {
@@ -285,17 +366,6 @@
   if (Common.Role == "entry" && Common.HostList.Port == 0)
     Add("[platform] host_list is missing",
         "an entry needs the host list's address");
-  double Grace = 0;
-  if (Common.Role == "gateway" &&
-      (!absl::SimpleAtod(toAbsl(Draft.Gateway.GraceSeconds), &Grace) ||
-       Grace <= 0))
-    Add("[gateway] grace_s is no number of seconds", "write one above 0");
-  double Window = 0;
-  if (!Common.UsageWindowSeconds.empty() &&
-      (!absl::SimpleAtod(toAbsl(Common.UsageWindowSeconds), &Window) ||
-       Window < 1))
-    Add("[duties] usage_window_s is no number of seconds",
-        "write one of at least 1");
   if (Draft.Agent.ShortReserve > Draft.Agent.Slots)
     Add("[endpoint] short_reserve is above slots",
         "keep short_reserve below slots");
@@ -314,6 +384,7 @@
   if (Role != Values.end())
     Draft.Common.Role = Role->second.Value;
   fillAll(FileName, Values, Draft, Faults);
+  completeDraft(Draft);
   if (Faults.empty())
     crossCheck(FileName, Draft, Faults);
   if (!Faults.empty())
--- a/packages/base/settings_page_func.cpp
+++ b/packages/base/settings_page_func.cpp
@@ -58,6 +58,15 @@
   return concat(Spec.Min, " to ", Spec.Max);
 }
 
+/// @return the names of the settings whose bad values are replaced.
+std::string replacedNames() {
+  std::string Names;
+  for (const SettingSpec &Spec : SettingsTable)
+    if (Spec.WhenBad == BadValue::Replaced)
+      Names += concat("- `[", Spec.Section, "] ", Spec.Name, "`\n");
+  return Names;
+}
+
 } // namespace
 
 std::string renderSettingsPage() {
@@ -67,6 +76,15 @@
       "overrides it. `--check_settings` prints every fault and exits with 2 "
       "if\n"
       "there is one. This page is the output of `--help_settings`.\n";
+  Page += concat("\n"
+                 "The platform fills in these settings of gateways and "
+                 "loaders. One that is empty,\n"
+                 "mistyped or out of range ends no start: the nearest number "
+                 "or the default is\n"
+                 "used, an unlimited one counts as not given, and the line "
+                 "`unusable settings\n"
+                 "replaced` names them:\n\n",
+                 replacedNames());
   std::string_view Section;
   for (const SettingSpec &Spec : SettingsTable) {
     if (Spec.Section != Section) {
--- a/packages/base/settings_type.h
+++ b/packages/base/settings_type.h
@@ -92,6 +92,8 @@
   std::string LogLevel;
   /// The path of the log file; empty: standard output.
   std::string LogFile;
+  /// Given values that could not be used, each with the one in its place.
+  std::vector<std::string> Replaced;
 };
 
 /// Settings of an entry.
--- a/packages/base/table/settings.h
+++ b/packages/base/table/settings.h
@@ -28,6 +28,14 @@
 /// The default of a setting that must be given.
 inline constexpr std::string_view NoDefault = "<required>";
 
+/// What becomes of a value that is empty, mistyped or out of range.
+enum class BadValue : uint8_t {
+  Refused, ///< The process does not start.
+  /// A gateway or loader uses the nearest number or the default, and logs it:
+  /// the platform fills in the value, and nobody is there to correct it.
+  Replaced,
+};
+
 /// The description of one setting.
 struct SettingSpec {
   std::string_view Section;
@@ -42,6 +50,7 @@
   /// The allowed words, separated by "|"; empty: any text.
   std::string_view Words;
   std::string_view Help;
+  BadValue WhenBad = BadValue::Refused;
 };
 
 // Keep the layout of the table.
@@ -52,11 +61,14 @@
     SettingSpec{"process", "role", &CommonSettings::Role, NoDefault, 0, 0,
                 "entry|agent|gateway|loader", "What the process does."},
     SettingSpec{"process", "host", &CommonSettings::Host, NoDefault, 0, 0,
-                "", "The host's name, as in the host list."},
+                "", "The host's name, as in the host list.",
+                BadValue::Replaced},
     SettingSpec{"process", "data_centre", &CommonSettings::DataCentre,
-                NoDefault, 0, 0, "", "The data centre it stands in."},
+                NoDefault, 0, 0, "", "The data centre it stands in.",
+                BadValue::Replaced},
     SettingSpec{"process", "region", &CommonSettings::Region, NoDefault, 0, 0,
-                "", "The region it stands in."},
+                "", "The region it stands in.",
+                BadValue::Replaced},
     SettingSpec{"process", "stop_grace_ms", &CommonSettings::StopGrace,
                 "30000", 0, 3600000, "",
                 "Time for open requests to end after SIGTERM."},
@@ -78,10 +90,12 @@
                 "", "The host list; entries need it."},
     SettingSpec{"duties", "service", &CommonSettings::DutyService, "", 0, 0,
                 "",
-                "The operator's interface for duties (gateways and loaders); empty: there are no duties."},
+                "The operator's interface for duties (gateways and loaders); empty: there are no duties.",
+                BadValue::Replaced},
     SettingSpec{"duties", "usage_window_s",
                 &CommonSettings::UsageWindowSeconds, "", 0, 0, "",
-                "Seconds of one window of usage reports; empty: 5."},
+                "Seconds of one window of usage reports; empty: 5.",
+                BadValue::Replaced},
 
     SettingSpec{"platform", "weight_store", &CommonSettings::WeightStore, "",
                 0, 0, "", "The weight store; empty: versions come from the log."},
@@ -132,10 +146,12 @@
                 "Answers held for peers that have not acknowledged them."},
     SettingSpec{"limits", "memory_mb", &CommonSettings::MemoryMb, "0", 0,
                 1048576, "",
-                "Memory of the host for this process in megabytes; 0: what clients make it hold has no limit."},
+                "Memory of the host for this process in megabytes; 0: what clients make it hold has no limit.",
+                BadValue::Replaced},
     SettingSpec{"limits", "file_descriptors",
                 &CommonSettings::FileDescriptors, "0", 0, 1048576, "",
-                "File descriptors that the host allows this process; 0: the number of connections has no limit."},
+                "File descriptors that the host allows this process; 0: the number of connections has no limit.",
+                BadValue::Replaced},
     SettingSpec{"limits", "max_client_connections",
                 &CommonSettings::MaxClientConnections, "0", 0, 1048576, "",
                 "Connections of callers; 0: half of file_descriptors."},
@@ -206,13 +222,16 @@
     SettingSpec{"gateway", "regions", &GatewaySettings::Regions, "", 0, 0, "",
                 "\"data centre=region\" for all data centres, separated by commas."},
     SettingSpec{"gateway", "grace_s", &GatewaySettings::GraceSeconds, "8", 0,
-                0, "", "Seconds that the platform gives after SIGTERM."},
+                0, "", "Seconds that the platform gives after SIGTERM.",
+                BadValue::Replaced},
     SettingSpec{"gateway", "partitions", &GatewaySettings::Partitions, "12",
                 1, 1200, "",
-                "Partitions of batch submissions; equal on all gateways."},
+                "Partitions of batch submissions; equal on all gateways.",
+                BadValue::Replaced},
     SettingSpec{"gateway", "record_bytes", &GatewaySettings::RecordBytes,
                 "262144", 1024, 16777216, "",
-                "Most bytes of one record of the store."},
+                "Most bytes of one record of the store.",
+                BadValue::Replaced},
     SettingSpec{"gateway", "submission_lifetime_ms",
                 &GatewaySettings::SubmissionLifetime, "240000", 1000,
                 86400000, "",
--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -9,6 +9,7 @@
 #include "base/text_func.h"
 #include "daemon/run_func.h"
 
+#include <absl/strings/str_join.h>
 #include <variant>
 
 namespace {
@@ -48,6 +49,9 @@
   auto &Settings = std::get<DaemonSettings>(Parsed);
   CommonSettings &Common = commonSettings(Settings);
   setupLogging(Common);
+  if (!Common.Replaced.empty())
+    logLine(LogLevel::Warn, "unusable settings replaced",
+            {{"settings", absl::StrJoin(Common.Replaced, "; ")}});
   const int64_t Wanted = Common.FileDescriptors;
   Common.FileDescriptors = raiseDescriptorLimit(Wanted);
   if (Common.FileDescriptors < Wanted)
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -120,6 +120,60 @@
                      "write one of entry|agent"));
 }
 
+// Guards against a process that does not start since the platform left out a
+// value, or gave one of another form.
+Test(parseSettings, valueOfThePlatformThatCannotBeUsed_isReplaced) {
+  struct Example {
+    std::string Line;
+    int64_t Memory;
+  };
+  for (const Example &Each :
+       {Example{"memory_mb =", 0}, Example{"memory_mb = 280.5", 280},
+        Example{"memory_mb = 0.5", 1}, Example{"memory_mb = unlimited", 0},
+        Example{"memory_mb = inf", 0}, Example{"memory_mb = nan", 0},
+        Example{"memory_mb = -1", 0}, Example{"memory_mb = null", 0},
+        Example{"memory_mb = 1e30", 1'048'576},
+        Example{"memory_mb = 9223372036854775808", 1'048'576}}) {
+    const SettingsResult Outcome =
+        parseGateway("[limits]\n" + Each.Line + "\n");
+    cr_assert(Outcome.has_value(), "%s", Each.Line.c_str());
+    const CommonSettings &Common = commonSettings(Outcome.value());
+    cr_expect_eq(Common.MemoryMb, Each.Memory, "%s", Each.Line.c_str());
+    cr_expect_eq(Common.Replaced.size(), 1U, "%s", Each.Line.c_str());
+  }
+}
+
+Test(parseSettings, emptyHostAndPlace_areReplaced) {
+  const SettingsResult Outcome =
+      parseSettings("gateway.ini",
+                    "[process]\nrole=gateway\nhost=\ndata_centre=\nregion=\n"
+                    "[listen]\nlinks=127.0.0.1:1\nhttp=127.0.0.1:2\n"
+                    "peers=127.0.0.1:3\n"
+                    "[gateway]\nfront=127.0.0.1:4\nstore=127.0.0.1:5\n"
+                    "grace_s=\npartitions=\nrecord_bytes=\n"
+                    "[duties]\nservice=none\nusage_window_s=soon\n",
+                    "");
+  cr_assert(Outcome.has_value());
+  const auto &Gateway = std::get<GatewaySettings>(Outcome.value());
+  cr_expect_str_eq(Gateway.Common.Host.c_str(), "127.0.0.1:1");
+  cr_expect_str_eq(Gateway.GraceSeconds.c_str(), "8");
+  cr_expect_eq(Gateway.Partitions, 12);
+  cr_expect_eq(Gateway.RecordBytes, 262'144);
+  cr_expect_eq(Gateway.Common.DutyService.Port, 0);
+  cr_expect(Gateway.Common.UsageWindowSeconds.empty());
+  cr_expect_eq(Gateway.Common.Replaced.size(), 8U);
+}
+
+Test(parseSettings, graceThatIsNoNumberOfSeconds_isReplaced) {
+  for (const char *Grace : {"inf", "nan", "-3", "0", "long", "1e300"}) {
+    const SettingsResult Outcome =
+        parseGateway(std::string("[gateway]\ngrace_s = ") + Grace + "\n");
+    cr_assert(Outcome.has_value(), "%s", Grace);
+    cr_expect_str_eq(
+        std::get<GatewaySettings>(Outcome.value()).GraceSeconds.c_str(), "8");
+  }
+}
+
 // Guards against a process that does not start where there are many data
 // centres.
 Test(parseSettings, sixtyDataCentres_areRead) {
@@ -133,6 +187,11 @@
                    Regions.c_str());
 }
 
+Test(parseSettings, badValuesOfAnEntry_areStillRefused) {
+  cr_assert(hasFault(parseEntry("[limits]\nmemory_mb = 1.5\n"),
+                     "is no whole number"));
+}
+
 Test(parseAddress, malformed_text_is_refused) {
   for (const auto *Text : {"", "host:1", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0",
                            "1.2.3.4:65536", "1.2.3:4"})
