Fix: [Base] A settings file that is being written ends no process

Cause: the file was read once; a part of it ended the process with code 2. Change: faulty settings are read again for 2 s.

--- a/packages/base/command_line_func.cpp
+++ b/packages/base/command_line_func.cpp
@@ -6,12 +6,15 @@
 #include "base/settings_func.h"
 #include "base/text_func.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <thread>
+#include <utility>
 
 DEFINE_string(config, "",
               "settings file (INI); default: the one that the environment "
@@ -67,19 +70,50 @@
   return ExitNow{BadSettingsExitCode};
 }
 
-/// Reads and checks the settings from the file and overrides that the flags
-/// give.
+/// @return the settings in the file and the overrides that the flags give.
+SettingsResult readSettings() {
+  const std::optional<std::string> Text = readFile(FLAGS_config);
+  if (!Text.has_value())
+    return std::vector<Error>{Error{ErrorKind::BadSetting,
+                                    concat(FLAGS_config, ": cannot be read"),
+                                    "give a readable file to --config"}};
+  return parseSettings(FLAGS_config, *Text, FLAGS_set);
+}
+
+/// @return whether the file may be one that the platform is still writing.
+bool mayBeUnfinished(const SettingsResult &Parsed,
+                     const SettingsResult &Before) {
+  if (!Parsed.has_value())
+    return true;
+  const auto &Replaced = commonSettings(Parsed.value()).Replaced;
+  return !Replaced.empty() &&
+         (!Before.has_value() ||
+          commonSettings(Before.value()).Replaced != Replaced);
+}
+
+/// Reads the settings, for a while again as long as they may be unfinished.
+SettingsResult awaitSettings() {
+  constexpr std::chrono::milliseconds Pause{50};
+  constexpr int MaxReads = 40;
+  SettingsResult Before = std::vector<Error>{};
+  SettingsResult Parsed = readSettings();
+  for (int Reads = 1; mayBeUnfinished(Parsed, Before) && Reads < MaxReads;
+       ++Reads) {
+    std::this_thread::sleep_for(Pause);
+    Before = std::exchange(Parsed, readSettings());
+  }
+  return Parsed;
+}
+
+/// Reads and checks the settings.
 CommandLineResult loadSettings() {
   if (const char *Path = std::getenv("CAMPHORNOTCH_CONFIG");
       FLAGS_config.empty() && Path != nullptr)
     FLAGS_config = Path;
   if (FLAGS_config.empty())
     return usageError("no settings file given", "add --config FILE");
-  const std::optional<std::string> Text = readFile(FLAGS_config);
-  if (!Text.has_value())
-    return usageError(concat(FLAGS_config, ": cannot be read"),
-                      "give a readable file to --config");
-  const SettingsResult Parsed = parseSettings(FLAGS_config, *Text, FLAGS_set);
+  const SettingsResult Parsed =
+      FLAGS_check_settings ? readSettings() : awaitSettings();
   if (!Parsed.has_value()) {
     std::cerr << renderFaults(Parsed.error());
     return ExitNow{BadSettingsExitCode};
--- a/packages/base/settings_page_func.cpp
+++ b/packages/base/settings_page_func.cpp
@@ -76,7 +76,8 @@
       "overrides it. `--check_settings` prints every fault and exits with 2 "
       "if\n"
       "there is one. This page is the output of `--help_settings`.\n";
-  Page += concat("\n"
+  Page += concat("\nFaulty settings are read again for 2 s, since the file may "
+                 "be being written.\n"
                  "The platform fills in these settings of gateways and "
                  "loaders. One that is empty,\n"
                  "mistyped or out of range ends no start: the nearest number "
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -68,6 +68,7 @@
         self.engines, self.portals, self.gateways, self.loaders = [], [], [], []
         self.pipes = []
         self.changes = {}          # host -> name and function that changes its settings
+        self.write_delay_s = 0.0   # how long an unfinished settings file lies there
         self.watchers = {}
         self.sent = 0
 
@@ -144,6 +145,9 @@
         path = os.path.join(self.folder.name, node + ".ini")
         text = render(template.replace("{{internal_port_range.1}}", str(self.port + 9)), values)
         self.write(path, text)
+        if self.write_delay_s:
+            self.write(path, text[:len(text) // 2])
+            asyncio.get_running_loop().call_later(self.write_delay_s, self.write, path, text)
         words = self.roles[role]["run"].split(" ")
         if not launch.unchanged_command:
             words = [path if word.startswith("/etc/") else word for word in words]
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -90,4 +90,12 @@
         hosts.faults.append(f"LOG {node}, {name}: {lines} lines say what was replaced")
 
 
-CASES = [settings_of_other_forms]
+async def settings_being_written(hosts, _):
+    """The platform writes the file while the process starts."""
+    hosts.write_delay_s = 0.4
+    began = time.monotonic()
+    await hosts.start_all()
+    return await hosts.recovered(began)
+
+
+CASES = [settings_of_other_forms, settings_being_written]
