Fix: [Loader] A loader whose settings name no service starts

Callers saw: nothing yet; found by the search for the class. Without `service` a loader ended with code 2. Change: the loader takes the service that the registration at its engine's address names.

--- a/packages/core/loads/engine_place_func.cpp
+++ b/packages/core/loads/engine_place_func.cpp
@@ -5,10 +5,30 @@
 
 namespace camphornotch {
 
+namespace {
+
+/// @return the service of the newest registration at the address; empty if
+///   there is none.
+std::string_view serviceAt(const std::map<EndpointId, EndpointState> &Endpoints,
+                           const Address &EngineAddress,
+                           const std::set<EndpointId> &DeniedIds) {
+  const EndpointRecord *Newest = nullptr;
+  for (const auto &[Id, State] : Endpoints)
+    if (State.Record.ListenAddress == EngineAddress &&
+        !DeniedIds.contains(Id) &&
+        (Newest == nullptr || State.Record.StartedAtMs > Newest->StartedAtMs))
+      Newest = &State.Record;
+  return Newest == nullptr ? std::string_view{} : Newest->Service;
+}
+
+} // namespace
+
 std::optional<OwnEngine>
 findOwnEngine(const std::map<EndpointId, EndpointState> &Endpoints,
               std::string_view Service, const Address &EngineAddress,
               const std::set<EndpointId> &DeniedIds) {
+  if (Service.empty())
+    Service = serviceAt(Endpoints, EngineAddress, DeniedIds);
   std::map<Address, const EndpointRecord *> Newest;
   for (const auto &[Id, State] : Endpoints) {
     const EndpointRecord &Record = State.Record;
--- a/packages/core/loads/engine_place_func.h
+++ b/packages/core/loads/engine_place_func.h
@@ -19,6 +19,7 @@
 
 /// Registrations of ended runs may remain: of several at one address, the one
 /// that started last counts.
+/// @param Service empty: the one that the newest of them names.
 /// @param DeniedIds ids that the engine at the address said are not its own.
 /// @return the engine; absent if it is not registered.
 std::optional<OwnEngine>
--- a/tests/loads/engine_place_test.cpp
+++ b/tests/loads/engine_place_test.cpp
@@ -25,8 +25,9 @@
 
   /// @param DeniedIds ids that the engine denied.
   std::optional<OwnEngine>
-  own(uint16_t Port, const std::set<EndpointId> &DeniedIds = {}) const {
-    return findOwnEngine(this->Pool.all(), "s", Address{"10.0.0.1", Port},
+  own(uint16_t Port, const std::set<EndpointId> &DeniedIds = {},
+      std::string_view Service = "s") const {
+    return findOwnEngine(this->Pool.all(), Service, Address{"10.0.0.1", Port},
                          DeniedIds);
   }
 };
@@ -53,6 +54,18 @@
   cr_assert(Each.own(1, {EndpointId{"false"}})->Id.Value == "true");
 }
 
+// Guards against a loader that does not start without the name of its service.
+Test(findOwnEngine, serviceNotGiven_isThatOfTheRegistration) {
+  PlaceFixture Each;
+  Each.add("a", 1, 100);
+  Each.add("b", 2, 100);
+  const auto Own = Each.own(2, {}, "");
+  cr_assert(Own.has_value());
+  cr_assert(Own->Id.Value == "b");
+  cr_assert_eq(Own->Place.Count, 2);
+  cr_assert(!Each.own(9, {}, "").has_value());
+}
+
 Test(findOwnEngine, unregisteredEngine_isAbsent) {
   PlaceFixture Each;
   Each.add("a", 1, 100);
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -13,7 +13,7 @@
     def change(values):
         for name in path[:-1]:
             values = values[name]
-        del values[path[-1]]
+        values.pop(path[-1], None)
     return change
 
 
@@ -55,6 +55,7 @@
     "no parts": without("platform", "parts"),
     "no record_bytes": without("platform", "record_bytes"),
     "no zones": without("zones"),
+    "no service": without("service"),
     "sixty zones": sixty_zones,
     "whole fractions": with_numbers(280.0, 8200.0, float(Store.RECORD_BYTES)),
 }
