Fix: [Base] Records stay within what the store takes, whatever its limit is said to be

Callers saw: nothing yet; found by the search for the class. A `record_bytes` of up to 16 MiB was used, though the platform's pages name 2 MiB a call; a large submission would be refused (suspected, not run). Cause: a very large limit was taken at its word. Change: records of over 1 MiB are never written; a larger value is replaced. Result: parseSettings::recordBytesBeyondAnyStore holds.

--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -164,6 +164,14 @@
   cr_expect_eq(Gateway.Common.Replaced.size(), 8U);
 }
 
+Test(parseSettings, recordBytesBeyondAnyStore_areReplaced) {
+  const SettingsResult Outcome =
+      parseGateway("[gateway]\nrecord_bytes = 1180591620717411303424\n");
+  cr_assert(Outcome.has_value());
+  cr_assert_eq(std::get<GatewaySettings>(Outcome.value()).RecordBytes,
+               1'048'576);
+}
+
 Test(parseSettings, graceThatIsNoNumberOfSeconds_isReplaced) {
   for (const char *Grace : {"inf", "nan", "-3", "0", "long", "1e300"}) {
     const SettingsResult Outcome =
