Fix: [Base] Entries and agents still refuse a window of usage that is no number

Cause: the fix before replaced the value for gateways and loaders, and left out the check of the other roles. Change: the check is back. Result: base_test passes.

--- a/packages/base/settings_func.cpp
+++ b/packages/base/settings_func.cpp
@@ -366,6 +366,12 @@
   if (Common.Role == "entry" && Common.HostList.Port == 0)
     Add("[platform] host_list is missing",
         "an entry needs the host list's address");
+  double Window = 0;
+  if (!Common.UsageWindowSeconds.empty() &&
+      (!absl::SimpleAtod(toAbsl(Common.UsageWindowSeconds), &Window) ||
+       Window < 1))
+    Add("[duties] usage_window_s is no number of seconds",
+        "write one of at least 1");
   if (Draft.Agent.ShortReserve > Draft.Agent.Slots)
     Add("[endpoint] short_reserve is above slots",
         "keep short_reserve below slots");
