--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -50,6 +50,7 @@
     address_space_mb: int = 0  # 0: no limit
     throttled: bool = False
     unchanged_command: bool = False
+    program: str = ""          # instead of the one of the deploy file
 
 
 class Hosts(Deployment):
@@ -152,6 +153,7 @@
         if not launch.unchanged_command:
             words = [path if word.startswith("/etc/") else word for word in words]
         words[0] = os.environ.get("CAMPHORNOTCH_DAEMON") or os.path.join(ROOT, words[0])
+        words[0] = launch.program or words[0]
         output = self.output_of(node)
 
         def prepare():
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -2,8 +2,10 @@
 them in another form.
 """
 import os
+import shutil
 import time
 
+from hosts import ROOT, Launch
 from standins import Store
 
 REPLACED_LINE = "unusable settings replaced"
@@ -99,4 +101,13 @@
     return await hosts.recovered(began)
 
 
-CASES = [settings_of_other_forms, settings_being_written]
+async def program_copied(hosts, _):
+    """The program lies in a folder of its own, without the files built beside it."""
+    program = os.environ.get("CAMPHORNOTCH_DAEMON") or os.path.join(ROOT, hosts.roles["gateway"]["run"])
+    hosts.launch = Launch(program=shutil.copy(program, hosts.folder.name))
+    began = time.monotonic()
+    await hosts.start_all()
+    return await hosts.recovered(began)
+
+
+CASES = [settings_of_other_forms, settings_being_written, program_copied]
