Fix: [Gateway] An expired history cannot make the follower read without a pause

A store that answers a cursor with 410, or whose log begins after the end that a pass names, was read again at once. Cause: 410 began a new pass wherever it came from. Change: it does so only where the log is read, and with a pause if no record came since the last time; at a cursor it counts as a failure of the cursor. Result: keyedFollower::cursorThatLeadsBackOrIsRefused with 400, 410 and 500 holds.

--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -125,22 +125,27 @@
     const Result<KeyedRecord> Record =
         platform::decodeKeyedRecord(Bytes, this->NextOffset);
     ++this->NextOffset;
-    if (Record.has_value())
-      this->Callbacks.OnRecord(Record.value());
-    else
+    if (!Record.has_value()) {
       logLine(LogLevel::Warn, "unreadable record of a keyed topic skipped",
               {{"topic", this->Topic}, {"cause", Record.error().Message}});
+      continue;
+    }
+    this->Callbacks.OnRecord(Record.value());
   }
+  this->ExpiredAgain = false;
   this->readNextRecords();
 }
 
 void KeyedFollower::onReadFailed(const StoreFailure &Failure) {
-  if (Failure.Expired) {
+  if (Failure.Expired && this->NewestRead) {
     logLine(
         LogLevel::Info,
         "history of a keyed topic expired; reading the newest records again",
         {{"topic", this->Topic}, {"next", concat(this->NextOffset)}});
-    this->beginPass();
+    if (std::exchange(this->ExpiredAgain, true))
+      this->Events.callAfter(RetryPause, [this] { this->beginPass(); });
+    else
+      this->beginPass();
     return;
   }
   if (this->Available) {
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -68,12 +68,15 @@
   KeyedFollowerCallbacks Callbacks;
   /// The pass over the newest records that runs, otherwise the last one.
   KeyedPass Pass;
-  /// Keys of earlier passes, which count as present if a pass was incomplete.
+  /// Keys that were read before the pass, and after the last one. They count as
+  /// present if the pass ends incomplete.
   std::set<std::string> EarlierKeys;
   /// Offset of the next record after the newest ones; -1: not known yet.
   int64_t NextOffset = -1;
   /// Whether the newest records of all keys were read.
   bool NewestRead = false;
+  /// Whether no record was read since the history last expired.
+  bool ExpiredAgain = false;
   /// Whether the last read was answered.
   bool Available = false;
   /// When the last answer of the store arrived.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -206,7 +206,7 @@
   const std::string AfterKey = queryParameter(Query, "after");
   ++this->NewestReads;
   if (HasCursor && this->RefusedCursors.contains(AfterKey)) {
-    reply(Exchange, 400, "{}");
+    reply(Exchange, this->RefusedCursorStatus, "{}");
     return;
   }
   const auto Newest = this->State.newest(Topic);
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -69,8 +69,9 @@
   int64_t NewestReads = 0;
   /// Whether bytes of keys that are no UTF-8 are sent as 0xff and not replaced.
   bool SendsRawKeys = false;
-  /// Keys after which a page gets 400.
+  /// Keys after which a page gets RefusedCursorStatus.
   std::set<std::string> RefusedCursors;
+  int RefusedCursorStatus = 400;
   /// Keys after which the first page comes again.
   std::set<std::string> LostCursors;
   /// A read that would wait longer than this for bandwidth gets 503.
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -47,11 +47,15 @@
   standin::StandinStoreServer Server{Events, 1};
   HttpClient Http{Events};
   platform::StoreClient Store{Events, Http, this->Server.target()};
+  /// Keys of all records, and of the last pass.
+  std::set<std::string> Records;
   std::set<std::string> Present;
   KeyedFollower Tested{
       Events, Store, std::string(Topic),
       KeyedFollowerCallbacks{
-          [](const KeyedRecord &) {},
+          [this](const KeyedRecord &Record) {
+            this->Records.insert(Record.Key);
+          },
           [this](const std::set<std::string> &Keys) { this->Present = Keys; },
           [](const Error &) {}, [] {}}};
 };
@@ -71,13 +75,15 @@
 
 // Guards against an entry that the store does not find again.
 Test(keyedFollower, cursorThatLeadsBackOrIsRefused_othersAreRead) {
-  for (const bool Refused : {false, true}) {
+  constexpr int LedBack = 0;
+  for (const int Status : {LedBack, 400, 410, 500}) {
     PagedFixture Fixture("b1");
-    (Refused ? Fixture.Server.RefusedCursors
-             : Fixture.Server.LostCursors) = {"b1"};
-    cr_expect(Fixture.readsSoundKeys());
+    Fixture.Server.RefusedCursorStatus = Status;
+    (Status == LedBack ? Fixture.Server.LostCursors
+                       : Fixture.Server.RefusedCursors) = {"b1"};
+    cr_expect(Fixture.readsSoundKeys(), "%d", Status);
     constexpr int64_t MaxPages = 8;
-    cr_expect_leq(Fixture.Server.NewestReads, MaxPages);
+    cr_expect_leq(Fixture.Server.NewestReads, MaxPages, "%d", Status);
   }
 }
 
