Fix: [Gateway] An incomplete pass keeps endpoints that registered after the last one

Cause: where no cursor leads on, the keys of earlier passes count as present; those of records read since then did not, so that their endpoints were dropped. Change: keys of such records count as well.

--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -130,6 +130,7 @@
               {{"topic", this->Topic}, {"cause", Record.error().Message}});
       continue;
     }
+    this->EarlierKeys.insert(Record.value().Key);
     this->Callbacks.OnRecord(Record.value());
   }
   this->ExpiredAgain = false;
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -87,6 +87,23 @@
   }
 }
 
+// Guards against the loss of endpoints that registered after the last pass.
+Test(keyedFollower, passThatEndsIncomplete_keepsKeysOfLaterRecords) {
+  PagedFixture Fixture("b1");
+  cr_assert(Fixture.readsSoundKeys());
+  Fixture.Server.put(std::string(Topic), "z1", "v");
+  cr_assert(turnUntil(Fixture.Events,
+                      [&Fixture] { return Fixture.Records.contains("z1"); }));
+  Fixture.Present.clear();
+  Fixture.Server.LostCursors = {"!1", "b1"};
+  Fixture.Server.state().put(std::string(Topic), "z2", "v");
+  Fixture.Server.state().dropHistory(std::string(Topic), 0);
+  cr_assert(turnUntil(Fixture.Events,
+                      [&Fixture] { return !Fixture.Present.empty(); }));
+  cr_expect(Fixture.Present.contains("z1"));
+  cr_expect(Fixture.Present.contains("c3"));
+}
+
 // Guards against a loop without end where no cursor leads on.
 Test(keyedFollower, everyCursorLeadsBack_newRecordsAreStillRead) {
   PagedFixture Fixture("b1");
