--- a/tests/base/log_test.cpp
+++ b/tests/base/log_test.cpp
@@ -36,3 +36,22 @@
   cr_assert(Severe);
   std::remove(Name);
 }
+
+// Guards against a process that ends at a name of another writer.
+Test(logLine, bytesThatAreNoText_areWrittenAsALine) {
+  char Name[] = "/tmp/camphornotch-log-XXXXXX";
+  cr_assert(mkstemp(Name) >= 0);
+  CommonSettings Settings;
+  Settings.LogFile = Name;
+  Settings.LogLevel = "info";
+  setupLogging(Settings);
+  logLine(LogLevel::Warn, "odd",
+          {{"name", std::string_view("\xff\r\n\0\x7f\xed\xa0\x80", 8)}});
+  logLine(LogLevel::Warn, "after");
+  std::ifstream File(Name);
+  int Lines = 0;
+  for (std::string Line; std::getline(File, Line);)
+    ++Lines;
+  cr_assert_eq(Lines, 2);
+  std::remove(Name);
+}
