Fix: [Soak] Signals of the soak do not take away the exit code of a process

Cause: asyncio's Process.send_signal() and kill() end in subprocess.Popen.send_signal(), which polls the child (waitpid with WNOHANG) first. asyncio's own watcher waits for the same child in a thread; if the poll comes first, it finds no child, logs "Unknown child process pid N, will report returncode 255", and the soak takes 255 for the code of the process. Change: the soak signals with os.kill(), and only a process whose end is not reported yet. No check is changed. soak_exit_codes plays the case with a stand-in that ends with 0, 3 or 255 and a watcher that comes late, and asks for exactly these codes.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -55,6 +55,17 @@
     program: str = ""          # instead of the one of the deploy file
 
 
+def send_signal(process, number):
+    """Signals a process of asyncio that its watcher has not reported as ended.
+    Process.send_signal() would poll the child, and a poll that comes before the
+    watcher's waitpid() takes the exit code away; asyncio then reports 255."""
+    if process.returncode is None:
+        try:
+            os.kill(process.pid, number)
+        except ProcessLookupError:
+            pass  # reaped, and the report is under way
+
+
 class Hosts(Deployment):
     """Gateways and loaders, their stand-ins, and what happened to them."""
 
@@ -184,14 +195,11 @@
 
     async def throttle(self, process, share):
         """Lets a process run for its share of each allotment only."""
-        try:
-            while process.returncode is None:
-                process.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(ALLOTMENT_S * (1 - share))
-                process.send_signal(signal.SIGCONT)
-                await asyncio.sleep(ALLOTMENT_S * share)
-        except ProcessLookupError:
-            pass
+        while process.returncode is None:
+            send_signal(process, signal.SIGSTOP)
+            await asyncio.sleep(ALLOTMENT_S * (1 - share))
+            send_signal(process, signal.SIGCONT)
+            await asyncio.sleep(ALLOTMENT_S * share)
 
     async def supervise(self, node, process):
         """Restarts a process that ends by itself; that counts as a fault."""
@@ -211,10 +219,7 @@
         if number in (signal.SIGTERM, signal.SIGINT, signal.SIGKILL):
             self.asked.add(self.processes[node].pid)
         self.record("signal", node=node, signal=number.name)
-        try:
-            self.processes[node].send_signal(number)
-        except ProcessLookupError:
-            pass
+        send_signal(self.processes[node], number)
 
     async def ended(self, node, within=GRACE_S):
         """Waits for the end; SIGKILL after the grace period. @return the exit code."""
@@ -333,7 +338,7 @@
                 task.cancel()
         for process in self.every:
             if process.returncode is None:
-                process.kill()
+                send_signal(process, signal.SIGKILL)
                 await process.wait()
         for pipe in self.pipes:
             os.close(pipe)
