--- a/tests/loads/engine_place_test.cpp
+++ b/tests/loads/engine_place_test.cpp
@@ -24,9 +24,9 @@
   }
 
   /// @param DeniedIds ids that the engine denied.
-  std::optional<OwnEngine>
-  own(uint16_t Port, const std::set<EndpointId> &DeniedIds = {},
-      std::string_view Service = "s") const {
+  std::optional<OwnEngine> own(uint16_t Port,
+                               const std::set<EndpointId> &DeniedIds = {},
+                               std::string_view Service = "s") const {
     return findOwnEngine(this->Pool.all(), Service, Address{"10.0.0.1", Port},
                          DeniedIds);
   }
