Fix: [Net] The data centre in the query for the host list is escaped

A name with & or + of a data centre would have asked for another one's list. Cause: the name went into the query as it is (entries and agents). Change: it is percent-encoded. Result: percentEncode::anyBytes; the call has no test of its own.

--- a/packages/net/host_list_base.cpp
+++ b/packages/net/host_list_base.cpp
@@ -82,7 +82,7 @@
 void HostListPoller::poll() {
   HttpCall Request;
   Request.Target = this->Target;
-  Request.Path = "/v1/hosts?from=" + this->DataCentre.Value;
+  Request.Path = "/v1/hosts?from=" + percentEncode(this->DataCentre.Value);
   Request.Timeout = CallTimeout;
   HttpCallbacks Callbacks;
   Callbacks.Finished = [this](const HttpResponse &Response) {
