Fix: [Gateway] An expiry without the oldest offset does not move leftovers back

After a 410 without `first`, leftovers were read from offset -1. Cause: the offset was taken unchecked, where the other readers take the larger one. Change: the larger one counts. Result: built; no test of its own.

--- a/packages/gateway/leftover_task_base.cpp
+++ b/packages/gateway/leftover_task_base.cpp
@@ -9,6 +9,7 @@
 #include "core/store/store_func.h"
 #include "wire/codec_func.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace camphornotch {
@@ -92,7 +93,7 @@
           const StoreFailure &Failure = Page.error();
           ReadState &State = this->ReadStates[Partition];
           if (Failure.Expired) {
-            State.NextOffset = Failure.OldestOffset;
+            State.NextOffset = std::max(State.NextOffset, Failure.OldestOffset);
             State.Joiner = RecordJoiner{};
           }
           logLine(LogLevel::Info, "leftovers not read",
