--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -1,6 +1,7 @@
 """Cases of the soak: entries of another writer in the topics that operators and
 engines write to, while all processes start again.
 """
+import asyncio
 import base64
 import time
 import urllib.parse
@@ -13,6 +14,12 @@
          ("6", "7\x7f"), ("8", "9" * 255))
 # Pages that one process reads of both topics at a start, each read twice.
 MAX_READS = 4 * (len(PAGES) + 1)
+# Values that no field of an engine's entry, or of its report, has.
+ODD_VALUES = [None, -1, 1.5, 2 ** 70, -2 ** 70, 1e300, "", "x" * 70000, [], {}, [None], [[[[[[]]]]]], True, "\x00",
+              [{"name": None, "version": -1, "adapters": 3}], [{}] * 400, "999.1.1.1:99999", ":0", "%41&b=c #"]
+ODD_FIELDS = ("service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "stage", "models",
+              "sequence", "born")
+REPORT_FIELDS = ODD_FIELDS + ("busy", "waiting", "running", "kv_cache_used", "kv_cache_total", "handles")
 
 
 def serve_decoded_pages(store):
@@ -40,6 +47,16 @@
             store.put(topic, odd_name, {"note": "of another writer"})
 
 
+async def put_odd_entries(hosts, luck, name):
+    """Entries of one name whose fields are odd, or that are no entries at all, one after the other."""
+    for _ in range(12):
+        entry = dict(luck.choice(hosts.engines).entry(), address=f"{hosts.net}.250:9")
+        entry |= {field: luck.choice(ODD_VALUES) for field in luck.sample(ODD_FIELDS, 2)}
+        hosts.store.put("keyed.servers", name, luck.choice([entry] * 6 + ODD_VALUES))
+        await asyncio.sleep(0.25)
+    hosts.store.put("keyed.servers", name, None)
+
+
 async def odd_names_at_page_ends(hosts, _):
     """All processes start again while the entries stand."""
     serve_decoded_pages(hosts.store)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -254,6 +254,26 @@
         status, fields, _ = await call(self.front(node), "POST", f"{path}{self.sent}", headers, b"{}", timeout=1.5)
         return status == 200 and "x-camphornotch-response-signature" in fields
 
+    async def keeps(self, node, luck, path=PORTAL_PATH):
+        """Requests on one connection; at times the client leaves in the middle."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.front(node)), 1.0)
+            for _ in range(luck.randrange(1, 8)):
+                self.sent += 1
+                writer.write((f"POST {path}k HTTP/1.1\r\nHost: {HOST}\r\nX-Camphornotch-Request-Id: k{self.sent}"
+                              "\r\nX-Camphornotch-Request-Deadline: 1500\r\nX-Camphornotch-Model: m0\r\n"
+                              "Content-Length: 2\r\n\r\n{}").encode())
+                head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), luck.choice((0.03, 2.0)))).lower()
+                if b"chunked" in head:
+                    await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), luck.choice((0.05, 2.0)))
+                elif b"content-length: " in head:
+                    await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r")[0]))
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        if writer is not None:
+            luck.choice((writer.close, writer.transport.abort))()
+
     async def runs_rollouts(self, node):
         """@return whether a submission to the gateway gets all its results."""
         self.sent += 1
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 
+import days
 import entries
 import lives
 import settings
@@ -19,7 +20,7 @@
 from standins import Record
 
 CASE_LIMIT_S = 90
-CASES = lives.CASES + versions.CASES + entries.CASES + settings.CASES
+CASES = lives.CASES + versions.CASES + entries.CASES + settings.CASES + days.CASES
 
 
 async def play(case, options):
