--- a/tests/base/log_test.cpp
+++ b/tests/base/log_test.cpp
@@ -11,20 +11,35 @@
 
 using namespace camphornotch;
 
+namespace {
+
+/// A log in a file of its own.
+struct LogFixture {
+  LogFixture() {
+    cr_assert(mkstemp(this->Name) >= 0);
+    CommonSettings Settings;
+    Settings.LogFile = this->Name;
+    Settings.LogLevel = "info";
+    setupLogging(Settings);
+  }
+  ~LogFixture() { std::remove(this->Name); }
+  LogFixture(const LogFixture &) = delete;
+  LogFixture &operator=(const LogFixture &) = delete;
+
+  char Name[32] = "/tmp/camphornotch-log-XXXXXX";
+};
+
+} // namespace
+
 Test(logLine, manyLinesInASecond_areBoundedAndCounted) {
-  char Name[] = "/tmp/camphornotch-log-XXXXXX";
-  cr_assert(mkstemp(Name) >= 0);
-  CommonSettings Settings;
-  Settings.LogFile = Name;
-  Settings.LogLevel = "info";
-  setupLogging(Settings);
+  const LogFixture Log;
   constexpr int Requested = 20'000;
   const Millis Begin = steadyNow();
   for (int Index = 0; Index < Requested; ++Index)
     logLine(LogLevel::Info, "filler");
   const int64_t Seconds = (steadyNow() - Begin).Count / 1000 + 2;
   logLine(LogLevel::Error, "still written");
-  std::ifstream File(Name);
+  std::ifstream File(Log.Name);
   int64_t Fillers = 0;
   bool Severe = false;
   for (std::string Line; std::getline(File, Line);) {
@@ -34,24 +49,17 @@
   cr_assert(Fillers <= 2'000 * Seconds);
   cr_assert(Fillers < Requested);
   cr_assert(Severe);
-  std::remove(Name);
 }
 
 // Guards against a process that ends at a name of another writer.
 Test(logLine, bytesThatAreNoText_areWrittenAsALine) {
-  char Name[] = "/tmp/camphornotch-log-XXXXXX";
-  cr_assert(mkstemp(Name) >= 0);
-  CommonSettings Settings;
-  Settings.LogFile = Name;
-  Settings.LogLevel = "info";
-  setupLogging(Settings);
+  const LogFixture Log;
   logLine(LogLevel::Warn, "odd",
           {{"name", std::string_view("\xff\r\n\0\x7f\xed\xa0\x80", 8)}});
   logLine(LogLevel::Warn, "after");
-  std::ifstream File(Name);
+  std::ifstream File(Log.Name);
   int Lines = 0;
   for (std::string Line; std::getline(File, Line);)
     ++Lines;
   cr_assert_eq(Lines, 2);
-  std::remove(Name);
 }
