Fix: [Platform] An escape that JSON does not know hides no page

Cause: a backslash was copied with what follows, also a byte that is no text. Result: decodeKeyedPage::keyThatIsNoText holds with three more keys.

--- a/tests/platform/keyed_page_test.cpp
+++ b/tests/platform/keyed_page_test.cpp
@@ -33,7 +33,7 @@
   for (const std::string Odd :
        {"\xff", "a\x80z", "\xc3", "\xed\xa0\x80", "\xf4\x90\x80\x80",
         "\xc0\xaf", "\\ud800", "\\udc00x", "\\ud800\\u0041", "a\r\nb",
-        "\\\\\xff"}) {
+        "\\\\\xff", "\\\xff", "\\x", "\\u12"}) {
     const auto Page =
         decodePage(itemText("a") + "," + itemText(Odd) + "," + itemText("c"));
     cr_assert(Page.has_value(), "%s", Odd.c_str());
