Fix: [Gateway] A page that cannot be passed hides no records behind it

Cause: KeyedFollower read new records only once a pass over the newest ones had ended. A pass without a cursor to go on from, or with an unreadable first page, began again for good, each 150 ms.

Change: such a pass ends incomplete, and is repeated after 2 s to 120 s, at once if the store was away. New records are followed meanwhile, from the last 1,000 of the retained ones on, as soon as a cursor failed twice: a page of odd names has up to 18 failures. As they are read beside the pages, a record that is older than the last one of its key is dropped; keys that were removed are forgotten after a pass, which no process did before.

--- a/packages/core/store/keyed_pass_base.cpp
+++ b/packages/core/store/keyed_pass_base.cpp
@@ -3,11 +3,13 @@
 
 #include "core/store/keyed_pass_base.h"
 
+#include <algorithm>
+
 namespace camphornotch {
 
 namespace {
 
-/// Failures at one cursor after which the cursor may be their cause.
+/// Failures of one page after which the page may be their cause.
 constexpr int MaxFailures = 2;
 
 } // namespace
@@ -32,6 +34,8 @@
 }
 
 PassStep KeyedPass::onPage(const KeyedPage &Page) {
+  if (this->FirstEnd < 0)
+    this->FirstEnd = std::max<int64_t>(Page.EndOffset, 0);
   const bool HasNewKeys = this->addKeys(Page);
   if (!Page.HasMore)
     return PassEnd{};
@@ -43,14 +47,22 @@
     this->stepBack();
   }
   if (const std::string *Cursor = this->cursor())
-    return NextPage{*Cursor, !HasNewKeys};
+    return NextPage{*Cursor, !HasNewKeys, !HasNewKeys};
   return PassEnd{true};
 }
 
-const std::string *KeyedPass::onFailure() {
-  if (++this->Failures >= MaxFailures)
+PassStep KeyedPass::onFailure() {
+  const bool StepsBack = ++this->Failures >= MaxFailures;
+  if (this->FirstEnd < 0) {
+    if (StepsBack)
+      return PassEnd{true};
+    return NextPage{std::nullopt, false, true};
+  }
+  if (StepsBack)
     this->stepBack();
-  return this->cursor();
+  if (const std::string *Cursor = this->cursor())
+    return NextPage{*Cursor, StepsBack, true};
+  return PassEnd{true};
 }
 
 } // namespace camphornotch
--- a/packages/core/store/keyed_pass_base.h
+++ b/packages/core/store/keyed_pass_base.h
@@ -6,6 +6,8 @@
 
 #include "core/store/store_type.h"
 
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -13,11 +15,14 @@
 
 namespace camphornotch {
 
-/// The page after a key is read next.
+/// A page is read next.
 struct NextPage {
-  std::string AfterKey;
-  /// Whether the page before had no key that was new to the pass.
-  bool Repeated = false;
+  /// The key after which it begins; absent: the first page.
+  std::optional<std::string> AfterKey;
+  /// Whether the cursor before it led no further.
+  bool SteppedBack = false;
+  /// Whether it waits, since the page before it brought nothing new.
+  bool Later = false;
 };
 
 /// The pass has ended.
@@ -37,12 +42,16 @@
   PassStep onPage(const KeyedPage &Page);
 
   /// A page was not answered, or the store refused the call.
-  /// @return the key to read after next; null: the pass has to begin again.
-  const std::string *onFailure();
+  /// @return what follows it.
+  PassStep onFailure();
 
   /// @return the keys on the pages so far.
   const std::set<std::string> &keys() const { return this->Keys; }
 
+  /// @return the end offset on the first page, after which records may be
+  ///   missing on the pages; -1: no page was read.
+  int64_t firstEnd() const { return this->FirstEnd; }
+
 private:
   /// @return whether the page has a key that no page before it had.
   bool addKeys(const KeyedPage &Page);
@@ -52,11 +61,12 @@
   void stepBack();
 
   std::set<std::string> Keys;
+  int64_t FirstEnd = -1;
   /// Cursors of the last page that had new keys.
   std::vector<std::string> Cursors;
   /// Distance of the current cursor from the end of Cursors.
   size_t Distance = 0;
-  /// Consecutive failures at the current cursor.
+  /// Consecutive failures at the current cursor, or of the first page.
   int Failures = 0;
 };
 
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -10,9 +10,11 @@
 #include "platform/store_client_base.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace camphornotch {
 
@@ -20,7 +22,8 @@
 struct KeyedFollowerCallbacks {
   /// A record was read: newer than the last one of its key, or the same again.
   std::function<void(const KeyedRecord &)> OnRecord;
-  /// The newest records were read; takes the keys that exist.
+  /// The newest records were read, or as many of them as can be; takes the keys
+  /// that may exist.
   std::function<void(const std::set<std::string> &)> OnComplete;
   /// The store stopped answering.
   std::function<void(const Error &)> OnLost;
@@ -35,7 +38,9 @@
 loggingCallbacks(const std::string &What,
                  std::function<void(const KeyedRecord &)> OnRecord);
 
-/// Follows one topic from begin() until the process ends.
+/// Follows one topic from begin() until the process ends: a pass over the
+/// newest records, then each new record. Where a page of the pass leads no
+/// further, new records are followed beside it, and the pass is repeated later.
 class KeyedFollower {
 public:
   KeyedFollower(Loop &Events, platform::StoreClient &Store, std::string Topic,
@@ -48,19 +53,45 @@
   bool available(Millis Now) const;
 
 private:
+  /// The newest record of a key.
+  struct NewestRecord {
+    int64_t Offset = 0;
+    bool Removed = false;
+  };
+
   /// Starts a pass over the newest records.
   void beginPass();
   /// Reads a page of newest records.
   /// @param AfterKey the key after which it begins; absent: the first page.
   void readNewest(const std::optional<std::string> &AfterKey);
-  void readNewestLater(const std::string &AfterKey);
   void onNewestPage(const KeyedPage &Page);
+  void onNewestFailed(const StoreFailure &Failure);
+  /// @param Cause why the page before was not the one that was expected.
+  void continuePass(const PassStep &Step, std::string_view Cause);
   void onPassEnd(const PassEnd &End);
-  /// Long-polls the store for the next record.
+  /// Repeats the pass after a pause that grows.
+  void repeatPassLater();
+  /// Follows new records, beginning with recent ones, while keys may be
+  /// missing.
+  void followBesidePass();
+  /// Starts to follow new records, unless they are followed.
+  /// @param Offset the first offset to read.
+  void follow(int64_t Offset);
+  /// Goes on at an offset; the records before it are not read.
+  void skipTo(int64_t Offset);
+  /// Reads the next records; long-polls the store once all were read.
   void readNextRecords();
+  void readNextRecordsLater();
   void onRecords(const ReadPage &Page);
-  void onReadFailed(const StoreFailure &Failure);
-  void onReadAnswered();
+  void onRecordsFailed(const StoreFailure &Failure);
+  /// The next record is no longer retained.
+  void onExpired(const StoreFailure &Failure);
+  /// Passes a record on, unless a newer one of its key was read.
+  void onRecord(const KeyedRecord &Record);
+  /// Reports the keys that exist.
+  void reportKeys();
+  void onStoreAnswered();
+  void onStoreLost(const Error &Cause);
 
   Loop &Events;
   platform::StoreClient &Store;
@@ -68,13 +99,23 @@
   KeyedFollowerCallbacks Callbacks;
   /// The pass over the newest records that runs, otherwise the last one.
   KeyedPass Pass;
-  /// Keys that were read before the pass, and after the last one. They count as
-  /// present if the pass ends incomplete.
-  std::set<std::string> EarlierKeys;
-  /// Offset of the next record after the newest ones; -1: not known yet.
-  int64_t NextOffset = -1;
-  /// Whether the newest records of all keys were read.
+  bool PassRuns = false;
+  /// Whether the last pass read the newest records of all keys.
   bool NewestRead = false;
+  /// The next pass, if the last one ended incomplete.
+  std::optional<TimerId> NextPass;
+  Millis NextPassPause;
+  /// Newest record of each key that was read. Removed ones are kept while a
+  /// pass runs, as a page may be older than the removal.
+  std::map<std::string, NewestRecord> Newest;
+  /// Whether new records are followed.
+  bool Following = false;
+  /// Whether all records were read since they are followed.
+  bool CaughtUp = false;
+  /// Offset of the next record to read.
+  int64_t NextOffset = 0;
+  /// Offset from which on each record was read.
+  int64_t FollowedFrom = 0;
   /// Whether no record was read since the history last expired.
   bool ExpiredAgain = false;
   /// Whether the last read was answered.
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -205,7 +205,13 @@
   const bool HasCursor = Query.find("&after=") != std::string::npos;
   const std::string AfterKey = queryParameter(Query, "after");
   ++this->NewestReads;
-  if (HasCursor && this->RefusedCursors.contains(AfterKey)) {
+  const bool Refused = HasCursor ? this->RefusedCursors.contains(AfterKey)
+                                 : this->RefusesFirstPage;
+  if (Refused && this->RefusedCursorStatus == 0) {
+    this->HeldCalls.push_back(Exchange);
+    return;
+  }
+  if (Refused) {
     reply(Exchange, this->RefusedCursorStatus, "{}");
     return;
   }
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -69,9 +69,11 @@
   int64_t NewestReads = 0;
   /// Whether bytes of keys that are no UTF-8 are sent as 0xff and not replaced.
   bool SendsRawKeys = false;
-  /// Keys after which a page gets RefusedCursorStatus.
+  /// Keys after which a page gets RefusedCursorStatus; 0: it is not answered.
   std::set<std::string> RefusedCursors;
   int RefusedCursorStatus = 400;
+  /// Whether the first page gets RefusedCursorStatus as well.
+  bool RefusesFirstPage = false;
   /// Keys after which the first page comes again.
   std::set<std::string> LostCursors;
   /// A read that would wait longer than this for bandwidth gets 503.
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <criterion/criterion.h>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,28 @@
     for (const std::string &Key : {std::string("!1"), OddKey, std::string("c1"),
                                    std::string("c2"), std::string("c3")})
       this->Server.put(std::string(Topic), Key, "v");
+    // Only pages bring these records.
+    this->Server.state().dropHistory(std::string(Topic), 0);
+  }
+
+  /// Makes the store refuse the page after "b1", or the first one.
+  /// @param Status 0: it is not answered.
+  void refusePage(bool First, int Status) {
+    this->Server.RefusedCursorStatus = Status;
+    this->Server.RefusesFirstPage = First;
+    this->Server.RefusedCursors = {"b1"};
+  }
+
+  void healPages() {
+    this->Server.RefusesFirstPage = false;
+    this->Server.RefusedCursors.clear();
+  }
+
+  /// @return whether a record is read that is written now.
+  bool readsNewRecord(const std::string &Key) {
+    this->Server.put(std::string(Topic), Key, "v");
+    return turnUntil(this->Events,
+                     [this, &Key] { return this->Records.contains(Key); });
   }
 
   /// @return whether all sound keys were read, and the pass has ended.
@@ -50,11 +73,18 @@
   /// Keys of all records, and of the last pass.
   std::set<std::string> Records;
   std::set<std::string> Present;
+  /// The last record of each key, and whether one was older than that before
+  /// it.
+  std::map<std::string, KeyedRecord> Newest;
+  bool WentBack = false;
   KeyedFollower Tested{
       Events, Store, std::string(Topic),
       KeyedFollowerCallbacks{
           [this](const KeyedRecord &Record) {
             this->Records.insert(Record.Key);
+            KeyedRecord &Known = this->Newest[Record.Key];
+            this->WentBack |= Record.Offset < Known.Offset;
+            Known = Record;
           },
           [this](const std::set<std::string> &Keys) { this->Present = Keys; },
           [](const Error &) {}, [] {}}};
@@ -118,6 +148,75 @@
   cr_assert(Fixture.Present.contains("!1"));
 }
 
+// Guards against a pass that begins again for good while nothing follows the
+// records behind the page that cannot be read.
+Test(keyedFollower, pageWithoutAnotherCursorIsRefused_newRecordsAreRead) {
+  constexpr int NotAnswered = 0;
+  for (const bool First : {false, true}) {
+    for (const int Status : {NotAnswered, 400, 410, 429, 500}) {
+      PagedFixture Fixture("b1", 1);
+      Fixture.refusePage(First, Status);
+      Fixture.Tested.begin();
+      cr_expect(Fixture.readsNewRecord("c2"), "%d %d", First, Status);
+      cr_expect(turnUntil(Fixture.Events, [&Fixture] {
+        return Fixture.Tested.available(steadyNow()) &&
+               Fixture.Present.contains("c2");
+      }));
+    }
+  }
+}
+
+// Guards against a list that stays incomplete once its pages are readable.
+Test(keyedFollower, pageIsReadableAgain_allKeysAreRead) {
+  for (const bool First : {false, true}) {
+    PagedFixture Fixture("b1", 1);
+    Fixture.refusePage(First, 500);
+    Fixture.Tested.begin();
+    cr_expect(Fixture.readsNewRecord("d1"));
+    Fixture.Present.clear();
+    Fixture.healPages();
+    cr_expect(turnUntil(Fixture.Events, [&Fixture] {
+      return Fixture.Present.contains("c3") && Fixture.Present.contains("d1");
+    }));
+  }
+}
+
+// Guards against calls without a pause while a page cannot be read.
+Test(keyedFollower, pageStaysRefused_passIsRepeatedWithGrowingPause) {
+  PagedFixture Fixture("b1", 1);
+  Fixture.refusePage(true, 500);
+  Fixture.Tested.begin();
+  constexpr int64_t ReadsOfThreePasses = 6;
+  cr_assert(turnUntil(Fixture.Events, [&Fixture] {
+    return Fixture.Server.NewestReads >= ReadsOfThreePasses;
+  }));
+  // Pauses of 2 s and 4 s, in which the records are read with a wait of 0.7 s.
+  constexpr int64_t MinReadsBeside = 5;
+  cr_expect_geq(Fixture.Server.ReadsByTopic[std::string(Topic)],
+                MinReadsBeside);
+}
+
+// Guards against an endpoint that returns to an older state, or that is back
+// after its removal, while retained records are read beside the pages.
+Test(keyedFollower, retainedRecordsAreReadBesidePages_noKeyGoesBack) {
+  PagedFixture Fixture("b1", 1);
+  for (const char *Value : {"v1", "v2", "v3"})
+    for (const char *Key : {"!1", "c1"})
+      Fixture.Server.put(std::string(Topic), Key, Value);
+  Fixture.Server.put(std::string(Topic), "c2", "");
+  Fixture.refusePage(false, 500);
+  Fixture.Tested.begin();
+  cr_assert(turnUntil(Fixture.Events,
+                      [&Fixture] { return Fixture.Present.contains("c1"); }));
+  cr_expect_not(Fixture.WentBack);
+  cr_expect_eq(Fixture.Newest["c1"].Value, "v3");
+  Fixture.healPages();
+  cr_assert(turnUntil(Fixture.Events,
+                      [&Fixture] { return Fixture.Present.contains("c3"); }));
+  cr_expect_not(Fixture.WentBack);
+  cr_expect_not(Fixture.Present.contains("c2"));
+}
+
 // Guards against a key that makes its whole page unreadable.
 Test(keyedFollower, keyThatIsNoText_othersAreRead) {
   for (const bool SendsRawKeys : {false, true}) {
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -14,13 +14,14 @@
 import days
 import entries
 import lives
+import odd_names
 import settings
 import versions
 from hosts import Hosts
 from standins import Record
 
 CASE_LIMIT_S = 90
-CASES = lives.CASES + versions.CASES + entries.CASES + settings.CASES + days.CASES
+CASES = lives.CASES + versions.CASES + entries.CASES + odd_names.CASES + settings.CASES + days.CASES
 
 
 async def play(case, options):
