Fix: [Gateway] An older value that only peers have is pulled beside newer ones

What callers saw: nothing by this fault alone. A gateway that started while the store refused a page of keyed.op never got the configuration on the pages behind it, though each loader had it.

Cause: published values are pulled from a peer that has a newer one. A process that read a part of the topic, with an entry of another writer that is newer than the configuration, has one as new as theirs and asks nobody.

Change: when a pass over the values ends incomplete, the peers are asked for all their values, one after the other, until one of them has a value that is new.

--- a/packages/core/gateway/value_pull_base.cpp
+++ b/packages/core/gateway/value_pull_base.cpp
@@ -19,6 +19,9 @@
 
 bool ValuePull::onOffer(const ValueOffer &Offer, int64_t HaveOffset,
                         Millis Now) {
+  const bool All = this->WantsAll && !this->AskedForAll.contains(Offer.Peer);
+  if (All)
+    HaveOffset = -1;
   if (Offer.Offset <= HaveOffset)
     return false;
   if (!this->Behind || HaveOffset > this->BehindOffset) {
@@ -35,14 +38,26 @@
     return false;
   this->Asked = Offer.Peer;
   this->AskedAt = Now;
+  this->AskedAll = All;
+  if (All)
+    this->AskedForAll.insert(Offer.Peer);
   return true;
 }
 
+void ValuePull::wantAll() {
+  this->WantsAll = true;
+  this->AskedForAll.clear();
+}
+
 void ValuePull::onPeerLost(const HostId &Peer) {
   if (this->Asked == Peer)
     this->Asked = HostId{};
 }
 
-void ValuePull::onAnswer(const HostId &Peer) { this->onPeerLost(Peer); }
+void ValuePull::onAnswer(const HostId &Peer, bool HasNew) {
+  if (this->Asked == Peer && this->AskedAll && HasNew)
+    this->WantsAll = false;
+  this->onPeerLost(Peer);
+}
 
 } // namespace camphornotch
--- a/packages/core/gateway/value_pull_base.h
+++ b/packages/core/gateway/value_pull_base.h
@@ -8,6 +8,7 @@
 #include "base/millis_type.h"
 
 #include <cstdint>
+#include <set>
 
 namespace camphornotch {
 
@@ -32,12 +33,20 @@
   /// @return whether to ask that peer now; then it counts as asked.
   bool onOffer(const ValueOffer &Offer, int64_t HaveOffset, Millis Now);
 
+  /// Values below the highest offset known here may be missing: asks one peer
+  /// after the other for all values, until one has a value that is new here.
+  void wantAll();
+
+  /// @return whether the peer asked last is to send all values.
+  bool asksForAll() const { return this->AskedAll; }
+
   /// Notes that the link to a peer is lost; another may be asked at once.
   void onPeerLost(const HostId &Peer);
 
   /// Notes an answer of a peer; if values are still missing, another peer may
   /// be asked at once.
-  void onAnswer(const HostId &Peer);
+  /// @param HasNew whether a value of the answer is new here.
+  void onAnswer(const HostId &Peer, bool HasNew = false);
 
 private:
   /// Whether a newer offset was offered before.
@@ -49,6 +58,11 @@
   /// The peer asked; empty: none.
   HostId Asked;
   Millis AskedAt{0};
+  /// Whether the peer was asked for all values.
+  bool AskedAll = false;
+  bool WantsAll = false;
+  /// Peers asked for all values since wantAll().
+  std::set<HostId> AskedForAll;
 };
 
 } // namespace camphornotch
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -97,11 +97,12 @@
                      [this](const wire::SuspectState &State) {
                        this->Suspects.onRecord(State);
                      }),
-      Published(Events, Store, std::string(platform::OperatorTopic),
-                loggingCallbacks("published values",
-                                 [this](const KeyedRecord &Record) {
-                                   this->onPublished(Record);
-                                 })),
+      Published(
+          Events, Store, std::string(platform::OperatorTopic),
+          loggingCallbacks(
+              "published values",
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [this] { this->Peers.pullAll(); })),
       Directory(Events, Store, Pool,
                 [this] {
                   this->connectLoaders();
--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -37,8 +37,10 @@
 
 KeyedFollowerCallbacks
 loggingCallbacks(const std::string &What,
-                 std::function<void(const KeyedRecord &)> OnRecord) {
+                 std::function<void(const KeyedRecord &)> OnRecord,
+                 std::function<void()> OnIncomplete) {
   KeyedFollowerCallbacks Callbacks;
+  Callbacks.OnIncomplete = std::move(OnIncomplete);
   Callbacks.OnRecord = std::move(OnRecord);
   Callbacks.OnComplete = [](const std::set<std::string> &) {};
   Callbacks.OnLost = [What](const Error &Cause) {
@@ -147,6 +149,8 @@
            {"again_in_ms", concat(this->NextPassPause.Count)}});
   this->repeatPassLater();
   this->followBesidePass();
+  if (this->Callbacks.OnIncomplete)
+    this->Callbacks.OnIncomplete();
 }
 
 void KeyedFollower::repeatPassLater() {
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -29,6 +29,8 @@
   std::function<void(const Error &)> OnLost;
   /// The store answers for the first time or again.
   std::function<void()> OnAvailable;
+  /// A pass ended before the newest records of all keys were read. Optional.
+  std::function<void()> OnIncomplete;
 };
 
 /// @param What the contents of the topic, for log lines.
@@ -36,7 +38,8 @@
 /// answers again.
 KeyedFollowerCallbacks
 loggingCallbacks(const std::string &What,
-                 std::function<void(const KeyedRecord &)> OnRecord);
+                 std::function<void(const KeyedRecord &)> OnRecord,
+                 std::function<void()> OnIncomplete = {});
 
 /// Follows one topic from begin() until the process ends: a pass over the
 /// newest records, then each new record. Where a page of the pass leads no
--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -73,11 +73,12 @@
                 this->Suspects.onPush(Peer, Push);
               }}),
       Suspects(Peers, Counts, SuspectRelay::AllPeers),
-      Published(Events, Store, std::string(platform::OperatorTopic),
-                loggingCallbacks("published values",
-                                 [this](const KeyedRecord &Record) {
-                                   this->onPublished(Record);
-                                 })),
+      Published(
+          Events, Store, std::string(platform::OperatorTopic),
+          loggingCallbacks(
+              "published values",
+              [this](const KeyedRecord &Record) { this->onPublished(Record); },
+              [this] { this->Peers.pullAll(); })),
       Directory(Events, Store, Pool, [this] { this->updatePlace(); }) {
   this->LastReport.Sequence = -1;
   this->Store.setRelay([this](const platform::RawStoreCall &Call,
--- a/packages/gateway/peer_task_base.cpp
+++ b/packages/gateway/peer_task_base.cpp
@@ -97,9 +97,10 @@
           {{"peer", Peer.Value},
            {"near", Offer.Near ? "yes" : "no"},
            {"have", concat(HaveOffset)},
+           {"all", this->Pull.asksForAll() ? "yes" : "no"},
            {"offered", concat(Beat.ConfigOffset)}});
   wire::ConfigPull Known;
-  Known.HaveOffset = HaveOffset;
+  Known.HaveOffset = this->Pull.asksForAll() ? -1 : HaveOffset;
   wire::PeerMessage Message;
   Message.__set_ConfigPullMsg(Known);
   this->Hub.send(Peer, Message);
@@ -117,17 +118,24 @@
   this->Hub.send(Peer, Push);
 }
 
+void PeerTask::onPushedValues(const HostId &Peer,
+                              const wire::PublishedPush &Push) {
+  bool HasNew = false;
+  for (const wire::PublishedValue &Value : Push.Values) {
+    const KeyedRecord Record{Value.Key, Value.Value, Value.Offset};
+    HasNew |= this->Values.isNewer(Record);
+    this->Callbacks.OnPublished(Record);
+  }
+  this->Pull.onAnswer(Peer, HasNew);
+}
+
 void PeerTask::onMessage(const HostId &Peer, const wire::PeerMessage &Message) {
   if (Message.__isset.HeartbeatMsg)
     this->onHeartbeat(Peer, Message.HeartbeatMsg);
   if (Message.__isset.ConfigPullMsg)
     this->onPull(Peer, Message.ConfigPullMsg);
-  if (Message.__isset.PublishedMsg) {
-    this->Pull.onAnswer(Peer);
-    for (const wire::PublishedValue &Value : Message.PublishedMsg.Values)
-      this->Callbacks.OnPublished(
-          KeyedRecord{Value.Key, Value.Value, Value.Offset});
-  }
+  if (Message.__isset.PublishedMsg)
+    this->onPushedValues(Peer, Message.PublishedMsg);
   if (Message.__isset.EngineStateMsg)
     this->Callbacks.OnEngineState(Message.EngineStateMsg);
   if (Message.__isset.WeightsAnnounceMsg)
--- a/packages/gateway/peer_task_base.h
+++ b/packages/gateway/peer_task_base.h
@@ -94,6 +94,9 @@
     this->Hub.send(Peer, Message);
   }
 
+  /// Gets published values from peers that may be missing below newer ones.
+  void pullAll() { this->Pull.wantAll(); }
+
   /// Sends heartbeats now, so that peers learn of newer published values.
   void announce() { this->Hub.sendHeartbeats(); }
 
@@ -117,6 +120,7 @@
   void onHeartbeat(const HostId &Peer, const wire::Heartbeat &Beat);
   /// Sends a peer the published values that it lacks.
   void onPull(const HostId &Peer, const wire::ConfigPull &Known);
+  void onPushedValues(const HostId &Peer, const wire::PublishedPush &Push);
   /// Makes a store call for a peer that cannot reach the store.
   void onStoreCall(const HostId &Peer, const wire::StoreCallRequest &Request);
   /// Passes on the answer of a relayed call, unless that timed out.
--- a/packages/gateway/published_values_base.cpp
+++ b/packages/gateway/published_values_base.cpp
@@ -7,9 +7,13 @@
 
 namespace camphornotch {
 
-bool PublishedValues::update(const KeyedRecord &Record) {
+bool PublishedValues::isNewer(const KeyedRecord &Record) const {
   const auto Known = this->Values.find(Record.Key);
-  if (Known != this->Values.end() && Known->second.Offset >= Record.Offset)
+  return Known == this->Values.end() || Known->second.Offset < Record.Offset;
+}
+
+bool PublishedValues::update(const KeyedRecord &Record) {
+  if (!this->isNewer(Record))
     return false;
   this->HighestOffset = std::max(this->HighestOffset, Record.Offset);
   this->Values.insert_or_assign(Record.Key, Record);
--- a/packages/gateway/published_values_base.h
+++ b/packages/gateway/published_values_base.h
@@ -17,6 +17,9 @@
 /// state.
 class PublishedValues {
 public:
+  /// @return whether it is newer than the known value of its key.
+  bool isNewer(const KeyedRecord &Record) const;
+
   /// Stores a value if it is newer than the known one.
   /// @return whether it was stored.
   bool update(const KeyedRecord &Record);
--- a/tests/gateway/value_pull_test.cpp
+++ b/tests/gateway/value_pull_test.cpp
@@ -15,9 +15,15 @@
   ValuePull Pull;
   int64_t HaveOffset = 6;
 
+  /// The peer that was asked last.
+  HostId LastAsked;
+
   bool offer(const std::string &Peer, bool Near, int64_t Offset, int64_t Now) {
-    return this->Pull.onOffer(ValueOffer{HostId{Peer}, Near, Offset},
-                              this->HaveOffset, Millis{Now});
+    const bool Asked = this->Pull.onOffer(
+        ValueOffer{HostId{Peer}, Near, Offset}, this->HaveOffset, Millis{Now});
+    if (Asked)
+      this->LastAsked = HostId{Peer};
+    return Asked;
   }
 
   /// All of many near peers send a heartbeat every 500 ms, spread evenly.
@@ -92,3 +98,29 @@
   cr_assert_not(Net.offer("a", true, 5, 0));
   cr_assert_not(Net.offer("a", true, 6, 1'000));
 }
+
+Test(valuePull, valuesMayBeMissingBelowNewerOnes_peersAreAskedForAllInTurn) {
+  PullFixture Net;
+  Net.HaveOffset = 7;
+  cr_assert_eq(Net.askedOf(3, 7, 0, 1'000), 0);
+  Net.Pull.wantAll();
+  cr_assert_eq(Net.askedOf(3, 7, 1'000, 1'500), 1);
+  cr_assert(Net.Pull.asksForAll());
+  Net.Pull.onAnswer(Net.LastAsked, false);
+  cr_assert_eq(Net.askedOf(3, 7, 1'500, 2'000), 1);
+  Net.Pull.onAnswer(Net.LastAsked, true);
+  cr_assert_eq(Net.askedOf(3, 7, 2'000, 9'000), 0);
+}
+
+Test(valuePull, noPeerHasAMissingValue_eachIsAskedForAllOnce) {
+  PullFixture Net;
+  Net.HaveOffset = 7;
+  Net.Pull.wantAll();
+  for (int Round = 0; Round < 6; ++Round) {
+    const int64_t From = Round * int64_t{500};
+    const int Asked = Net.askedOf(3, 7, From, From + 500);
+    cr_assert_leq(Asked, 1);
+    cr_assert_eq(Asked == 1, Round < 3, "%d", Round);
+    Net.Pull.onAnswer(Net.LastAsked, false);
+  }
+}
--- a/tests/gateway_tasks/peer_task_test.cpp
+++ b/tests/gateway_tasks/peer_task_test.cpp
@@ -88,6 +88,21 @@
   cr_assert(Right.Values.all().at("config").Value == "new");
 }
 
+// Guards against a process that read a part of the values, and never gets an
+// older one that its peers know, since it has one as new as theirs.
+Test(peers, olderValueIsMissing_isPulledOnceAllAreWanted) {
+  Loop Events;
+  PeerHost Knowing(Events, Nowhere, "loader");
+  PeerHost Partial(Events, Nowhere, "gateway");
+  Partial.Peers->connect(Knowing.LinkTarget);
+  Knowing.Values.update(KeyedRecord{"config", "c", 3});
+  for (PeerHost *Each : {&Knowing, &Partial})
+    Each->Values.update(KeyedRecord{"#&b", "{}", 7});
+  Partial.Peers->pullAll();
+  cr_assert(turnUntil(Events,
+                      [&] { return Partial.Values.all().contains("config"); }));
+}
+
 Test(peers, configurationKnownToAllPeers_isReceivedOnce) {
   Loop Events;
   PeerHost Behind(Events, Nowhere, "loader");
