Fix: [Gateway] A gateway without a configuration links to loaders

Each loader still had the configuration.

Cause: which endpoints have loaders is said by the configuration, so that a gateway without one linked to none.

Change: until it has one, a gateway links to the loaders of endpoints that list models.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -259,12 +259,18 @@
   this->Batches.routesChanged();
 }
 
+bool Gateway::hasLoader(const EndpointRecord &Record) const {
+  // Without a configuration, a loader may be the only one that still has it.
+  if (this->Routes.Version == 0)
+    return !Record.Versions.empty();
+  const ServiceInfo *Service = findService(this->Routes, Record.Service);
+  return Service != nullptr && Service->Engine.has_value();
+}
+
 void Gateway::connectLoaders() {
   std::set<HttpTarget> Wanted;
   for (const auto &[Id, State] : this->Pool.all()) {
-    const ServiceInfo *Service =
-        findService(this->Routes, State.Record.Service);
-    if (Service != nullptr && Service->Engine.has_value())
+    if (this->hasLoader(State.Record))
       Wanted.insert(HttpTarget{State.Record.ListenAddress.Ip,
                                this->Settings.Common.ListenLinks.Port});
   }
--- a/packages/gateway/gateway_base.h
+++ b/packages/gateway/gateway_base.h
@@ -97,6 +97,8 @@
   /// Applies a configuration unless it is unreadable or not newer than the
   /// current one.
   void applyConfig(const KeyedRecord &Record);
+  /// @return whether a loader runs beside the endpoint.
+  bool hasLoader(const EndpointRecord &Record) const;
   /// Connects to the loaders of all engines, and disconnects from those whose
   /// engine is gone.
   void connectLoaders();
--- a/tests/soak/odd_names.py
+++ b/tests/soak/odd_names.py
@@ -243,6 +243,9 @@
             Variant(fails=("cursor", "500"), page_records=1, records=4, place="middle", topics=(SERVERS, OPERATOR),
                     history=True)),
     case_of("odd_entry_first_page_unreadable", Variant(fails=("page", "unreadable"), place="first")),
+    case_of("odd_entry_gateways_restarted",
+            Variant(fails=("cursor", "429"), topics=(OPERATOR,), page_records=1, records=4, place="middle",
+                    restarted="gateways")),
 ]
 
 
