Fix: [Net] A page of the log that does not advance is asked for after a pause

Cause: LogReader polls again at once after each valid page. A log that sends records which were read before, or that have no offset, gets thousands of calls a second from each process.

Change: such a page is asked for again after one second.

Evidence: logReader/pageThatDoesNotAdvance_* failed before (over 5 reads within 0.15 s, where 3 to 5 within 3 s are allowed) and passes.

--- a/packages/net/log_reader.cpp
+++ b/packages/net/log_reader.cpp
@@ -95,6 +95,7 @@
   if (this->Oldest > this->Next && this->Callbacks.Gap)
     this->Callbacks.Gap(this->Oldest);
   this->Next = std::max(this->Next, this->Oldest);
+  const LogOffset Before = this->Next;
   for (const nlohmann::json &Record : *Records) {
     const LogOffset Offset{numberOf(Record, "offset", 0)};
     if (Offset < this->Next)
@@ -102,6 +103,12 @@
     this->Next = LogOffset{Offset.Value + 1};
     this->Callbacks.Record(Offset, recordOf(Record));
   }
+  // The log would send the same records again at once.
+  if (!Records->empty() && this->Next == Before) {
+    this->RetryTimer =
+        this->Events.callAfter(RetryMax, [this] { this->poll(); });
+    return;
+  }
   if (this->Callbacks.CaughtUp)
     this->Callbacks.CaughtUp(this->Next);
   this->poll();
--- a/tests/net/log_client_test.cpp
+++ b/tests/net/log_client_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Log client against a log in memory, and parsing of the host list.
 
+#include "base/clock_func.h"
 #include "net/host_list_base.h"
 #include "net/log_client_base.h"
 #include "net_fixture.h"
@@ -164,6 +165,28 @@
   cr_assert_eq(States, (std::vector<bool>{false, true}));
 }
 
+// Guards against calls without a pause to a log that sends the same page again.
+Test(logReader, pageThatDoesNotAdvance_isAskedForAfterPauses) {
+  HttpFixture Net;
+  int Reads = 0;
+  Net.Handler = [&](const std::shared_ptr<HttpExchange> &Exchange) {
+    ++Reads;
+    Exchange->answer(HttpResponse{
+        200, "application/json", {}, R"({"records":[{"offset":1}, 7, {}]})"});
+  };
+  int Reported = 0;
+  LogReaderCallbacks Callbacks;
+  Callbacks.Record = [&](LogOffset, const wire::LogRecord &) { ++Reported; };
+  LogReader Tested(Net.Events, Net.Client, Net.target(), std::move(Callbacks));
+  Tested.start(LogOffset{1});
+  const Millis Until = steadyNow() + seconds(3);
+  turnUntil(Net.Events, [&] { return steadyNow() >= Until; });
+  cr_assert_eq(Reported, 1);
+  constexpr int MaxReads = 5;
+  cr_assert_geq(Reads, 3);
+  cr_assert_leq(Reads, MaxReads);
+}
+
 Test(hostList, badHosts_areLeftOut) {
   const auto List = parseHostList(R"({"generation": 7, "hosts": [
     {"host": "a1", "role": "agent", "data_centre": "dc1", "region": "r1",
