Fix: [Ctl] A log that does not advance does not keep a command for good

What operators saw: camphornotch log and show did not end, and called the log without a pause, if its page had no record at or after the offset asked for: records of before, records without an offset, or with one that is text.

Cause: both read until a page is empty, and took for granted that others lead on.

Change: such a page is an unavailable log, with a message and exit code 4.

--- a/packages/ctl/platform_base.cpp
+++ b/packages/ctl/platform_base.cpp
@@ -9,6 +9,7 @@
 #include "wire/codec_func.h"
 
 #include <absl/strings/escaping.h>
+#include <algorithm>
 #include <optional>
 #include <random>
 
@@ -121,8 +122,17 @@
   LogPage Page;
   Page.OldestOffset = LogOffset{integerMember(Body, "oldest")};
   Page.NextOffset = LogOffset{integerMember(Body, "next")};
-  for (const json &Entry : *Records)
+  LogOffset LastOffset{-1};
+  for (const json &Entry : *Records) {
     Page.Records.push_back(loggedRecord(Entry));
+    LastOffset = std::max(LastOffset, Page.Records.back().Offset);
+  }
+  if (!Page.Records.empty() && LastOffset < FirstOffset)
+    return Error{ErrorKind::Unavailable,
+                 concat("the log sends no record after offset ",
+                        FirstOffset.Value - 1,
+                        ", but says that there are some"),
+                 "see whether --log is the address of the log"};
   return Page;
 }
 
