Fix: [Gateway] A read without a record before the end is repeated after a pause

Cause: KeyedFollower reads on at once after each answer. A store that says that there are records and sends none, without waiting, got calls without a pause.

Evidence: keyedFollower/readWithoutARecordBeforeTheEnd_* failed before (over 8 reads a second) and passes, as do the other tests of the follower.

--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -214,12 +214,16 @@
       logLine(LogLevel::Warn, "unreadable record of a keyed topic skipped",
               {{"topic", this->Topic}, {"cause", Record.error().Message}});
   }
-  if (!this->CaughtUp && this->NextOffset >= Page.EndOffset) {
+  const bool AtEnd = this->NextOffset >= Page.EndOffset;
+  if (!this->CaughtUp && AtEnd) {
     this->CaughtUp = true;
     if (!this->NewestRead)
       this->reportKeys();
   }
-  this->readNextRecords();
+  if (Page.Records.empty() && !AtEnd)
+    this->readNextRecordsLater();
+  else
+    this->readNextRecords();
 }
 
 void KeyedFollower::onRecordsFailed(const StoreFailure &Failure) {
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -217,6 +217,32 @@
   cr_expect_not(Fixture.Present.contains("c2"));
 }
 
+// Guards against calls without a pause to a store that has records and sends
+// none.
+Test(keyedFollower, readWithoutARecordBeforeTheEnd_isRepeatedAfterAPause) {
+  HttpFixture Net;
+  int Reads = 0;
+  Net.Handler = [&](const std::shared_ptr<HttpExchange> &Exchange) {
+    HttpResponse Response;
+    Response.Body = R"({"items":[],"end":5})";
+    if (Exchange->request().Path == "/-/log-read") {
+      ++Reads;
+      Response.Body =
+          standin::standinNumber(9, 8) + standin::standinNumber(0, 8);
+    }
+    Exchange->answer(Response);
+  };
+  platform::StoreClient Store(Net.Events, Net.Client, Net.target());
+  KeyedFollower Tested(Net.Events, Store, std::string(Topic),
+                       loggingCallbacks("topic", [](const KeyedRecord &) {}));
+  Tested.begin();
+  const Millis Until = steadyNow() + seconds(1);
+  turnUntil(Net.Events, [&] { return steadyNow() >= Until; });
+  constexpr int MaxReads = 8;
+  cr_expect_geq(Reads, 2);
+  cr_expect_leq(Reads, MaxReads);
+}
+
 // Guards against a key that makes its whole page unreadable.
 Test(keyedFollower, keyThatIsNoText_othersAreRead) {
   for (const bool SendsRawKeys : {false, true}) {
