Fix: [Gateway] A value that was replaced is not applied while catching up

Cause: a process that reads retained records beside pages that fail passed each of them on, so that a replaced configuration was in force for a moment, and a draining endpoint counted as ready.

Change: until the process has caught up, only the last record of a key in an answer is passed on.

Evidence: keyedFollower/retainedRecordsAreReadBesidePages_* asks for the last value alone now; it failed before, and the 12 tests of the follower pass.

--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace camphornotch {
 
@@ -194,26 +195,41 @@
   this->Events.callAfter(RetryPause, [this] { this->readNextRecords(); });
 }
 
-void KeyedFollower::onRecords(const ReadPage &Page) {
-  this->onStoreAnswered();
-  this->ExpiredAgain = false;
-  const int64_t Useful = this->NewestRead ? this->Pass.firstEnd()
-                                          : Page.EndOffset - MaxRecentRecords;
-  if (!this->CaughtUp && this->NextOffset < Useful) {
-    this->skipTo(Useful);
-    this->readNextRecords();
-    return;
-  }
+std::vector<KeyedRecord> KeyedFollower::decodeRecords(const ReadPage &Page) {
+  std::vector<KeyedRecord> Records;
   for (const std::string &Bytes : Page.Records) {
-    const Result<KeyedRecord> Record =
+    Result<KeyedRecord> Record =
         platform::decodeKeyedRecord(Bytes, this->NextOffset);
     ++this->NextOffset;
     if (Record.has_value())
-      this->onRecord(Record.value());
+      Records.push_back(std::move(Record.value()));
     else
       logLine(LogLevel::Warn, "unreadable record of a keyed topic skipped",
               {{"topic", this->Topic}, {"cause", Record.error().Message}});
   }
+  return Records;
+}
+
+void KeyedFollower::onRecords(const ReadPage &Page) {
+  this->onStoreAnswered();
+  this->ExpiredAgain = false;
+  const int64_t FirstNeeded = this->NewestRead
+                                  ? this->Pass.firstEnd()
+                                  : Page.EndOffset - MaxRecentRecords;
+  if (!this->CaughtUp && this->NextOffset < FirstNeeded) {
+    this->skipTo(FirstNeeded);
+    this->readNextRecords();
+    return;
+  }
+  const std::vector<KeyedRecord> Records = this->decodeRecords(Page);
+  std::map<std::string_view, int64_t> LastOffsets;
+  for (const KeyedRecord &Record : Records)
+    LastOffsets[Record.Key] = Record.Offset;
+  // Until the process has caught up, a record that another one replaced would
+  // take it back to an older state for a moment.
+  for (const KeyedRecord &Record : Records)
+    if (this->CaughtUp || LastOffsets[Record.Key] == Record.Offset)
+      this->onRecord(Record);
   const bool AtEnd = this->NextOffset >= Page.EndOffset;
   if (!this->CaughtUp && AtEnd) {
     this->CaughtUp = true;
--- a/packages/gateway/keyed_follower_base.h
+++ b/packages/gateway/keyed_follower_base.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace camphornotch {
 
@@ -85,6 +86,8 @@
   /// Reads the next records; long-polls the store once all were read.
   void readNextRecords();
   void readNextRecordsLater();
+  /// @return the records that can be decoded; those of the page count as read.
+  std::vector<KeyedRecord> decodeRecords(const ReadPage &Page);
   void onRecords(const ReadPage &Page);
   void onRecordsFailed(const StoreFailure &Failure);
   /// The next record is no longer retained.
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -77,6 +77,7 @@
   /// it.
   std::map<std::string, KeyedRecord> Newest;
   bool WentBack = false;
+  std::set<std::string> ValuesOfC1;
   KeyedFollower Tested{
       Events, Store, std::string(Topic),
       KeyedFollowerCallbacks{
@@ -85,6 +86,8 @@
             KeyedRecord &Known = this->Newest[Record.Key];
             this->WentBack |= Record.Offset < Known.Offset;
             Known = Record;
+            if (Record.Key == "c1")
+              this->ValuesOfC1.insert(Record.Value);
           },
           [this](const std::set<std::string> &Keys) { this->Present = Keys; },
           [](const Error &) {}, [] {}}};
@@ -210,6 +213,8 @@
                       [&Fixture] { return Fixture.Present.contains("c1"); }));
   cr_expect_not(Fixture.WentBack);
   cr_expect_eq(Fixture.Newest["c1"].Value, "v3");
+  // Replaced values of before, of which a configuration may be one, are none.
+  cr_expect_eq(Fixture.ValuesOfC1, std::set<std::string>{"v3"});
   Fixture.healPages();
   cr_assert(turnUntil(Fixture.Events,
                       [&Fixture] { return Fixture.Present.contains("c3"); }));
