Fix: [Gateway] More retained records stand in for pages that cannot be read

Cause: the 1,000 last records that are read in place of the pages.

Change: 10,000, about as many bytes as the pages of the largest list.

--- a/packages/gateway/keyed_follower_base.cpp
+++ b/packages/gateway/keyed_follower_base.cpp
@@ -32,7 +32,7 @@
 constexpr Millis MaxPassPause{120'000};
 /// Records before the end of the history that stand in for pages which could
 /// not be read.
-constexpr int64_t MaxRecentRecords = 1'000;
+constexpr int64_t MaxRecentRecords = 10'000;
 
 } // namespace
 
--- a/tests/gateway_tasks/keyed_follower_test.cpp
+++ b/tests/gateway_tasks/keyed_follower_test.cpp
@@ -222,6 +222,20 @@
   cr_expect_not(Fixture.Present.contains("c2"));
 }
 
+// Guards against a configuration that is given up although its record is
+// retained, behind many entries of another writer.
+Test(keyedFollower, retainedRecordBehindThousandsOfOthers_isReadBesidePages) {
+  PagedFixture Fixture("b1", 1);
+  Fixture.Server.put(std::string(Topic), "c9", "v");
+  constexpr int Others = 9'000;
+  for (int Number = 0; Number < Others; ++Number)
+    Fixture.Server.put(std::string(Topic), "b" + std::to_string(Number), "{}");
+  Fixture.refusePage(true, 500);
+  Fixture.Tested.begin();
+  cr_assert(turnUntil(Fixture.Events,
+                      [&Fixture] { return Fixture.Records.contains("c9"); }));
+}
+
 // Guards against calls without a pause to a store that has records and sends
 // none.
 Test(keyedFollower, readWithoutARecordBeforeTheEnd_isRepeatedAfterAPause) {
