Fix: [Tests] A stand-in that has stopped keeps its port

Cause, shown: ScriptedServer gave its port back when it stopped listening. Once its last connection is reset, another process can listen there, and the check whether the endpoint crashed finds one that accepts. A listener that takes the port after the reset gives just the failure that was seen (forward::endpointThatCrashesWithinItsAnswer, no report of the break). The other test, forward::streamResumedAtAnEndpointThatFails, fits a server that gets the connection of such a check; not shown.

Change: a second socket keeps the port.

--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -25,32 +25,31 @@
 class ScriptedServer {
 public:
   ScriptedServer() {
-    this->Listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in Address = {};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool Bound =
-        bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
-             sizeof(Address)) == 0;
+    this->Reservation = boundSocket(Address);
+    socklen_t Length = sizeof(Address);
+    getsockname(this->Reservation, reinterpret_cast<sockaddr *>(&Address),
+                &Length);
+    this->Listener = boundSocket(Address);
     const bool Listens = listen(this->Listener, 16) == 0;
-    assert(Bound && Listens);
-    (void)Bound;
+    assert(Listens);
     (void)Listens;
     fcntl(this->Listener, F_SETFL, O_NONBLOCK);
-    socklen_t Length = sizeof(Address);
-    getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Address),
-                &Length);
     this->Target = HttpTarget{"127.0.0.1", ntohs(Address.sin_port)};
   }
   ~ScriptedServer() {
     for (const int Each : this->Connections)
       close(Each);
     close(this->Listener);
+    close(this->Reservation);
   }
   ScriptedServer(const ScriptedServer &) = delete;
   ScriptedServer &operator=(const ScriptedServer &) = delete;
 
-  /// Refuses connections from now on, like a process that has ended.
+  /// Refuses connections from now on, like a process that has ended. No other
+  /// process can listen on the port meanwhile.
   void stopListening() {
     close(this->Listener);
     this->Listener = -1;
@@ -148,6 +147,19 @@
   }
 
 private:
+  /// @return a socket that shares its address with others that do not listen.
+  static int boundSocket(const sockaddr_in &Address) {
+    const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    const int Shared = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Shared, sizeof(Shared));
+    const bool Bound =
+        bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+             sizeof(Address)) == 0;
+    assert(Bound);
+    (void)Bound;
+    return Socket;
+  }
+
   void readInput(size_t Index) {
     this->Closed.resize(this->Connections.size(), false);
     if (this->Connections[Index] < 0)
@@ -166,6 +178,8 @@
     }
   }
 
+  /// Keeps the port while nothing listens on it.
+  int Reservation = -1;
   int Listener = -1;
   HttpTarget Target;
   std::vector<int> Connections;
