Revert: [Loader] Entries that copy an engine's do not delay its weights

Weights of one engine that come late cost callers less than streams that no engine gets. Suspected: a gateway avoids an engine that seems to load, and with it the copies; not shown.

--- a/packages/gateway/loader_base.cpp
+++ b/packages/gateway/loader_base.cpp
@@ -183,15 +183,6 @@
     this->Controller.placeChanged(OwnEngine->Place, steadyNow());
 }
 
-void Loader::rejectId(const EndpointId &Rejected, const EndpointId &Named) {
-  this->RejectedIds.insert(Rejected);
-  if (Named.Value.empty() || Named == Rejected)
-    return;
-  for (const auto &[Id, State] : this->Pool.all())
-    if (State.Record.ListenAddress == this->Settings.Engine && Id != Named)
-      this->RejectedIds.insert(Id);
-}
-
 void Loader::requestReport() {
   HttpCallbacks Callbacks;
   Callbacks.Finished = [this](const HttpResponse &Response) {
@@ -266,7 +257,7 @@
         if (!Accepted)
           this->LoadingModel.clear();
         if (Response.Status == StatusMisdirected) {
-          this->rejectId(EngineId, platform::answeringInstance(Response));
+          this->RejectedIds.insert(EngineId);
           this->Controller.engineLost();
           this->updatePlace();
         }
--- a/packages/gateway/loader_base.h
+++ b/packages/gateway/loader_base.h
@@ -46,10 +46,6 @@
   void sendOrder(const LoadOrder &Order);
   /// Finds this engine's id and place among the engines of its service.
   void updatePlace();
-  /// Notes that the engine has another id than the one registered for its
-  /// address.
-  /// @param Named the id that the engine gave; empty: none.
-  void rejectId(const EndpointId &Rejected, const EndpointId &Named);
   /// Sends the engine's state to the gateways that need it now.
   void pushState();
   /// @return the message with the engine's state for gateways.
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -212,13 +212,6 @@
   cr_assert(Json::parse(Call.Body) == Expected);
 }
 
-Test(answeringInstance, headerAbsentOrGiven_namesNoneOrTheEndpoint) {
-  HttpResponse Response;
-  cr_expect(answeringInstance(Response).Value.empty());
-  Response.Headers.push_back({"x-camphornotch-instance-id", "i-1"});
-  cr_expect(answeringInstance(Response) == EndpointId{"i-1"});
-}
-
 Test(decodeEngineEvent, versionLine_isDecoded) {
   const auto Decoded = decodeEngineEvent(
       "x-camphornotch-weight-versions: 9\nid: 4\ndata: a\ndata: b");
